--- a/benchmarks/capacity_log.py
+++ b/benchmarks/capacity_log.py
@@ -15,7 +15,7 @@
 from skylarktrail.core.slices import SliceTable
 from skylarktrail.core.state import State
 from skylarktrail.daemon.controller import Controller
-from skylarktrail.platform.record_codec import decode, encode
+from skylarktrail.providers.record_codec import decode, encode
 
 from .capacity_meter import REPEATS, Figure, cpu_us, memory_bytes, section
 from .capacity_site import INCARNATION, SERVICE, build, make_file
--- a/benchmarks/capacity_traffic.py
+++ b/benchmarks/capacity_traffic.py
@@ -17,7 +17,7 @@
 )
 from skylarktrail.core.traffic.roster import ROSTER_SETTLE_MS
 from skylarktrail.daemon.publisher import complete_file, make_instances
-from skylarktrail.platform.interface import Vm
+from skylarktrail.providers.interface import Vm
 
 from .capacity_meter import Figure, cpu_us, memory_bytes, section
 from .capacity_site import SERVICE, make_file, names, zone_of
--- a/benchmarks/capacity_wire.py
+++ b/benchmarks/capacity_wire.py
@@ -17,10 +17,10 @@
 from skylarktrail.daemon.peering import Peering
 from skylarktrail.peer import messages as peer
 from skylarktrail.peer.codec import encode
-from skylarktrail.platform.http_grants import HttpGrants
-from skylarktrail.platform.http_log import HttpLog
-from skylarktrail.platform.http_reports import HttpReports
-from skylarktrail.platform.http_vms import HttpVmList
+from skylarktrail.providers.http_grants import HttpGrants
+from skylarktrail.providers.http_log import HttpLog
+from skylarktrail.providers.http_reports import HttpReports
+from skylarktrail.providers.http_vms import HttpVmList
 
 from .capacity_meter import Figure, cpu_us, section
 from .capacity_responder import Responder
--- a/src/skylarktrail/__main__.py
+++ b/src/skylarktrail/__main__.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
 from .run import main
 
 if __name__ == "__main__":
-    sys.exit(main())
+    status = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)  # Threads may wait for answers that nobody needs any more.
--- /dev/null
+++ b/src/skylarktrail/core/gateway/budget.py
@@ -0,0 +1,75 @@
+"""Bounds repeats and requests to cold instances over all daemons."""
+
+from __future__ import annotations
+
+from collections import deque
+
+REPEAT_RATIO = 0.6  # Part of the site's ratio that is used; windows slide.
+
+
+class RepeatBudget:
+    """Counts repeats of one service in a sliding window.
+
+    Each daemon stays within a share of its own requests, so that the sum over all
+    daemons stays within the same share of all requests.
+
+    Args:
+        window_ms: Length of the window.
+        ratio: Repeats for each request that the site allows.
+        extra: Repeats beyond the ratio that this daemon may use.
+    """
+
+    def __init__(self, window_ms: float, ratio: float, extra: float) -> None:
+        self._window_ms = window_ms
+        self._ratio = ratio * REPEAT_RATIO
+        self.extra = extra
+        self._firsts: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def note_first(self, now_ms: float) -> None:
+        """Counts a request of a caller."""
+        self._firsts.append(now_ms)
+        self._forget(now_ms)
+
+    def take(self, now_ms: float) -> bool:
+        """Counts a repeat if one more is allowed."""
+        self._forget(now_ms)
+        allowed = self._ratio * len(self._firsts) + self.extra
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now_ms)
+        return True
+
+    def _forget(self, now_ms: float) -> None:
+        oldest_ms = now_ms - self._window_ms
+        for times in (self._firsts, self._repeats):
+            while times and times[0] < oldest_ms:
+                times.popleft()
+
+
+class TokenBucket:
+    """Allows a steady rate with a small burst."""
+
+    def __init__(self, rate_per_s: float, burst: float, now_ms: float) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._tokens = burst
+        self._at_ms = now_ms
+
+    def take(self, now_ms: float) -> bool:
+        """Takes one token if there is one."""
+        self._refill(now_ms)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def has_token(self, now_ms: float) -> bool:
+        """Tells whether `take` would succeed."""
+        self._refill(now_ms)
+        return self._tokens >= 1
+
+    def _refill(self, now_ms: float) -> None:
+        earned = max(0.0, now_ms - self._at_ms) / 1000 * self.rate_per_s
+        self._tokens = min(self.burst, self._tokens + earned)
+        self._at_ms = now_ms
--- /dev/null
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -0,0 +1,516 @@
+"""Grants key ranges of one keyed service while this daemon is the site's granter.
+
+The ranges and their owners stand in the store before they are granted. A grant carries
+a fence made of the granter's term and a counter, so grants of a former granter are
+refused by every instance that a newer one has reached. A range moves when its owner has
+answered a release, when the owner's life is known to be over, or when the longest lease
+that anybody may have given it has run out.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Mapping, NamedTuple, Sequence
+
+from .model import HASHES
+from .planner import Holding, Move, plan_moves
+from .ranges import OwnedRange, OwnerTable, coalesce, find_gaps
+
+FENCES_PER_TERM = 1 << 24  # Grants of one term; more would take weeks.
+CLOCK_RATIO = 1.03  # An instance's clock may run 2% slow.
+LEASE_SLACK_MS = 100.0  # Late timers on both sides.
+RETRY_MS = 250.0  # Pause before a call that brought no answer is repeated.
+FENCING_LEASE_MS = 1000.0  # Lease of a grant that only shuts out earlier ones.
+REFUSED_PROOF = 2  # Refused connections that prove an unlisted process ended.
+
+
+class Timings(NamedTuple):
+    """Durations of leases.
+
+    Attributes:
+        lease_ms: Length of a lease.
+        renew_ms: Time between renewals.
+        authority_ms: How long a granter that cannot reach the store goes on.
+    """
+
+    lease_ms: float = 4000.0
+    renew_ms: float = 1000.0
+    authority_ms: float = 8000.0
+
+
+class Owner(NamedTuple):
+    """What the granter knows of an instance.
+
+    Attributes:
+        instance: Its identifier.
+        address: `host:port`.
+        born_ms: Start of its life.
+        is_usable: Whether it may get keys.
+        capacity: Its speed relative to the others.
+    """
+
+    instance: str
+    address: str
+    born_ms: int
+    is_usable: bool
+    capacity: float = 1.0
+
+
+class GrantCall(NamedTuple):
+    """A grant or renewal to send."""
+
+    call: int
+    instance: str
+    address: str
+    first: int
+    last: int
+    fence: int
+    lease_ms: float
+    handover: str
+
+
+class ReleaseCall(NamedTuple):
+    """A release to send."""
+
+    call: int
+    instance: str
+    address: str
+    first: int
+    last: int
+    fence: int
+
+
+class RecordWanted(NamedTuple):
+    """Owners to record before they are granted."""
+
+    ranges: tuple[OwnedRange, ...]
+
+
+Action = GrantCall | ReleaseCall | RecordWanted
+
+
+class CallResult(NamedTuple):
+    """How a grant or release ended.
+
+    Attributes:
+        call: Number of the call.
+        outcome: `done`; `fenced`; `refused`, where no process listens; `unsent`,
+            where no connection came about; `silent`, where it may take effect.
+        handover: State handed over by the releasing instance.
+    """
+
+    call: int
+    outcome: str
+    handover: str = ""
+
+
+class _Range:
+    """Hashes, their owner and what is known of the owner's lease."""
+
+    def __init__(self, owned: OwnedRange, address: str, lease_end_ms: float) -> None:
+        self.owned = owned
+        self.address = address
+        self.fence = 0
+        self.is_held = False
+        self.is_leaving = False
+        self.is_free = False
+        self.unanswered_until_ms = -math.inf
+        self.lease_end_ms = lease_end_ms
+        self.next_call_ms = 0.0
+        self.call = 0
+        self.refusals = 0
+        self.handover = ""
+        self.target = ""
+        self.target_born_ms = 0
+
+    def reset(self) -> None:
+        """Begins anew with the owner that was recorded."""
+        self.fence = 0
+        self.is_held = self.is_leaving = self.is_free = False
+        self.unanswered_until_ms = self.lease_end_ms = -math.inf
+        self.next_call_ms = 0.0
+        self.refusals = 0
+        self.target = ""
+
+    def needs_fencing(self, now_ms: float) -> bool:
+        """Tells whether an earlier grant may still take effect after a release."""
+        return not self.is_held or now_ms < self.unanswered_until_ms
+
+    def part(self, first: int, last: int) -> _Range:
+        """Returns a copy for some of its hashes."""
+        copy = _Range(
+            self.owned._replace(first=first, last=last), self.address, self.lease_end_ms
+        )
+        names = ("fence", "is_held", "is_leaving", "is_free", "unanswered_until_ms")
+        for name in (*names, "next_call_ms", "handover", "target", "refusals"):
+            setattr(copy, name, getattr(self, name))
+        return copy
+
+
+class Granter:
+    """Ranges of one service, under one term of this daemon.
+
+    Args:
+        timings: Durations of leases.
+        term: Term of this granter, above all earlier ones.
+        recorded: Owners on record.
+        now_ms: Time at which the term was taken.
+        has_rival: Whether another live daemon may still act for an earlier term.
+    """
+
+    def __init__(
+        self,
+        timings: Timings,
+        term: int,
+        recorded: OwnerTable,
+        now_ms: float,
+        has_rival: bool = True,
+    ) -> None:
+        self._timings = timings
+        self._term = term
+        self._counter = 0
+        self._calls = 0
+        self._pending: dict[int, tuple[list[_Range], float, str]] = {}
+        rights_ms = timings.authority_ms if has_rival else 0.0
+        end_ms = now_ms + rights_ms + self._longest_ms(timings.lease_ms)
+        self._ranges = [_Range(item, "", end_ms) for item in recorded.ranges]
+        self._owners: dict[str, Owner] = {}
+        self._is_recording = False
+        self._given: list[_Range] = []
+
+    @staticmethod
+    def _longest_ms(lease_ms: float) -> float:
+        return lease_ms * CLOCK_RATIO + LEASE_SLACK_MS
+
+    @property
+    def ranges(self) -> list[OwnedRange]:
+        """Returns the owners, as they are to be recorded."""
+        return coalesce(item.owned for item in self._ranges if not item.is_free)
+
+    def has_orphans(self) -> bool:
+        """Tells whether hashes have no owner that may keep them."""
+        is_leaving = any(
+            not item.is_free and not item.target and not self._is_usable(item.owned[2])
+            for item in self._ranges
+        )
+        return is_leaving or bool(self._unplaced_hashes())
+
+    def has_free(self) -> bool:
+        """Tells whether ranges wait to be recorded under a new owner."""
+        return any(item.is_free for item in self._ranges)
+
+    def unheld(self) -> int:
+        """Returns how many hashes no instance holds as far as is known."""
+        held = sum(
+            item.owned.last - item.owned.first + 1
+            for item in self._ranges
+            if item.is_held and not item.is_leaving
+        )
+        return HASHES - held
+
+    def step(self, owners: Mapping[str, Owner], now_ms: float) -> list[Action]:
+        """Returns what is to be done now.
+
+        Args:
+            owners: All instances of the service that are listed.
+        """
+        self._owners = dict(owners)
+        if self._is_recording:
+            return self._renewals(now_ms)
+        self._free_ended(now_ms)
+        actions = self._renewals(now_ms)
+        actions += self._releases(now_ms)
+        self._forget_unplaced()
+        recorded = self._hand_out()
+        return actions + ([recorded] if recorded else [])
+
+    def rebalance(self, cumulated: Sequence[float], is_even_wanted: bool) -> list[Move]:
+        """Marks the ranges that get another owner; returns the moves.
+
+        Args:
+            cumulated: Load below each bucket.
+            is_even_wanted: Whether to move keys for the sake of load alone.
+        """
+        capacities = {
+            owner.instance: owner.capacity
+            for owner in self._owners.values()
+            if owner.is_usable
+        }
+        if not capacities or self._is_recording:
+            return []
+        holdings = [
+            Holding(first, last, "") for first, last in self._unplaced_hashes()
+        ] + [
+            Holding(item.owned.first, item.owned.last, item.owned.owner)
+            for item in self._ranges
+            if not item.is_free and not item.target
+        ]
+        moves = plan_moves(holdings, capacities, cumulated)
+        if not is_even_wanted:
+            moves = [move for move in moves if not self._is_usable_at(move.first)]
+        for move in moves:
+            self._mark(move)
+        return moves
+
+    def take_result(self, result: CallResult, now_ms: float) -> None:
+        """Takes the end of a call."""
+        ranges, lease_ms, kind = self._pending.pop(result.call, ([], 0.0, ""))
+        for item in ranges:
+            if item.call != result.call:
+                continue
+            item.call = 0
+            if kind == "grant":
+                self._take_grant(item, result, lease_ms, now_ms)
+            else:
+                self._take_release(item, result, now_ms)
+
+    def take_recorded(self, is_recorded: bool) -> None:
+        """Takes the end of the record that was asked for."""
+        self._is_recording = False
+        given, self._given = self._given, []
+        if not is_recorded:
+            return
+        for item in given:
+            owner = self._owners.get(item.target)
+            born_ms = item.target_born_ms
+            item.owned = item.owned._replace(owner=item.target, born_ms=born_ms)
+            item.address = owner.address if owner else ""
+            item.reset()
+
+    def merge_neighbours(self, now_ms: float) -> int:
+        """Joins held ranges of one owner that lie side by side, under a new fence.
+
+        Each range costs a renewal, so their number has to stay small.
+        """
+        self._ranges.sort(key=lambda item: item.owned.first)
+        joined: list[_Range] = []
+        for item in self._ranges:
+            previous = joined[-1] if joined else None
+            if previous and self._may_join(previous, item, now_ms):
+                previous.owned = previous.owned._replace(last=item.owned.last)
+                previous.fence = 0
+                previous.next_call_ms = now_ms
+                previous.lease_end_ms = max(previous.lease_end_ms, item.lease_end_ms)
+            else:
+                joined.append(item)
+        merged = len(self._ranges) - len(joined)
+        self._ranges = joined
+        return merged
+
+    @staticmethod
+    def _may_join(left: _Range, right: _Range, now_ms: float) -> bool:
+        def is_calm(item: _Range) -> bool:
+            is_moving = item.is_leaving or item.is_free or item.target or item.call
+            return not is_moving and not item.needs_fencing(now_ms)
+
+        is_adjacent = left.owned.last + 1 == right.owned.first
+        is_same = left.owned[2:] == right.owned[2:]
+        return is_adjacent and is_same and is_calm(left) and is_calm(right)
+
+    def _take_grant(
+        self, item: _Range, result: CallResult, lease_ms: float, now_ms: float
+    ) -> None:
+        longest_ms = now_ms + self._longest_ms(lease_ms)
+        if result.outcome == "done":
+            item.is_held = True
+            item.refusals = 0
+            item.lease_end_ms = max(item.lease_end_ms, longest_ms)
+            item.next_call_ms = now_ms + self._timings.renew_ms
+            if item.is_leaving:
+                item.unanswered_until_ms = -math.inf
+                item.next_call_ms = now_ms
+            return
+        item.next_call_ms = now_ms + RETRY_MS
+        if result.outcome == "fenced":
+            item.is_held = False
+            item.fence = 0
+        elif result.outcome == "refused":
+            item.refusals += 1
+        elif result.outcome == "silent":
+            item.unanswered_until_ms = longest_ms
+            item.lease_end_ms = max(item.lease_end_ms, longest_ms)
+
+    def _take_release(self, item: _Range, result: CallResult, now_ms: float) -> None:
+        if result.outcome == "done":
+            item.is_free = True
+            item.handover = result.handover
+            return
+        item.next_call_ms = now_ms + RETRY_MS
+        if result.outcome == "refused":
+            item.refusals += 1
+
+    def _fence_now(self) -> int:
+        return self._term * FENCES_PER_TERM + self._counter
+
+    def _next_fence(self) -> int:
+        self._counter += 1
+        return self._fence_now()
+
+    def _renewals(self, now_ms: float) -> list[Action]:
+        actions: list[Action] = []
+        for item in self._ranges:
+            address = self._address_of(item)
+            is_due = not item.call and not item.is_free and now_ms >= item.next_call_ms
+            if not is_due or not address or self._is_other_life(item):
+                continue
+            if item.is_leaving and not item.needs_fencing(now_ms):
+                continue
+            if not item.fence or item.is_leaving:
+                item.fence = self._next_fence()
+            lease_ms = self._timings.lease_ms
+            if item.is_leaving:
+                lease_ms = min(lease_ms, FENCING_LEASE_MS)
+            actions.append(self._grant(item, address, lease_ms))
+        return actions
+
+    def _is_other_life(self, item: _Range) -> bool:
+        owner = self._owners.get(item.owned.owner)
+        return owner is not None and owner.born_ms != item.owned.born_ms
+
+    def _address_of(self, item: _Range) -> str:
+        """Returns where the owner listens, from before if it is not listed any more."""
+        owner = self._owners.get(item.owned.owner)
+        return owner.address if owner else item.address
+
+    def _grant(self, item: _Range, address: str, lease_ms: float) -> GrantCall:
+        self._calls += 1
+        item.call = self._calls
+        item.address = address
+        self._pending[self._calls] = ([item], lease_ms, "grant")
+        owned = item.owned
+        return GrantCall(
+            self._calls,
+            owned.owner,
+            address,
+            owned.first,
+            owned.last,
+            item.fence,
+            lease_ms,
+            item.handover,
+        )
+
+    def _releases(self, now_ms: float) -> list[Action]:
+        actions: list[Action] = []
+        for item in self._ranges:
+            is_due = item.is_leaving and not item.is_free and not item.call
+            if not is_due or now_ms < item.next_call_ms or item.needs_fencing(now_ms):
+                continue
+            address = self._address_of(item)
+            if not address:
+                continue
+            self._calls += 1
+            item.call = self._calls
+            self._pending[self._calls] = ([item], 0.0, "release")
+            owned = item.owned
+            actions.append(
+                ReleaseCall(
+                    self._calls,
+                    owned.owner,
+                    address,
+                    owned.first,
+                    owned.last,
+                    item.fence,
+                )
+            )
+        return actions
+
+    def _free_ended(self, now_ms: float) -> None:
+        """Frees ranges whose owner's life or lease is over."""
+        for item in self._ranges:
+            owner = self._owners.get(item.owned.owner)
+            is_other_life = self._is_other_life(item)
+            is_ended = owner is None and item.refusals >= REFUSED_PROOF
+            is_lapsed = item.is_leaving and now_ms >= item.lease_end_ms
+            if is_other_life or is_ended or is_lapsed:
+                item.is_free = True
+                item.is_leaving = True
+            elif owner is None:
+                item.is_leaving = True
+
+    def _forget_unplaced(self) -> None:
+        """Drops free ranges whose new owner is lost; they are planned anew."""
+        self._ranges = [
+            item
+            for item in self._ranges
+            if not item.is_free or self._is_usable(item.target)
+        ]
+
+    def _unplaced_hashes(self) -> list[tuple[int, int]]:
+        """Returns hashes that no range covers."""
+        return find_gaps((i.owned.first, i.owned.last) for i in self._ranges)
+
+    def _is_usable(self, instance: str) -> bool:
+        owner = self._owners.get(instance)
+        return owner is not None and owner.is_usable
+
+    def _is_usable_at(self, key_hash: int) -> bool:
+        for item in self._ranges:
+            if item.owned.first <= key_hash <= item.owned.last and not item.is_free:
+                return self._is_usable(item.owned.owner)
+        return False
+
+    def _mark(self, move: Move) -> None:
+        """Notes the new owner of some hashes and cuts ranges at its edges."""
+        ranges: list[_Range] = []
+        covered: list[tuple[int, int]] = []
+        for item in self._ranges:
+            first = max(item.owned.first, move.first)
+            last = min(item.owned.last, move.last)
+            if first > last:
+                ranges.append(item)
+                continue
+            covered.append((first, last))
+            ranges += self._cut(item, first, last, move.owner)
+        self._ranges = ranges
+        for first, last in find_gaps(covered):
+            first, last = max(first, move.first), min(last, move.last)
+            if first <= last:
+                self._ranges.append(self._unowned(first, last, move.owner))
+
+    def _cut(self, item: _Range, first: int, last: int, target: str) -> list[_Range]:
+        parts = []
+        if item.owned.first < first:
+            parts.append(item.part(item.owned.first, first - 1))
+        moved = item.part(first, last)
+        moved.target = target
+        moved.is_leaving = True
+        if not item.is_leaving:
+            moved.next_call_ms = 0.0
+        parts.append(moved)
+        if last < item.owned.last:
+            parts.append(item.part(last + 1, item.owned.last))
+        self._replace_pending(item, parts)
+        return parts
+
+    def _replace_pending(self, item: _Range, parts: list[_Range]) -> None:
+        """Lets the end of a call under way count for all parts of its range."""
+        if not item.call:
+            return
+        ranges, lease_ms, kind = self._pending[item.call]
+        others = [other for other in ranges if other is not item]
+        for part in parts:
+            part.call = item.call
+        self._pending[item.call] = (others + parts, lease_ms, kind)
+
+    @staticmethod
+    def _unowned(first: int, last: int, target: str) -> _Range:
+        item = _Range(OwnedRange(first, last, "", 0), "", -math.inf)
+        item.is_free = True
+        item.is_leaving = True
+        item.target = target
+        return item
+
+    def _hand_out(self) -> RecordWanted | None:
+        """Asks for the record of new owners of all free ranges."""
+        given = [i for i in self._ranges if i.is_free and self._is_usable(i.target)]
+        if not given:
+            return None
+        ranges = [item.owned for item in self._ranges if not item.is_free]
+        for item in given:
+            item.target_born_ms = self._owners[item.target].born_ms
+            ranges.append(
+                item.owned._replace(owner=item.target, born_ms=item.target_born_ms)
+            )
+        self._given = given
+        self._is_recording = True
+        return RecordWanted(tuple(coalesce(ranges)))
--- /dev/null
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -0,0 +1,111 @@
+"""One instance as a daemon sees it: its entry, its load and its speed."""
+
+from __future__ import annotations
+
+import math
+
+from .budget import TokenBucket
+from .model import InstanceEntry, LoadReport
+
+SPEED_SMOOTHING = 0.15  # Weight of one answer in the speed of an instance.
+SPEED_LIMITS = (0.3, 12.0)  # Keeps one odd answer from ruling an instance out.
+PACE_FADE_MS = 250.0  # Neighbours' noise lasts a few hundred milliseconds.
+OTHERS_FADE_MS = 600.0  # After this a load figure says little about other daemons.
+FAILURE_SMOOTHING = 0.2  # Weight of one attempt in the share of failures.
+SUSPEND_MS = 400.0  # First pause after a failed connection.
+SUSPEND_MAX_MS = 3000.0  # Longest pause; a returning instance is found within it.
+
+
+class Instance:
+    """Load, speed and health of one instance, from this daemon's own exchanges.
+
+    Attributes:
+        entry: What it last said of itself.
+        in_flight: This daemon's requests at it.
+        cold_until_ms: When it stops being cold.
+        speed_ratio: Its work time relative to the mean of its service.
+        failure_ratio: Smoothed share of attempts that failed.
+        cold_bucket: Limits requests while it is cold.
+        draining_since_ms: When its leaving was seen; infinite while it stays.
+    """
+
+    def __init__(self, entry: InstanceEntry, now_ms: float) -> None:
+        self.entry = entry
+        self.in_flight = 0
+        self.cold_until_ms = now_ms + entry.cold_ms
+        self.speed_ratio = 1.0
+        self.failure_ratio = 0.0
+        self.cold_bucket: TokenBucket | None = None
+        self.draining_since_ms = now_ms if entry.is_draining else math.inf
+        self._pace_ratio = 1.0
+        self._others = 0.0
+        self._reported_ms = -math.inf
+        self._suspended_until_ms = -math.inf
+        self._suspensions = 0
+
+    def refresh(self, entry: InstanceEntry, now_ms: float) -> None:
+        """Takes a newer entry of the same life."""
+        if entry.sequence != self.entry.sequence or entry.is_draining:
+            self.set_cold(entry.cold_ms, now_ms)
+        if not entry.is_draining:
+            self.draining_since_ms = math.inf
+        elif not self.entry.is_draining:
+            self.draining_since_ms = now_ms
+        self.entry = entry
+
+    def set_cold(self, cold_ms: float, now_ms: float) -> None:
+        """Notes how much longer the instance is cold."""
+        self.cold_until_ms = now_ms + cold_ms
+
+    def is_cold(self, now_ms: float) -> bool:
+        """Tells whether the instance bears only its cold rate."""
+        return now_ms < self.cold_until_ms
+
+    def is_suspended(self, now_ms: float) -> bool:
+        """Tells whether its last connections failed a moment ago."""
+        return now_ms < self._suspended_until_ms
+
+    def note_report(self, report: LoadReport, now_ms: float) -> None:
+        """Takes the load figures of an answer."""
+        seen = report.running + report.waiting - self.in_flight
+        self._others = max(0.0, float(seen))
+        self._pace_ratio = report.pace_ratio
+        self._reported_ms = now_ms
+
+    def note_success(self, elapsed_ratio: float) -> None:
+        """Takes an answer.
+
+        Args:
+            elapsed_ratio: Its time without the wait for a slot, relative to the mean
+                of its kind.
+        """
+        change = SPEED_SMOOTHING * (elapsed_ratio - self.speed_ratio)
+        low, high = SPEED_LIMITS
+        self.speed_ratio = min(high, max(low, self.speed_ratio + change))
+        self.failure_ratio *= 1 - FAILURE_SMOOTHING
+        self._suspensions = 0
+        self._suspended_until_ms = -math.inf
+
+    def note_failure(self) -> None:
+        """Counts an attempt that brought no usable answer."""
+        self.failure_ratio += FAILURE_SMOOTHING * (1 - self.failure_ratio)
+
+    def suspend(self, now_ms: float) -> None:
+        """Keeps requests away after a connection could not be made."""
+        pause_ms = min(SUSPEND_MAX_MS, SUSPEND_MS * 2**self._suspensions)
+        self._suspensions += 1
+        self._suspended_until_ms = now_ms + pause_ms
+
+    def occupancy(self, now_ms: float) -> float:
+        """Estimates the requests at the instance, those of other daemons included."""
+        age_ms = now_ms - self._reported_ms
+        return self.in_flight + self._others * math.exp(-age_ms / OTHERS_FADE_MS)
+
+    def pace(self, now_ms: float) -> float:
+        """Estimates its work time at this moment relative to its usual one."""
+        age_ms = now_ms - self._reported_ms
+        return 1 + (self._pace_ratio - 1) * math.exp(-age_ms / PACE_FADE_MS)
+
+    def work_ratio(self, now_ms: float) -> float:
+        """Returns its expected work time relative to the mean of its service."""
+        return self.speed_ratio * self.pace(now_ms)
--- /dev/null
+++ b/src/skylarktrail/core/gateway/planner.py
@@ -0,0 +1,176 @@
+"""Plans which key ranges move, so that owners carry load by their speed."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import Mapping, NamedTuple, Sequence
+
+from .key_load import BUCKET_HASHES
+
+START_RATIO = 1.35  # Moves begin above this part of an owner's fair load.
+STOP_RATIO = 1.1  # Moves go on until no owner is above this.
+IDLE_RATIO = 0.35  # An instance below this part of its fair load gets more.
+MAX_MOVES = 12  # Each move keeps its keys waiting for the work that runs on them.
+ORPHAN_PIECES = 4  # Pieces that the keys of one lost owner are dealt in.
+
+
+class Holding(NamedTuple):
+    """Hashes of one owner.
+
+    Attributes:
+        first: First hash.
+        last: Last hash, inclusive.
+        owner: Identifier of the instance, empty while there is none.
+    """
+
+    first: int
+    last: int
+    owner: str
+
+
+class Move(NamedTuple):
+    """Hashes that get another owner."""
+
+    first: int
+    last: int
+    owner: str
+
+
+class Planner:
+    """One round of planning.
+
+    Args:
+        holdings: Hashes that may move; together with those that may not, all hashes.
+        capacities: Speed of each instance that may own keys.
+        cumulated: Load below each bucket, from `KeyLoad.cumulate`.
+    """
+
+    def __init__(
+        self,
+        holdings: Sequence[Holding],
+        capacities: Mapping[str, float],
+        cumulated: Sequence[float],
+    ) -> None:
+        self._cumulated = cumulated
+        total = sum(capacities.values()) or 1.0
+        self._fair = {name: speed / total for name, speed in capacities.items()}
+        self._held: dict[str, list[Holding]] = {name: [] for name in capacities}
+        self._orphans: list[Holding] = []
+        for item in holdings:
+            self._held.get(item.owner, self._orphans).append(item)
+        self._load = {
+            name: sum(self._load_of(item.first, item.last) for item in items)
+            for name, items in self._held.items()
+        }
+
+    def plan(self) -> list[Move]:
+        """Returns the moves, those of keys without a usable owner first."""
+        if not self._held:
+            return []
+        moves = self._place_orphans()
+        ratios = [self._ratio(name) for name in self._held]
+        if max(ratios) > START_RATIO or min(ratios) < IDLE_RATIO:
+            moves += self._even_out()
+        return moves
+
+    def _load_of(self, first: int, last: int) -> float:
+        return self._load_below(last + 1) - self._load_below(first)
+
+    def _load_below(self, key_hash: int) -> float:
+        bucket, rest = divmod(key_hash, BUCKET_HASHES)
+        if not rest:
+            return self._cumulated[bucket]
+        low, high = self._cumulated[bucket], self._cumulated[bucket + 1]
+        return low + (high - low) * rest / BUCKET_HASHES
+
+    def _ratio(self, name: str) -> float:
+        return self._load[name] / self._fair[name]
+
+    def _place_orphans(self) -> list[Move]:
+        moves = []
+        for item in self._orphans:
+            for first, last in self._cut(item):
+                name = min(self._held, key=self._ratio)
+                self._load[name] += self._load_of(first, last)
+                moves.append(Move(first, last, name))
+        return moves
+
+    def _cut(self, item: Holding) -> list[tuple[int, int]]:
+        """Cuts hashes into pieces of about the same load."""
+        load = self._load_of(item.first, item.last)
+        smallest = min(self._fair.values()) / ORPHAN_PIECES
+        pieces = min(int(load / smallest) + 1, 4 * len(self._fair))
+        base = self._load_below(item.first)
+        cuts = [
+            self._hash_at(base + load * number / pieces) for number in range(1, pieces)
+        ]
+        edges = [item.first, *cuts, item.last + 1]
+        pairs = zip(edges, edges[1:])
+        return [(low, high - 1) for low, high in pairs if low < high <= item.last + 1]
+
+    def _hash_at(self, load: float) -> int:
+        return bisect_left(self._cumulated, load) * BUCKET_HASHES
+
+    def _even_out(self) -> list[Move]:
+        moves: list[Move] = []
+        while len(moves) < MAX_MOVES:
+            source = max(self._held, key=self._ratio)
+            target = min(self._held, key=self._ratio)
+            is_even = self._ratio(source) <= STOP_RATIO
+            if is_even and self._ratio(target) >= IDLE_RATIO:
+                break
+            move = self._shift(source, target)
+            if move is None:
+                break
+            moves.append(move)
+        return moves
+
+    def _shift(self, source: str, target: str) -> Move | None:
+        """Takes hashes off one end of a holding of the source."""
+        surplus = self._load[source] - self._fair[source]
+        room = self._fair[target] - self._load[target]
+        wanted = min(surplus, room)
+        if wanted <= 0:
+            return None
+        best: tuple[float, Holding, Move] | None = None
+        for item in self._held[source]:
+            for move in self._ends(item, wanted, target):
+                load = self._load_of(move.first, move.last)
+                gap = abs(load - wanted)
+                if load < surplus + room and (best is None or gap < best[0]):
+                    best = (gap, item, move)
+        if best is None or best[0] >= wanted:
+            return None
+        self._apply(source, best[1], best[2])
+        return best[2]
+
+    def _ends(self, item: Holding, wanted: float, target: str) -> list[Move]:
+        low, high = self._load_below(item.first), self._load_below(item.last + 1)
+        if high - low <= wanted:
+            return [Move(item.first, item.last, target)]
+        below = min(max(self._hash_at(low + wanted), item.first + 1), item.last + 1)
+        above = max(min(self._hash_at(high - wanted), item.last), item.first)
+        return [
+            Move(item.first, below - 1, target),
+            Move(above, item.last, target),
+        ]
+
+    def _apply(self, source: str, item: Holding, move: Move) -> None:
+        load = self._load_of(move.first, move.last)
+        self._load[source] -= load
+        self._load[move.owner] += load
+        held = self._held[source]
+        held.remove(item)
+        if item.first < move.first:
+            held.append(item._replace(last=move.first - 1))
+        if move.last < item.last:
+            held.append(item._replace(first=move.last + 1))
+
+
+def plan_moves(
+    holdings: Sequence[Holding],
+    capacities: Mapping[str, float],
+    cumulated: Sequence[float],
+) -> list[Move]:
+    """Returns the moves that give each usable instance its share of the load."""
+    return Planner(holdings, capacities, cumulated).plan()
--- /dev/null
+++ b/src/skylarktrail/core/gateway/ranges.py
@@ -0,0 +1,68 @@
+"""Key ranges of a service and the instances that are recorded as their owners."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from typing import Iterable, NamedTuple
+
+from .model import HASHES
+
+
+class OwnedRange(NamedTuple):
+    """Hashes that one life of an instance owns by record.
+
+    Attributes:
+        first: First hash.
+        last: Last hash, inclusive.
+        owner: Identifier of the instance.
+        born_ms: Start of the life that owns them.
+    """
+
+    first: int
+    last: int
+    owner: str
+    born_ms: int
+
+
+class OwnerTable:
+    """Recorded owners of all hashes of one service."""
+
+    def __init__(self, ranges: Iterable[OwnedRange] = ()) -> None:
+        self.ranges = coalesce(ranges)
+        self._firsts = [item.first for item in self.ranges]
+
+    def find(self, key_hash: int) -> OwnedRange | None:
+        """Returns the range of a hash."""
+        index = bisect_right(self._firsts, key_hash) - 1
+        if index < 0 or self.ranges[index].last < key_hash:
+            return None
+        return self.ranges[index]
+
+    def owners(self) -> set[str]:
+        """Returns the identifiers of all owners."""
+        return {item.owner for item in self.ranges}
+
+
+def coalesce(ranges: Iterable[OwnedRange]) -> list[OwnedRange]:
+    """Sorts ranges and joins neighbours of one owner."""
+    joined: list[OwnedRange] = []
+    for item in sorted(ranges):
+        previous = joined[-1] if joined else None
+        if previous and previous[2:] == item[2:] and previous.last + 1 == item.first:
+            joined[-1] = previous._replace(last=item.last)
+        else:
+            joined.append(item)
+    return joined
+
+
+def find_gaps(ranges: Iterable[tuple[int, int]]) -> list[tuple[int, int]]:
+    """Returns the hashes that no range covers, as first and last of each gap."""
+    gaps = []
+    next_hash = 0
+    for first, last in sorted(ranges):
+        if first > next_hash:
+            gaps.append((next_hash, first - 1))
+        next_hash = max(next_hash, last + 1)
+    if next_hash < HASHES:
+        gaps.append((next_hash, HASHES - 1))
+    return gaps
--- /dev/null
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -0,0 +1,339 @@
+"""Decides which instance runs a request, which requests wait, and which are refused.
+
+Load patterns and their answers:
+
+- A hot key range gets more than its owner can do. Its requests queue at the daemon, a
+  first attempt that would miss its latency target is refused at once, and other keys
+  and services are not held up by them.
+- More requests than slots. Urgent requests go first, then those whose time ends first.
+- Instances that hang when their queue is full. The work that a daemon hands over stays
+  within the slots and a few waiting requests, by load figures and by its own part.
+- Neighbours slow an instance for a moment. Load figures and ages of open requests count
+  in the expected time, so the next request goes elsewhere.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Callable, Iterable, Mapping, NamedTuple
+
+from .budget import TokenBucket
+from .cold import cold_rate_per_s, shared_rate_per_s
+from .fleet import Fleet
+from .instance import Instance
+from .model import Route, ServiceSpec
+from .retry_after import retry_after_ms
+
+QUEUE_SLOTS = 1.0  # Requests that may wait at an instance, relative to its slots.
+OWN_SHARE = 4.0  # Own requests at an instance, times its slots over the daemons.
+OWN_FLOOR = 3  # Own requests that are always allowed at one instance.
+OTHER_ZONE_RATIO = 1.04  # Bytes between zones cost; a little waiting costs more.
+CHOICE_JITTER = 0.12  # Keeps daemons from all choosing the same best instance.
+FAILURE_COST = 4.0  # A failed attempt costs about this many times its work.
+WORK_SMOOTHING = 0.03  # Weight of one answer in the mean work time of a route.
+FIRST_WORK_PART = 0.3  # Part of the target assumed before the first answer.
+LATE_PART = 0.85  # Part of the remaining time that may pass before the answer.
+BURST_COLD = 1.0  # Requests to a cold instance at once.
+LEAVING_OWNER_MS = 700.0  # A leaving owner serves its keys while they move.
+OUT_OWNER_MS = 2500.0  # So does an owner in a zone that is taken out.
+MOVE_WAIT_MS = 400.0  # A key range moves when the work that runs on it has ended.
+
+
+class Ticket:
+    """A request that wants an instance.
+
+    Attributes:
+        route: Its route.
+        service: The service of the route's split that it goes to.
+        key_hash: Hash of its key; None where the service is not keyed.
+        end_ms: When it must have its final answer.
+        target_end_ms: When an answer is in time.
+        is_return: Whether its caller was refused before.
+        avoided: Instances that failed it.
+        instance: The instance that it was given.
+        refusal: Why it was refused; empty while it was not.
+        backlog_ms: Expected wait at the time of the refusal.
+        wake: Called when the ticket is decided.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        service: str,
+        key_hash: int | None,
+        end_ms: float,
+        target_end_ms: float,
+        is_return: bool,
+        wake: Callable[[], None],
+    ) -> None:
+        self.route = route
+        self.service = service
+        self.key_hash = key_hash
+        self.end_ms = end_ms
+        self.target_end_ms = target_end_ms
+        self.is_return = is_return
+        self.avoided: set[str] = set()
+        self.instance: Instance | None = None
+        self.refusal = ""
+        self.backlog_ms = 0.0
+        self.placed_ms = 0.0
+        self.occupancy = 0.0
+        self.wake = wake
+        self.submitted_ms = 0.0
+
+    @property
+    def is_decided(self) -> bool:
+        """Tells whether the ticket was placed or refused."""
+        return self.instance is not None or bool(self.refusal)
+
+    def order(self) -> tuple[int, float]:
+        """Returns its place in the order of waiting tickets."""
+        return self.route.priority, self.end_ms
+
+
+class SchedulerView(NamedTuple):
+    """What the scheduler asks of the rest of the daemon.
+
+    Attributes:
+        owner_of: Returns the identifier of the owner of a hash of a service; empty
+            where it has none at this moment.
+        is_moving: Tells whether a hash of a service is about to get an owner.
+        zones_out: Zones that get no new work, and when that was seen.
+        daemons: Names of all daemons on record.
+        me: This daemon.
+        my_zone: Its availability zone.
+    """
+
+    owner_of: Callable[[str, int], str]
+    is_moving: Callable[[str, int], bool]
+    zones_out: Mapping[str, float]
+    daemons: frozenset[str]
+    me: str
+    my_zone: str
+
+
+class Scheduler:
+    """Waiting requests and the load that this daemon puts on instances.
+
+    Args:
+        fleet: All instances.
+        view: What else is known; replaced when it changes.
+        draw: Returns random numbers from 0 to below 1.
+    """
+
+    def __init__(
+        self, fleet: Fleet, view: SchedulerView, draw: Callable[[], float]
+    ) -> None:
+        self.fleet = fleet
+        self.view = view
+        self.services: dict[str, ServiceSpec] = {}
+        self._draw = draw
+        self._waiting: list[Ticket] = []
+        self._work_ms: dict[tuple[str, str], float] = {}
+
+    def submit(self, ticket: Ticket, now_ms: float) -> None:
+        """Places the ticket, refuses it or lets it wait."""
+        ticket.submitted_ms = now_ms
+        self._decide(ticket, now_ms, self._ahead_of(ticket))
+        if not ticket.is_decided:
+            self._waiting.append(ticket)
+            self._waiting.sort(key=Ticket.order)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Forgets a ticket whose caller has left."""
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+
+    def poll(self, now_ms: float) -> None:
+        """Decides the waiting tickets that can be decided now."""
+        waiting, self._waiting = self._waiting, []
+        ahead: dict[object, int] = {}
+        for ticket in waiting:
+            lane = self._lane(ticket)
+            self._decide(ticket, now_ms, ahead.get(lane, 0))
+            if ticket.is_decided:
+                ticket.wake()
+            else:
+                ahead[lane] = ahead.get(lane, 0) + 1
+                self._waiting.append(ticket)
+
+    def release(self, ticket: Ticket) -> None:
+        """Ends the use of the ticket's instance."""
+        if ticket.instance is not None:
+            ticket.instance.in_flight -= 1
+
+    def note_answer(self, ticket: Ticket, elapsed_ms: float) -> None:
+        """Learns work times from an answer."""
+        instance = ticket.instance
+        if instance is None:
+            return
+        slots = max(1, instance.entry.slots)
+        queued_ratio = 1 + max(0.0, ticket.occupancy + 1 - slots) / slots
+        work_ms = elapsed_ms / queued_ratio
+        mean_ms = self.work_ms(ticket)
+        key = (ticket.service, ticket.route.name)
+        if not instance.is_cold(ticket.placed_ms):
+            self._work_ms[key] = mean_ms + WORK_SMOOTHING * (work_ms - mean_ms)
+        instance.note_success(work_ms / max(1.0, mean_ms))
+
+    def work_ms(self, ticket: Ticket) -> float:
+        """Returns the mean work time of the ticket's route."""
+        key = (ticket.service, ticket.route.name)
+        return self._work_ms.get(key, ticket.route.target_ms * FIRST_WORK_PART)
+
+    def retry_after_ms(self, ticket: Ticket, now_ms: float) -> float:
+        """Returns when the caller of a refused ticket is to come back."""
+        left_ms = ticket.end_ms - now_ms
+        return retry_after_ms(
+            left_ms, ticket.backlog_ms, ticket.route.target_ms, self._draw()
+        )
+
+    def waiting_count(self) -> int:
+        """Returns how many tickets wait."""
+        return len(self._waiting)
+
+    def _lane(self, ticket: Ticket) -> tuple[str, str]:
+        if ticket.key_hash is None:
+            return ticket.service, ""
+        return ticket.service, self.view.owner_of(ticket.service, ticket.key_hash)
+
+    def _ahead_of(self, ticket: Ticket) -> int:
+        lane = self._lane(ticket)
+        order = ticket.order()
+        return sum(
+            1
+            for other in self._waiting
+            if other.order() <= order and self._lane(other) == lane
+        )
+
+    def _decide(self, ticket: Ticket, now_ms: float, ahead: int) -> None:
+        if now_ms >= ticket.end_ms:
+            ticket.refusal = "timeout"
+            return
+        usable = list(self._usable(ticket, now_ms))
+        if not usable:
+            self._decide_unserved(ticket, now_ms)
+            return
+        free = [] if ahead else [i for i in usable if self._has_room(i, now_ms)]
+        if free:
+            best = min(free, key=lambda i: self._cost_ms(ticket, i, now_ms))
+            if self._fits(ticket, self._finish_ms(ticket, best, now_ms), now_ms):
+                self._place(ticket, best, now_ms)
+            return
+        expected_ms = self._expected_ms(ticket, usable, ahead, now_ms)
+        self._fits(ticket, expected_ms, now_ms)
+
+    def _fits(self, ticket: Ticket, expected_ms: float, now_ms: float) -> bool:
+        """Refuses the ticket unless its answer is expected early enough."""
+        left_ms = (ticket.end_ms - now_ms) * LATE_PART
+        latest_ms = left_ms
+        if not ticket.is_return:
+            work_ms = self.work_ms(ticket)
+            in_time_ms = max(ticket.target_end_ms - now_ms, 2 * work_ms)
+            latest_ms = min(left_ms, in_time_ms)
+        if expected_ms <= latest_ms:
+            return True
+        ticket.refusal = "overload"
+        ticket.backlog_ms = expected_ms - self.work_ms(ticket)
+        return False
+
+    def _decide_unserved(self, ticket: Ticket, now_ms: float) -> None:
+        """Refuses a ticket for which no instance can be used.
+
+        A key range that moves has an owner again within moments, so its requests wait.
+        """
+        key_hash = ticket.key_hash
+        if key_hash is not None and self.view.is_moving(ticket.service, key_hash):
+            if now_ms < ticket.submitted_ms + MOVE_WAIT_MS:
+                return
+        ticket.refusal = "no_instance"
+        ticket.backlog_ms = 0.0
+
+    def _place(self, ticket: Ticket, instance: Instance, now_ms: float) -> None:
+        ticket.occupancy = instance.occupancy(now_ms)
+        ticket.instance = instance
+        ticket.placed_ms = now_ms
+        instance.in_flight += 1
+        if instance.is_cold(now_ms):
+            self._cold_bucket(instance, now_ms).take(now_ms)
+
+    def _usable(self, ticket: Ticket, now_ms: float) -> Iterable[Instance]:
+        """Returns the instances that the ticket may go to."""
+        if ticket.key_hash is not None:
+            name = self.view.owner_of(ticket.service, ticket.key_hash)
+            found = self.fleet.find(name) if name else None
+            candidates = [found] if found else []
+        else:
+            candidates = self.fleet.of_service(ticket.service)
+        is_keyed = ticket.key_hash is not None
+        usable = [i for i in candidates if self._takes_work(i, is_keyed, now_ms)]
+        if ticket.key_hash is None and ticket.avoided:
+            others = [i for i in usable if i.entry.instance not in ticket.avoided]
+            return others or usable
+        return usable
+
+    def _takes_work(self, instance: Instance, is_keyed: bool, now_ms: float) -> bool:
+        if self.is_leaving(instance, is_keyed, now_ms):
+            return False
+        if instance.is_suspended(now_ms):
+            return False
+        if instance.is_cold(now_ms):
+            return self._cold_bucket(instance, now_ms).has_token(now_ms)
+        return True
+
+    def is_leaving(self, instance: Instance, is_keyed: bool, now_ms: float) -> bool:
+        """Tells whether an instance gets no new work as it or its zone leaves."""
+        zone_out_ms = self.view.zones_out.get(instance.entry.zone, math.inf)
+        if not is_keyed:
+            return instance.entry.is_draining or zone_out_ms <= now_ms
+        left_ms = instance.draining_since_ms + LEAVING_OWNER_MS
+        return now_ms >= min(left_ms, zone_out_ms + OUT_OWNER_MS)
+
+    def _cold_bucket(self, instance: Instance, now_ms: float) -> TokenBucket:
+        service = self.services.get(instance.entry.service)
+        cold_per_s = service.cold_per_s if service else 1.0
+        daemons = self.view.daemons
+        if service and service.is_keyed:
+            rate = shared_rate_per_s(daemons, cold_per_s)
+        else:
+            rate = cold_rate_per_s(
+                daemons, self.view.me, instance.entry.instance, cold_per_s
+            )
+        if instance.cold_bucket is None:
+            instance.cold_bucket = TokenBucket(rate, BURST_COLD, now_ms)
+        instance.cold_bucket.rate_per_s = rate
+        instance.cold_bucket.burst = BURST_COLD if rate else 0.0
+        return instance.cold_bucket
+
+    def _has_room(self, instance: Instance, now_ms: float) -> bool:
+        slots = max(1, instance.entry.slots)
+        own_limit = max(OWN_FLOOR, OWN_SHARE * slots / max(1, len(self.view.daemons)))
+        if instance.in_flight >= own_limit:
+            return False
+        return instance.occupancy(now_ms) < slots * (1 + QUEUE_SLOTS)
+
+    def _finish_ms(self, ticket: Ticket, instance: Instance, now_ms: float) -> float:
+        """Estimates the time from now until the instance has answered."""
+        slots = max(1, instance.entry.slots)
+        work_ms = self.work_ms(ticket) * instance.work_ratio(now_ms)
+        queued = max(0.0, instance.occupancy(now_ms) + 1 - slots)
+        return work_ms * (1 + queued / slots)
+
+    def _cost_ms(self, ticket: Ticket, instance: Instance, now_ms: float) -> float:
+        cost_ms = self._finish_ms(ticket, instance, now_ms)
+        cost_ms *= 1 + FAILURE_COST * instance.failure_ratio
+        if instance.entry.zone != self.view.my_zone:
+            cost_ms *= OTHER_ZONE_RATIO
+        return cost_ms * (1 + CHOICE_JITTER * self._draw())
+
+    def _expected_ms(
+        self, ticket: Ticket, usable: list[Instance], ahead: int, now_ms: float
+    ) -> float:
+        """Estimates the time until an answer for a ticket that has to wait."""
+        soonest_ms = min(self._finish_ms(ticket, i, now_ms) for i in usable)
+        slots = sum(max(1, i.entry.slots) for i in usable)
+        own = sum(i.in_flight for i in usable)
+        others = sum(i.occupancy(now_ms) for i in usable) - own
+        shared_ratio = 1 + max(0.0, others) / max(1, own)
+        work_ms = self.work_ms(ticket) * min(i.work_ratio(now_ms) for i in usable)
+        return soonest_ms + ahead * shared_ratio * work_ms / slots
--- /dev/null
+++ b/src/skylarktrail/core/gateway/shared.py
@@ -0,0 +1,83 @@
+"""Records that the daemons share: members, the granter and the owners of keys."""
+
+from __future__ import annotations
+
+from typing import Iterable, NamedTuple
+
+import cbor2
+
+from .ranges import OwnedRange, OwnerTable
+
+GRANTER_KEY = "granter"
+MEMBER_PREFIX = "member/"
+OWNERS_PREFIX = "owners/"
+
+
+class GranterRecord(NamedTuple):
+    """Who grants.
+
+    Attributes:
+        daemon: Name of the daemon.
+        process: Identifier of its process, new at each start.
+        term: Grows with each change of granter.
+    """
+
+    daemon: str
+    process: str
+    term: int
+
+
+NO_GRANTER = GranterRecord("", "", 0)
+
+
+def encode_granter(record: GranterRecord) -> bytes:
+    """Encodes who grants."""
+    return cbor2.dumps(list(record))
+
+
+def encode_owners(ranges: Iterable[OwnedRange]) -> bytes:
+    """Encodes the owners of a service's hashes."""
+    return cbor2.dumps([list(item) for item in ranges])
+
+
+def encode_member(process: str) -> bytes:
+    """Encodes a daemon's word that it is there."""
+    return cbor2.dumps(process)
+
+
+class SharedState:
+    """The fold of all shared records."""
+
+    def __init__(self) -> None:
+        self.granter = NO_GRANTER
+        self.members: dict[str, str] = {}
+        self.owners: dict[str, OwnerTable] = {}
+
+    def apply(self, records: Iterable[tuple[str, bytes]], is_whole: bool) -> None:
+        """Takes records in order.
+
+        Args:
+            records: Keys and values; an empty value drops the key.
+            is_whole: Whether keys that are not named do not exist.
+        """
+        records = list(records)
+        if is_whole:
+            names = {key for key, _ in records}
+            self.members = {
+                k: v for k, v in self.members.items() if MEMBER_PREFIX + k in names
+            }
+        for key, value in records:
+            self._apply_one(key, value)
+
+    def _apply_one(self, key: str, value: bytes) -> None:
+        if key == GRANTER_KEY and value:
+            self.granter = GranterRecord(*cbor2.loads(value))
+        elif key.startswith(MEMBER_PREFIX):
+            name = key.removeprefix(MEMBER_PREFIX)
+            if value:
+                self.members[name] = cbor2.loads(value)
+            else:
+                self.members.pop(name, None)
+        elif key.startswith(OWNERS_PREFIX) and value:
+            ranges = [OwnedRange(*item) for item in cbor2.loads(value)]
+            self.owners[key.removeprefix(OWNERS_PREFIX)] = OwnerTable(ranges)
--- a/src/skylarktrail/ctl/arguments.py
+++ b/src/skylarktrail/ctl/arguments.py
@@ -11,8 +11,8 @@
 from ..config.address import parse_address
 from ..config.schema import read_json
 from ..errors.code import Fault
-from ..platform import adapters  # noqa: F401  Importing fills the registries.
-from ..platform.registry import LOG_ADAPTERS
+from ..providers import adapters  # noqa: F401  Importing fills the registries.
+from ..providers.registry import LOG_ADAPTERS
 
 
 def address(text: str) -> str:
--- a/src/skylarktrail/ctl/commands/fetch.py
+++ b/src/skylarktrail/ctl/commands/fetch.py
@@ -9,7 +9,7 @@
 from ...core.state import State
 from ...errors import tool as codes
 from ...errors.code import Fault
-from ...platform.registry import make_log
+from ...providers.registry import make_log
 from ..arguments import add_log_arguments
 from ..exit_codes import ExitCode
 from ..log_view import LogView
--- a/src/skylarktrail/ctl/commands/publish.py
+++ b/src/skylarktrail/ctl/commands/publish.py
@@ -12,7 +12,7 @@
 from ...core.records import Publish
 from ...errors import tool as codes
 from ...errors.code import Fault
-from ...platform.registry import make_log
+from ...providers.registry import make_log
 from ..arguments import (
     add_log_arguments,
     address,
--- a/src/skylarktrail/ctl/log_view.py
+++ b/src/skylarktrail/ctl/log_view.py
@@ -17,8 +17,8 @@
 from ..core.state import State
 from ..errors import tool as codes
 from ..errors.code import Code, Fault
-from ..platform.interface import Batch, LogClient
-from ..platform.record_codec import decode
+from ..providers.interface import Batch, LogClient
+from ..providers.record_codec import decode
 
 BATCH_RECORDS = 500
 
--- a/src/skylarktrail/ctl/publishing.py
+++ b/src/skylarktrail/ctl/publishing.py
@@ -11,8 +11,8 @@
 from ..errors import log as log_codes
 from ..errors import tool as codes
 from ..errors.code import Fault
-from ..platform.interface import LogClient
-from ..platform.record_codec import encode
+from ..providers.interface import LogClient
+from ..providers.record_codec import encode
 from .log_view import LogView
 
 WRITER = "operator"
--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -25,7 +25,7 @@
 from . import fields
 from .clock import now_ms
 from .exchange import Answer
-from .metrics import OTHER, Metrics
+from .metrics import OTHER
 from .problem import Problem
 from .routes import CallerRequest
 
@@ -43,6 +43,13 @@
         """Returns the whole answer or an honest refusal."""
 
 
+class RefusalCounter(Protocol):
+    """Counts refused requests."""
+
+    def count_refusal(self, service: str, code: Code) -> None:
+        """Counts one refused request."""
+
+
 class BadFraming(BadRequest):
     """The end of a request cannot be told for sure."""
 
@@ -126,6 +133,12 @@
 class CallerTask(WSGITask):
     """Answers requests; an answer to HEAD has no body, of whatever length."""
 
+    def build_response_header(self) -> bytes:
+        """Returns status line and fields; a draining daemon ends the connection."""
+        if self.channel.app.is_closing:
+            self.request.headers["CONNECTION"] = "close"
+        return super().build_response_header()
+
     def finish(self) -> None:
         """Ends the answer."""
         if self.request.command == "HEAD":
@@ -157,11 +170,15 @@
     Args:
         handler: Answers the requests.
         metrics: Counts refusals that the handler does not see.
+
+    Attributes:
+        is_closing: Whether each answer is to end its connection.
     """
 
-    def __init__(self, handler: Handler, metrics: Metrics) -> None:
+    def __init__(self, handler: Handler, metrics: RefusalCounter) -> None:
         self._handler = handler
         self._metrics = metrics
+        self.is_closing = False
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -221,15 +238,29 @@
         headers,
         environ["wsgi.input"].read(),
         received_ms,
+        environ.get("waitress.client_disconnected", _stays),
     )
 
 
+def _stays() -> bool:
+    """Stands for a caller whose connection is not watched."""
+    return False
+
+
 def make_caller_server(
-    app: CallerApp, address: str, threads: int, limits: Limits
+    app: CallerApp,
+    address: str,
+    threads: int,
+    limits: Limits,
+    lookahead_requests: int = 0,
 ) -> BaseWSGIServer:
     """Binds the callers' address.
 
     Bodies stay in memory, as the VMs have no disks.
+
+    Args:
+        lookahead_requests: Requests that are read ahead on a connection; with one or
+            more a caller that leaves is noticed while its request is worked on.
     """
     server = create_server(
         app,
@@ -241,6 +272,7 @@
         outbuf_overflow=MEMORY_BUFFER_BYTES,
         connection_limit=limits.connections,
         clear_untrusted_proxy_headers=True,
+        channel_request_lookahead=lookahead_requests,
     )
     server.channel_class = partial(ProblemChannel, app)
     return server
--- a/src/skylarktrail/daemon/controller.py
+++ b/src/skylarktrail/daemon/controller.py
@@ -24,8 +24,8 @@
 from ..errors import platform as platform_codes
 from ..errors.code import Code
 from ..peer import messages as peer
-from ..platform.interface import Vm
-from ..platform.record_codec import encode
+from ..providers.interface import Vm
+from ..providers.record_codec import encode
 from .clock import now_ms
 from .loads import LoadMeters
 from .messages import (
--- a/src/skylarktrail/daemon/dispatch.py
+++ b/src/skylarktrail/daemon/dispatch.py
@@ -24,7 +24,7 @@
 from ..core.traffic.ticket import Ticket
 from ..errors import caller as caller_codes
 from ..errors import upstream as upstream_codes
-from ..platform.interface import ReportClient
+from ..providers.interface import ReportClient
 from . import fields
 from .clock import now_ms
 from .exchange import MAY_HAVE_RUN, Answer, Exchanged, Outgoing, exchange
--- a/src/skylarktrail/daemon/grant_sender.py
+++ b/src/skylarktrail/daemon/grant_sender.py
@@ -6,7 +6,7 @@
 
 import pykka
 
-from ..platform.interface import GrantClient
+from ..providers.interface import GrantClient
 from .messages import GrantSettled, GrantWanted
 
 THREADS = 32
--- a/src/skylarktrail/daemon/log_reader.py
+++ b/src/skylarktrail/daemon/log_reader.py
@@ -6,8 +6,8 @@
 
 import pykka
 
-from ..platform.interface import LogClient
-from ..platform.record_codec import decode
+from ..providers.interface import LogClient
+from ..providers.record_codec import decode
 from .clock import now_ms
 from .messages import Poll, ReadFailed, ReadFrom, ReadSucceeded
 
--- a/src/skylarktrail/daemon/log_writer.py
+++ b/src/skylarktrail/daemon/log_writer.py
@@ -7,7 +7,7 @@
 
 import pykka
 
-from ..platform.interface import LogClient
+from ..providers.interface import LogClient
 from .messages import Append, Folded, Poll
 
 RETRY_PAUSE_MS = 200
--- a/src/skylarktrail/daemon/messages.py
+++ b/src/skylarktrail/daemon/messages.py
@@ -7,7 +7,7 @@
 from ..core.ownership.messages import Grant, GrantAnswer
 from ..core.records import Envelope
 from ..peer.messages import Message
-from ..platform.interface import Vm
+from ..providers.interface import Vm
 
 
 class Poll(NamedTuple):
--- a/src/skylarktrail/daemon/problem.py
+++ b/src/skylarktrail/daemon/problem.py
@@ -22,6 +22,7 @@
         detail: What was found.
         retry_after_ms: When to come back; None where a retry makes no sense.
         allowed_methods: Methods of the path when the method was refused.
+        is_retry_exact: Whether callers read fractions of a second in Retry-After.
         attempt: `not-run` when this attempt did not run whatever the outcome of
             earlier ones with its key; else "".
     """
@@ -32,17 +33,23 @@
     retry_after_ms: float | None = None
     allowed_methods: tuple[str, ...] = ()
     attempt: str = ""
+    is_retry_exact: bool = False
 
     def headers(self) -> fields.Fields:
         """Returns the header fields of the answer."""
         headers = [("Content-Type", MEDIA_TYPE), (fields.OUTCOME, self.outcome)]
         if self.retry_after_ms is not None:
-            seconds = max(1, math.ceil(self.retry_after_ms / 1000))
-            headers.append(("Retry-After", str(seconds)))
+            headers.append(("Retry-After", self._retry_after()))
         if self.allowed_methods:
             headers.append(("Allow", ", ".join(self.allowed_methods)))
         return headers
 
+    def _retry_after(self) -> str:
+        seconds = (self.retry_after_ms or 0.0) / 1000
+        if self.is_retry_exact:
+            return f"{seconds:.3f}"
+        return str(max(1, math.ceil(seconds)))
+
     def body(self) -> bytes:
         """Returns the body of the answer."""
         members = {
--- a/src/skylarktrail/daemon/publisher.py
+++ b/src/skylarktrail/daemon/publisher.py
@@ -12,7 +12,7 @@
 from ..core.state import State
 from ..core.traffic.messages import Instance, InstanceAge
 from ..peer.messages import Ages, Placements, ToldAge
-from ..platform.interface import Vm
+from ..providers.interface import Vm
 from .dispatch import Dispatcher
 from .metrics import Metrics
 from .router import Router
--- a/src/skylarktrail/daemon/report_watcher.py
+++ b/src/skylarktrail/daemon/report_watcher.py
@@ -8,7 +8,7 @@
 import pykka
 
 from ..core.traffic.messages import LoadReport
-from ..platform.interface import ReportClient
+from ..providers.interface import ReportClient
 from .dispatch import Dispatcher
 from .messages import Poll, VmsRead
 
--- a/src/skylarktrail/daemon/routes.py
+++ b/src/skylarktrail/daemon/routes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import Any, Callable, NamedTuple
 from urllib.parse import unquote_to_bytes
 
 from result import Err, Ok, Result
@@ -27,6 +27,7 @@
         headers: Header fields.
         body: Whole body.
         received_ms: Monotonic time when it was taken.
+        has_left: Tells whether the caller has closed its connection.
     """
 
     method: str
@@ -35,6 +36,7 @@
     headers: dict[str, str]
     body: bytes
     received_ms: float
+    has_left: Callable[[], bool] = lambda: False
 
     def field(self, name: str) -> str | None:
         """Returns the value of a header field."""
--- a/src/skylarktrail/daemon/service.py
+++ b/src/skylarktrail/daemon/service.py
@@ -22,8 +22,8 @@
 from ..errors import Fault
 from ..errors import caller as codes
 from ..peer.links import PeerLinks
-from ..platform import adapters  # noqa: F401  Importing fills the registries.
-from ..platform.registry import make_grants, make_log, make_reports, make_vm_list
+from ..providers import adapters  # noqa: F401  Importing fills the registries.
+from ..providers.registry import make_grants, make_log, make_reports, make_vm_list
 from .caller_app import CallerApp, make_caller_server
 from .clock import now_ms
 from .controller import Controller, Wiring
--- a/src/skylarktrail/daemon/vm_watcher.py
+++ b/src/skylarktrail/daemon/vm_watcher.py
@@ -6,7 +6,7 @@
 
 import pykka
 
-from ..platform.interface import VmListClient
+from ..providers.interface import VmListClient
 from .messages import Poll, VmsRead
 
 PERIOD_MS = 500
--- a/src/skylarktrail/errors/platform.py
+++ b/src/skylarktrail/errors/platform.py
@@ -22,3 +22,33 @@
     "The platform's answer could not be decoded.",
     "Check that the adapter in the settings fits the platform.",
 )
+STORE_SILENT = declare(
+    9003,
+    "STORE_SILENT",
+    "The platform's store gave no usable answer; a write may still take effect.",
+    "None needed: the daemon settles the write by reading, and tries again.",
+)
+STORE_REFUSED = declare(
+    9004,
+    "STORE_REFUSED",
+    "The platform's store turned the call away without doing anything.",
+    "Check the state of the store and the rate of calls.",
+)
+STORE_CONFLICT = declare(
+    9005,
+    "STORE_CONFLICT",
+    "Another writer was first.",
+    "None needed: the daemon reads and decides anew.",
+)
+STORE_TRIMMED = declare(
+    9006,
+    "STORE_TRIMMED",
+    "The records asked for are not kept any more.",
+    "None needed: the daemon reads the newest record of each key.",
+)
+STORE_MALFORMED = declare(
+    9007,
+    "STORE_MALFORMED",
+    "An answer or record of the platform's store could not be decoded.",
+    "Check who writes to the store; the last usable value stays in force.",
+)
--- a/src/skylarktrail/errors/upstream.py
+++ b/src/skylarktrail/errors/upstream.py
@@ -60,3 +60,33 @@
     "Try again after the time given.",
     status=503,
 )
+INSTANCE_UNREACHED = declare(
+    5008,
+    "INSTANCE_UNREACHED",
+    "The request was not sent, as no connection to the instance came about.",
+    "None needed: another instance is tried.",
+)
+INSTANCE_BROKEN = declare(
+    5009,
+    "INSTANCE_BROKEN",
+    "The connection ended before the whole answer had come.",
+    "None needed: the request is repeated if it is idempotent.",
+)
+INSTANCE_SILENT = declare(
+    5010,
+    "INSTANCE_SILENT",
+    "No whole answer came in time.",
+    "None needed: the request is repeated if it is idempotent and has time left.",
+)
+INSTANCE_GARBLED = declare(
+    5011,
+    "INSTANCE_GARBLED",
+    "What the instance sent is not its answer to the request.",
+    "Check the instance if this goes on.",
+)
+ATTEMPT_CUT = declare(
+    5012,
+    "ATTEMPT_CUT",
+    "The attempt was ended because its caller had left.",
+    "None needed.",
+)
--- /dev/null
+++ b/src/skylarktrail/gateway/connections.py
@@ -0,0 +1,99 @@
+"""Idle connections to instances, kept for reuse."""
+
+from __future__ import annotations
+
+import threading
+
+from result import Ok, Result
+
+from ..errors.code import Fault
+from .clock import now_ms
+from .exchange import Connection, RawAnswer
+
+IDLE_MS = 6000.0  # Idle connections of unstated lifetime are dropped after this.
+ONCE_IDLE_MS = 2500.0  # A request that must not run twice avoids older connections.
+SAFETY_MS = 1500.0  # Part of the stated lifetime that is left unused.
+IDLE_PER_INSTANCE = 12
+KEEP_ALIVE = "keep-alive"
+
+
+class Connections:
+    """Idle connections by instance; may be used from any thread.
+
+    Args:
+        id_field: Name, in lower case, of the field that names a request.
+    """
+
+    def __init__(self, id_field: str) -> None:
+        self._id_field = id_field
+        self._idle: dict[str, list[Connection]] = {}
+        self._lock = threading.Lock()
+        self.opened = 0
+
+    def take(
+        self, instance: str, address: str, timeout_ms: float, is_once: bool
+    ) -> Result[Connection, Fault]:
+        """Returns an idle connection or opens one.
+
+        Args:
+            is_once: Whether the request must not run twice.
+        """
+        connection = self._take_idle(instance, address, is_once)
+        if connection is not None:
+            return Ok(connection)
+        connection = Connection(address, self._id_field)
+        opened = connection.open(timeout_ms)
+        self.opened += 1
+        return opened.map(lambda _: connection)
+
+    def give_back(
+        self, instance: str, connection: Connection, answer: RawAnswer
+    ) -> None:
+        """Keeps a connection after a whole answer, or closes it."""
+        if not answer.is_reusable or connection.is_cut:
+            connection.close()
+            return
+        connection.idle_since_ms = now_ms()
+        connection.idle_limit_ms = _idle_limit_ms(answer.field_map())
+        with self._lock:
+            idle = self._idle.setdefault(instance, [])
+            idle.append(connection)
+            surplus = idle.pop(0) if len(idle) > IDLE_PER_INSTANCE else None
+        if surplus is not None:
+            surplus.close()
+
+    def forget(self, instance: str) -> None:
+        """Closes the idle connections to an instance."""
+        with self._lock:
+            idle = self._idle.pop(instance, [])
+        for connection in idle:
+            connection.close()
+
+    def keep_only(self, instances: set[str]) -> None:
+        """Closes the connections to all other instances."""
+        for name in set(self._idle) - instances:
+            self.forget(name)
+
+    def _take_idle(
+        self, instance: str, address: str, is_once: bool
+    ) -> Connection | None:
+        while True:
+            with self._lock:
+                idle = self._idle.get(instance)
+                connection = idle.pop() if idle else None
+            if connection is None:
+                return None
+            age_ms = now_ms() - connection.idle_since_ms
+            is_fresh = not is_once or age_ms <= ONCE_IDLE_MS
+            if connection.address == address and is_fresh and connection.is_usable():
+                return connection
+            connection.close()
+
+
+def _idle_limit_ms(fields: dict[str, str]) -> float:
+    """Returns how long a connection may stay idle by the instance's own word."""
+    for item in fields.get(KEEP_ALIVE, "").split(","):
+        name, _, value = item.strip().partition("=")
+        if name == "timeout" and value.isdigit():
+            return min(IDLE_MS, max(0.0, int(value) * 1000 - SAFETY_MS))
+    return IDLE_MS
--- /dev/null
+++ b/src/skylarktrail/gateway/exchange.py
@@ -0,0 +1,246 @@
+"""One request to an instance and its whole answer, over HTTP/1.1 by h11."""
+
+from __future__ import annotations
+
+import select
+import socket
+import struct
+from typing import NamedTuple
+
+import h11
+from result import Err, Ok, Result
+
+from ..core.gateway.model import LoadReport
+from ..errors import upstream as codes
+from ..errors.code import Fault
+from .clock import now_ms
+
+CHUNK_BYTES = 1 << 16
+CONNECT_TIMEOUT_MS = 400.0
+STRAY_ANSWERS = 3  # Answers to earlier requests that are skipped on a connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+Fields = list[tuple[str, str]]
+
+
+class CallerMarks(NamedTuple):
+    """What a caller says of its request beside method, path and body.
+
+    Attributes:
+        request_id: Names the caller's attempt.
+        deadline_ms: How long the caller waits, if it says so.
+        key_hash: Hash of the request's key, if it has one.
+    """
+
+    request_id: str
+    deadline_ms: float | None
+    key_hash: int | None
+
+
+class AnswerMarks(NamedTuple):
+    """What an instance says beside its answer's status and body.
+
+    Attributes:
+        request_id: Request that is answered; empty if it does not say.
+        is_signed: Whether the service itself made the answer.
+        is_not_run: Whether the instance states that it did not run the request.
+        instance: Identifier of the instance, if it says so.
+        load: Its load figures.
+        cold_ms: How much longer it is cold, if it says so.
+    """
+
+    request_id: str
+    is_signed: bool
+    is_not_run: bool
+    instance: str
+    load: LoadReport | None
+    cold_ms: float | None
+
+
+class Outgoing(NamedTuple):
+    """A request as it goes to an instance.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        fields: Header fields, the host and the length included.
+        body: Whole body.
+        request_id: Identifier that the answer has to repeat if it names one.
+    """
+
+    method: str
+    target: str
+    fields: Fields
+    body: bytes
+    request_id: str
+
+
+class RawAnswer(NamedTuple):
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        fields: Header fields, names in lower case.
+        body: Whole body.
+        is_reusable: Whether the connection can carry another request.
+    """
+
+    status: int
+    fields: Fields
+    body: bytes
+    is_reusable: bool
+
+    def field_map(self) -> dict[str, str]:
+        """Returns the fields by name."""
+        return dict(self.fields)
+
+
+class Connection:
+    """A connection to one instance, for one request at a time.
+
+    Args:
+        address: `host:port`.
+        id_field: Name, in lower case, of the field that names the request.
+    """
+
+    def __init__(self, address: str, id_field: str) -> None:
+        self.address = address
+        self.is_cut = False
+        self.idle_since_ms = 0.0
+        self.idle_limit_ms = 0.0
+        self._id_field = id_field
+        self._socket: socket.socket | None = None
+
+    def open(self, timeout_ms: float) -> Result[None, Fault]:
+        """Connects."""
+        host, _, port = self.address.rpartition(":")
+        timeout_s = max(0.001, min(CONNECT_TIMEOUT_MS, timeout_ms) / 1000)
+        try:
+            sock = socket.create_connection((host, int(port)), timeout_s)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as error:
+            return Err(Fault(codes.INSTANCE_UNREACHED, self.address, repr(error)))
+        self._socket = sock
+        return Ok(None)
+
+    def is_usable(self) -> bool:
+        """Tells whether the idle connection is open and has nothing to read."""
+        sock = self._socket
+        if sock is None or now_ms() - self.idle_since_ms > self.idle_limit_ms:
+            return False
+        try:
+            poller = select.poll()
+            poller.register(sock, select.POLLIN)
+            return not poller.poll(0)
+        except (OSError, ValueError):
+            return False
+
+    def cut(self) -> None:
+        """Ends the exchange from another thread; its reader fails at once."""
+        self.is_cut = True
+        sock = self._socket
+        if sock is None:
+            return
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # It has ended already, which is what is wanted.
+
+    def close(self, is_reset: bool = False) -> None:
+        """Closes the connection; a reset drops bytes that are still on their way."""
+        sock, self._socket = self._socket, None
+        if sock is None:
+            return
+        try:
+            if is_reset:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.close()
+        except OSError:
+            pass  # Nothing is left to be released.
+
+    def exchange(self, request: Outgoing, end_ms: float) -> Result[RawAnswer, Fault]:
+        """Sends a request and reads its answer until a time."""
+        sock = self._socket
+        if sock is None or self.is_cut:
+            return Err(Fault(codes.INSTANCE_UNREACHED, self.address, "not open"))
+        parser = h11.Connection(h11.CLIENT)
+        try:
+            data = _encode(parser, request)
+            _limit(sock, end_ms)
+            sock.sendall(data)
+            return self._read(sock, parser, request, end_ms)
+        except TimeoutError:
+            return Err(Fault(codes.INSTANCE_SILENT, self.address))
+        except h11.RemoteProtocolError as error:
+            return Err(Fault(codes.INSTANCE_GARBLED, self.address, str(error)))
+        except OSError as error:
+            code = codes.ATTEMPT_CUT if self.is_cut else codes.INSTANCE_BROKEN
+            return Err(Fault(code, self.address, repr(error)))
+
+    def _read(
+        self,
+        sock: socket.socket,
+        parser: h11.Connection,
+        request: Outgoing,
+        end_ms: float,
+    ) -> Result[RawAnswer, Fault]:
+        for _ in range(1 + STRAY_ANSWERS):
+            answer = self._read_one(sock, parser, end_ms)
+            if answer is None:
+                code = codes.ATTEMPT_CUT if self.is_cut else codes.INSTANCE_BROKEN
+                return Err(Fault(code, self.address, "closed before its answer"))
+            named = answer.field_map().get(self._id_field, request.request_id)
+            if named == request.request_id:
+                return Ok(answer)
+            if not answer.is_reusable and parser.their_state is not h11.DONE:
+                break
+            rest = parser.trailing_data[0]
+            parser = h11.Connection(h11.CLIENT)
+            _encode(parser, request)
+            if rest:
+                parser.receive_data(rest)
+        detail = "an answer to another request"
+        return Err(Fault(codes.INSTANCE_GARBLED, self.address, detail))
+
+    def _read_one(
+        self, sock: socket.socket, parser: h11.Connection, end_ms: float
+    ) -> RawAnswer | None:
+        status = 0
+        fields: Fields = []
+        body = bytearray()
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                _limit(sock, end_ms)
+                data = sock.recv(CHUNK_BYTES)
+                if not data and not status:
+                    return None
+                parser.receive_data(data)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                fields = [(n.decode(), v.decode("latin-1")) for n, v in event.headers]
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                is_done = parser.their_state is h11.DONE
+                is_clean = is_done and not parser.trailing_data[0]
+                return RawAnswer(status, fields, bytes(body), is_clean)
+            elif isinstance(event, h11.ConnectionClosed):
+                return None
+
+
+def _encode(parser: h11.Connection, request: Outgoing) -> bytes:
+    head = h11.Request(
+        method=request.method, target=request.target, headers=request.fields
+    )
+    data = parser.send(head) or b""
+    if request.body:
+        data += parser.send(h11.Data(data=request.body)) or b""
+    return data + (parser.send(h11.EndOfMessage()) or b"")
+
+
+def _limit(sock: socket.socket, end_ms: float) -> None:
+    left_ms = end_ms - now_ms()
+    if left_ms <= 0:
+        raise TimeoutError
+    sock.settimeout(left_ms / 1000)
--- /dev/null
+++ b/src/skylarktrail/gateway/granting.py
@@ -0,0 +1,402 @@
+"""The actor that grants key ranges while this daemon is the site's granter."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, Callable, NamedTuple, Protocol
+
+import cbor2
+import pykka
+from result import Result
+
+from ..core.gateway.granter import (
+    CallResult,
+    GrantCall,
+    Granter,
+    Owner,
+    RecordWanted,
+    ReleaseCall,
+    Timings,
+)
+from ..core.gateway.instance import Instance
+from ..core.gateway.key_load import KeyLoad
+from ..core.gateway.model import ServiceSpec
+from ..core.gateway.ranges import OwnerTable
+from ..core.gateway.shared import (
+    GRANTER_KEY,
+    OWNERS_PREFIX,
+    GranterRecord,
+    encode_granter,
+    encode_owners,
+)
+from ..daemon.messages import Tick
+from ..errors import platform as codes
+from ..errors.code import Fault
+from .clock import now_ms
+from .event_log import EventLog
+from .metrics import GatewayMetrics
+from .site import Site
+from .site_store import SiteStore
+
+EVEN_MS = 1000.0  # Load moves this often at most.
+MERGE_MS = 3000.0
+SAMPLES_MIN = 40.0  # Fewer requests say nothing about the spread of load.
+SETTLE_MS = 200.0  # Pause before a write of unknown outcome is repeated.
+CALL_THREADS = 24
+CAPACITY_LIMITS = (0.25, 2.0)
+FAILURE_MAX = 0.9
+
+
+class Orders(Protocol):
+    """Sends grants and releases to instances."""
+
+    def grant(self, call: GrantCall) -> CallResult:
+        """Grants a range or renews its lease."""
+
+    def release(self, call: ReleaseCall) -> CallResult:
+        """Takes a range back."""
+
+
+class Candidate(NamedTuple):
+    """Whether this daemon is to take the role."""
+
+    is_candidate: bool
+
+
+class SharedRead(NamedTuple):
+    """The shared records were read.
+
+    Attributes:
+        position: Up to where.
+        started_ms: When the read began.
+    """
+
+    position: int
+    started_ms: float
+
+
+class CallEnded(NamedTuple):
+    """A grant or release has ended."""
+
+    service: str
+    result: CallResult
+
+
+class WriteEnded(NamedTuple):
+    """A write to the shared records has ended."""
+
+    result: Result[int, Fault]
+
+
+class LoadRead(NamedTuple):
+    """Reports of load were read."""
+
+    reports: list[bytes]
+
+
+class _Write:
+    """A write under way, until it is known to have landed or not."""
+
+    def __init__(self, key: str, value: bytes, service: str) -> None:
+        self.key = key
+        self.value = value
+        self.service = service
+        self.at = -1
+        self.is_sent = False
+        self.next_ms = 0.0
+
+
+class GranterActor(pykka.ThreadingActor):
+    """Takes the role when it is this daemon's turn, and grants while it has it.
+
+    Args:
+        site: What is known of the site.
+        process: Identifier of this process.
+        store: Written by a thread of its own.
+        orders: Sends grants and releases.
+        timings: Durations of leases.
+        log: Gets a line for each decision.
+        metrics: Counts.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        site: Site,
+        process: str,
+        store: SiteStore,
+        orders: Orders,
+        timings: Timings,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        super().__init__()
+        self._site = site
+        self._process = process
+        self._store = store
+        self._orders = orders
+        self._timings = timings
+        self._log = log
+        self._metrics = metrics
+        self._calls = ThreadPoolExecutor(CALL_THREADS, "orders")
+        self._writer = ThreadPoolExecutor(1, "writer")
+        self._is_candidate = False
+        self._position = -1
+        self._confirmed_ms = -1e18
+        self._term = 0
+        self._has_rival = True
+        self._granters: dict[str, Granter] = {}
+        self._loads: dict[str, KeyLoad] = {}
+        self._writes: list[_Write] = []
+        self._even_ms = 0.0
+        self._merge_ms = 0.0
+        self.is_granter = False
+
+    def on_receive(self, message: Any) -> None:
+        """Handles one message."""
+        if isinstance(message, Tick):
+            self._step()
+        elif isinstance(message, Candidate):
+            self._is_candidate = message.is_candidate
+            self._step()
+        elif isinstance(message, SharedRead):
+            self._take_read(message)
+        elif isinstance(message, CallEnded):
+            self._take_call(message)
+        elif isinstance(message, WriteEnded):
+            self._take_write(message.result)
+        elif isinstance(message, LoadRead):
+            self._take_loads(message.reports)
+
+    def on_stop(self) -> None:
+        """Ends the threads."""
+        self._calls.shutdown(wait=False, cancel_futures=True)
+        self._writer.shutdown(wait=False, cancel_futures=True)
+
+    def _step(self) -> None:
+        at_ms = now_ms()
+        if self.is_granter:
+            if at_ms - self._confirmed_ms <= self._timings.authority_ms:
+                self._step_granters(at_ms)
+        elif self._is_candidate and self._position >= 0 and not self._writes:
+            self._claim()
+        self._send_write(at_ms)
+
+    def _claim(self) -> None:
+        former = self._site.shared.granter
+        self._has_rival = former.daemon not in ("", self._site.daemon)
+        term = former.term + 1
+        record = GranterRecord(self._site.daemon, self._process, term)
+        self._writes.append(_Write(GRANTER_KEY, encode_granter(record), ""))
+
+    def _take_read(self, read: SharedRead) -> None:
+        self._position = max(self._position, read.position)
+        self._confirmed_ms = max(self._confirmed_ms, read.started_ms)
+        granter = self._site.shared.granter
+        is_mine = granter.process == self._process
+        if self.is_granter and (not is_mine or granter.term != self._term):
+            self._resign(granter)
+        self._settle_by_read()
+        if is_mine and not self.is_granter:
+            self._begin(granter.term)
+        self._step()
+
+    def _settle_by_read(self) -> None:
+        """Learns from the records read whether the write under way has landed."""
+        if not self._writes or not self._writes[0].is_sent:
+            return
+        write = self._writes[0]
+        if self._position <= write.at or write.next_ms == 0.0:
+            return
+        is_landed = self._current(write) == write.value
+        self._end_write(write, is_landed)
+
+    def _current(self, write: _Write) -> bytes:
+        """Returns the value that the records read have for the key of a write."""
+        if write.key == GRANTER_KEY:
+            return encode_granter(self._site.shared.granter)
+        table = self._site.shared.owners.get(write.service)
+        return encode_owners(table.ranges) if table else b""
+
+    def _begin(self, term: int) -> None:
+        self._term = term
+        self.is_granter = True
+        self._granters = {}
+        self._log.state("granter_begins", term=term, position=self._position)
+        self._step()
+
+    def _resign(self, granter: GranterRecord) -> None:
+        self.is_granter = False
+        self._granters = {}
+        self._writes = []
+        self._log.state(
+            "granter_ends", term=self._term, successor=granter.daemon, by=granter.term
+        )
+
+    def _send_write(self, at_ms: float) -> None:
+        if not self._writes or self._position < 0:
+            return
+        write = self._writes[0]
+        if write.is_sent and (not write.next_ms or at_ms < write.next_ms):
+            return
+        if not write.is_sent:
+            write.at = self._position
+        write.is_sent = True
+        write.next_ms = 0.0
+        store, key, value, at = self._store, write.key, write.value, write.at
+        self._submit(self._writer, lambda: WriteEnded(store.share(key, value, at)))
+
+    def _take_write(self, result: Result[int, Fault]) -> None:
+        if not self._writes:
+            return
+        write = self._writes[0]
+        if result.is_ok():
+            self._metrics.count("store_calls", "share", "done")
+            self._position = max(self._position, result.unwrap())
+            self._end_write(write, True)
+            return
+        code = result.unwrap_err().code
+        self._metrics.count("store_calls", "share", code.name)
+        write.next_ms = now_ms() + SETTLE_MS
+        if code is codes.STORE_CONFLICT:
+            self._settle_by_read()
+
+    def _end_write(self, write: _Write, is_landed: bool) -> None:
+        self._writes = [item for item in self._writes if item is not write]
+        if write.key == GRANTER_KEY:
+            if is_landed and not self.is_granter:
+                self._begin(self._claimed_term(write))
+            return
+        granter = self._granters.get(write.service)
+        if granter is not None:
+            granter.take_recorded(is_landed)
+        self._log.state("owners_recorded", service=write.service, landed=is_landed)
+        self._step()
+
+    @staticmethod
+    def _claimed_term(write: _Write) -> int:
+        return GranterRecord(*cbor2.loads(write.value)).term
+
+    def _step_granters(self, at_ms: float) -> None:
+        for spec in list(self._site.scheduler.services.values()):
+            if spec.is_keyed:
+                self._step_service(spec, at_ms)
+
+    def _step_service(self, spec: ServiceSpec, at_ms: float) -> None:
+        granter = self._granters.get(spec.name)
+        if granter is None:
+            recorded = self._site.shared.owners.get(spec.name, OwnerTable())
+            granter = Granter(
+                self._timings, self._term, recorded, at_ms, self._has_rival
+            )
+            self._granters[spec.name] = granter
+        owners = self._owners(spec.name, at_ms)
+        if not owners:
+            return
+        actions = granter.step(owners, at_ms)
+        self._plan(spec.name, granter, at_ms)
+        actions += granter.step(owners, at_ms)
+        for action in actions:
+            self._do(spec.name, action)
+
+    def _plan(self, service: str, granter: Granter, at_ms: float) -> None:
+        load = self._loads.setdefault(service, KeyLoad())
+        is_even_due = at_ms >= self._even_ms and load.total >= SAMPLES_MIN
+        if not is_even_due and not granter.has_orphans():
+            return
+        if is_even_due:
+            self._even_ms = at_ms + EVEN_MS
+        moves = granter.rebalance(load.cumulate(at_ms), is_even_due)
+        for move in moves:
+            self._metrics.count("moved_ranges", service)
+            self._log.write(
+                "range_moves",
+                service=service,
+                first=move.first,
+                last=move.last,
+                owner=move.owner,
+                term=self._term,
+            )
+        if at_ms >= self._merge_ms:
+            self._merge_ms = at_ms + MERGE_MS
+            granter.merge_neighbours(at_ms)
+
+    def _owners(self, service: str, at_ms: float) -> dict[str, Owner]:
+        with self._site.lock:
+            instances = list(self._site.fleet.of_service(service))
+            out = set(self._site.zones_out)
+        staying = [i for i in instances if _is_staying(i, out, at_ms)]
+        warm = [i for i in staying if not i.is_cold(at_ms)]
+        usable = {id(i) for i in warm or staying}
+        return {
+            i.entry.instance: Owner(
+                i.entry.instance,
+                i.entry.address,
+                i.entry.born_ms,
+                id(i) in usable,
+                _capacity(i),
+            )
+            for i in instances
+        }
+
+    def _do(self, service: str, action: GrantCall | ReleaseCall | RecordWanted) -> None:
+        if isinstance(action, RecordWanted):
+            value = encode_owners(action.ranges)
+            self._writes.append(_Write(OWNERS_PREFIX + service, value, service))
+            self._send_write(now_ms())
+            return
+        is_grant = isinstance(action, GrantCall)
+        send = self._orders.grant if is_grant else self._orders.release
+        self._submit(self._calls, lambda: CallEnded(service, send(action)))
+
+    def _submit(self, pool: ThreadPoolExecutor, task: Callable[[], Any]) -> None:
+        """Runs a task in a pool and tells this actor what it returns."""
+        actor_ref = self.actor_ref
+
+        def run() -> None:
+            try:
+                message = task()
+            except Exception as error:
+                self._log.state("order_failed", error=repr(error))
+                return
+            try:
+                actor_ref.tell(message)
+            except pykka.ActorDeadError:
+                pass  # The daemon stops; nobody waits for the message.
+
+        try:
+            pool.submit(run)
+        except RuntimeError as error:
+            self._log.state("order_failed", error=repr(error))
+
+    def _take_call(self, ended: CallEnded) -> None:
+        outcome = ended.result.outcome
+        self._metrics.count("lease_calls", ended.service, outcome)
+        granter = self._granters.get(ended.service)
+        if granter is None:
+            return
+        granter.take_result(ended.result, now_ms())
+        if outcome != "done":
+            self._log.write("lease_call_failed", service=ended.service, outcome=outcome)
+        if granter.has_free():
+            self._step()
+
+    def _take_loads(self, reports: list[bytes]) -> None:
+        at_ms = now_ms()
+        for report in reports:
+            for service, counts in cbor2.loads(report).items():
+                self._loads.setdefault(service, KeyLoad()).add(counts, at_ms)
+
+
+def _is_staying(instance: Instance, zones_out: set[str], at_ms: float) -> bool:
+    if instance.entry.is_draining or instance.entry.zone in zones_out:
+        return False
+    return not instance.is_suspended(at_ms)
+
+
+def _capacity(instance: Instance) -> float:
+    """Returns the speed of an instance; failed requests count as lost speed."""
+    low, high = CAPACITY_LIMITS
+    speed = min(high, max(low, 1 / instance.speed_ratio))
+    return speed * (1 - min(FAILURE_MAX, instance.failure_ratio))
--- /dev/null
+++ b/src/skylarktrail/gateway/metrics.py
@@ -0,0 +1,80 @@
+"""Counters, gauges and latency histograms of the gateway, by aioprometheus."""
+
+from __future__ import annotations
+
+import threading
+from typing import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from ..daemon.metrics import LATENCY_BUCKETS_S, OTHER, PREFIX
+from ..errors.code import Code
+
+SERIES_MAX = 2000  # Series of one metric; what is beyond is counted as other.
+
+COUNTERS = {
+    "answers": ("Answers to callers, by route and status.", ("route", "status")),
+    "refusals": ("Requests refused, by service and code.", ("service", "code")),
+    "attempts": ("Attempts at instances, by outcome.", ("service", "outcome")),
+    "store_calls": ("Calls to the store, by call and outcome.", ("call", "outcome")),
+    "lease_calls": ("Grants and releases, by outcome.", ("kind", "outcome")),
+    "moved_ranges": ("Key ranges given to another owner.", ("service",)),
+}
+
+
+class GatewayMetrics:
+    """Metrics of one daemon; every method may be called from any thread."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._registry = Registry()
+        self._counts: dict[str, dict[tuple[str, ...], int]] = {n: {} for n in COUNTERS}
+        self._counters = {
+            name: Counter(f"{PREFIX}_{name}_total", doc, registry=self._registry)
+            for name, (doc, _) in COUNTERS.items()
+        }
+        self._latency = Histogram(
+            f"{PREFIX}_request_seconds",
+            "Time from a caller's request to its answer, by route.",
+            registry=self._registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._routes: set[str] = set()
+        self._gauges: dict[str, tuple[Gauge, Callable[[], float]]] = {}
+
+    def add_gauge(self, name: str, doc: str, read: Callable[[], float]) -> None:
+        """Adds a gauge that is read at each scrape."""
+        gauge = Gauge(f"{PREFIX}_{name}", doc, registry=self._registry)
+        self._gauges[name] = (gauge, read)
+
+    def count(self, name: str, *labels: str) -> None:
+        """Adds one to a counter."""
+        with self._lock:
+            counts = self._counts[name]
+            if labels not in counts and len(counts) >= SERIES_MAX:
+                labels = (OTHER,) * len(labels)
+            counts[labels] = counts.get(labels, 0) + 1
+
+    def count_refusal(self, service: str, code: Code) -> None:
+        """Counts a refused request."""
+        self.count("refusals", service, code.name)
+
+    def observe(self, route: str, status: int, latency_ms: float) -> None:
+        """Counts an answer and its time."""
+        self.count("answers", route, str(status))
+        with self._lock:
+            if route not in self._routes and len(self._routes) >= SERIES_MAX:
+                route = OTHER
+            self._routes.add(route)
+            self._latency.observe({"route": route}, latency_ms / 1000)
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Returns every metric as text, with the fields of the HTTP answer."""
+        for gauge, read in self._gauges.values():
+            gauge.set({}, read())
+        with self._lock:
+            for name, counts in self._counts.items():
+                names = COUNTERS[name][1]
+                for labels, value in counts.items():
+                    self._counters[name].set(dict(zip(names, labels)), value)
+            return render(self._registry, [])
--- /dev/null
+++ b/src/skylarktrail/gateway/ready_app.py
@@ -0,0 +1,41 @@
+"""Health checks and metrics of a gateway over HTTP."""
+
+from __future__ import annotations
+
+from typing import Any, Callable, Iterable
+
+from .metrics import GatewayMetrics
+
+TEXT = [("Content-Type", "text/plain; charset=utf-8")]
+
+
+class ReadyApp:
+    """The WSGI application of the ready address.
+
+    Args:
+        is_ready: Tells whether callers are to be sent here.
+        metrics: Rendered under /metrics.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool], metrics: GatewayMetrics) -> None:
+        self._is_ready = is_ready
+        self._metrics = metrics
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        path = environ.get("PATH_INFO", "")
+        if path == "/metrics":
+            body, headers = self._metrics.render()
+            start_response("200 OK", list(headers.items()))
+            return [body]
+        if path == "/ready":
+            is_good = self._is_ready()
+        elif path == "/live":
+            is_good = True
+        else:
+            start_response("404 Not Found", TEXT)
+            return [b"not found\n"]
+        start_response("200 OK" if is_good else "503 Service Unavailable", TEXT)
+        return [b"ready\n" if is_good else b"not ready\n"]
--- /dev/null
+++ b/src/skylarktrail/gateway/router.py
@@ -0,0 +1,426 @@
+"""Answers callers: waits for an instance, tries it, repeats what may be repeated."""
+
+from __future__ import annotations
+
+import threading
+from typing import NamedTuple, Protocol
+
+from result import Result
+
+from ..core.gateway.model import InstanceEntry, Route
+from ..core.gateway.scheduler import Ticket
+from ..daemon import fields
+from ..daemon.exchange import Answer
+from ..daemon.problem import Problem
+from ..daemon.routes import CallerRequest
+from ..errors import caller as caller_codes
+from ..errors import upstream as codes
+from ..errors.code import Code, Fault
+from .clock import now_ms
+from .connections import Connections
+from .departures import Departures
+from .event_log import EventLog
+from .exchange import AnswerMarks, CallerMarks, Connection, Outgoing, RawAnswer
+from .metrics import GatewayMetrics
+from .site import Site
+
+WAIT_STEP_MS = 20.0  # Waiting requests look again at least this often.
+SILENT_PART = 0.5  # Part of the time left after which an idempotent try is given up.
+SENDS_MAX = 6  # Tries of one request, refused ones included.
+START_RETRY_MS = 200.0  # A daemon that starts knows its configuration soon after.
+MISDIRECTED = 421
+PROMISES = frozenset((408, MISDIRECTED, 429, 503))  # Statuses that mean "not run".
+BODILESS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
+DROPPED = frozenset(("expect",))
+Reply = Answer | Problem
+
+
+class Wire(Protocol):
+    """How the platform spells what callers and instances say of requests."""
+
+    REQUEST_ID: str
+    REPLACED: frozenset[str]
+
+    def read_caller(self, headers: dict[str, str]) -> CallerMarks:
+        """Decodes what a caller says of its request."""
+
+    def to_instance(self, entry: InstanceEntry, left_ms: float) -> fields.Fields:
+        """Returns the fields that the daemon adds to a request."""
+
+    def read_answer(self, headers: dict[str, str]) -> AnswerMarks:
+        """Decodes what an instance says beside its answer."""
+
+
+class Attempt(NamedTuple):
+    """How one try ended.
+
+    Attributes:
+        instance: Where it was sent.
+        outcome: Name of the result.
+        may_have_run: Whether the request may have run there.
+        answer: The answer, if it may be passed on.
+        is_final: Whether the answer is the best that can be had.
+        is_arrival: Whether the instance was sent the request.
+        is_unheld: Whether the owner does not hold the key.
+    """
+
+    instance: str
+    outcome: str
+    may_have_run: bool = True
+    answer: Answer | None = None
+    is_final: bool = False
+    is_arrival: bool = True
+    is_unheld: bool = False
+
+
+class _Job:
+    """One caller's request on its way."""
+
+    def __init__(
+        self, request: CallerRequest, marks: CallerMarks, route: Route, service: str
+    ) -> None:
+        self.request = request
+        self.marks = marks
+        self.route = route
+        self.service = service
+        self.key_hash: int | None = None
+        self.start_ms = now_ms()
+        self.end_ms = self.start_ms
+        self.target_end_ms = self.start_ms
+        self.is_return = False
+        self.attempts: list[Attempt] = []
+        self.spare: Answer | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tells whether any try may have run."""
+        return any(item.may_have_run for item in self.attempts)
+
+
+class GatewayRouter:
+    """Handles requests of callers; may be used from any thread.
+
+    Args:
+        site: What is known of the site.
+        wire: How the platform spells requests and answers.
+        connections: Idle connections to instances.
+        departures: Notices callers that leave.
+        log: Gets a line for each request.
+        metrics: Counts.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        wire: Wire,
+        connections: Connections,
+        departures: Departures,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._site = site
+        self._wire = wire
+        self._connections = connections
+        self._departures = departures
+        self._log = log
+        self._metrics = metrics
+        self._longest_ms: dict[str, float] = {}
+        self._lock = threading.Lock()
+        self._open = 0
+
+    @property
+    def open_requests(self) -> int:
+        """Returns the number of requests that have no answer yet."""
+        return self._open
+
+    def handle(self, request: CallerRequest) -> Reply:
+        """Returns the instance's whole answer or a refusal."""
+        with self._lock:
+            self._open += 1
+        try:
+            return self._handle(request)
+        finally:
+            with self._lock:
+                self._open -= 1
+
+    def _handle(self, request: CallerRequest) -> Reply:
+        marks = self._wire.read_caller(request.headers)
+        if self._site.table is None:
+            problem = _refuse(caller_codes.NOT_CONFIGURED, START_RETRY_MS)
+            return self._note_unrouted(request, marks, problem)
+        route = self._site.find_route(request.headers.get("host", ""), request.path)
+        if route is None:
+            problem = Problem(caller_codes.ROUTE_UNKNOWN, fields.NOT_RUN)
+            return self._note_unrouted(request, marks, problem)
+        job = self._make_job(request, marks, route)
+        reply = self._serve(job)
+        self._note(job, reply)
+        return reply
+
+    def _make_job(
+        self, request: CallerRequest, marks: CallerMarks, route: Route
+    ) -> _Job:
+        service = self._site.choose_service(route)
+        job = _Job(request, marks, route, service)
+        if self._site.service(service).is_keyed:
+            job.key_hash = marks.key_hash
+        given_ms = marks.deadline_ms or route.timeout_ms
+        job.end_ms = job.start_ms + min(given_ms, route.timeout_ms)
+        spent_ms = self._spent_ms(route, given_ms)
+        job.is_return = spent_ms > 0
+        job.target_end_ms = job.start_ms + route.target_ms - spent_ms
+        self._site.note_first(service, job.start_ms)
+        if job.key_hash is not None:
+            self._site.note_key(service, job.key_hash)
+        return job
+
+    def _spent_ms(self, route: Route, given_ms: float) -> float:
+        """Returns how long a caller that was refused has been at it.
+
+        Callers of a route wait equally long, and a returning one waits for what is
+        left of it.
+        """
+        longest_ms = max(self._longest_ms.get(route.name, 0.0), given_ms)
+        self._longest_ms[route.name] = longest_ms
+        spent_ms = longest_ms - given_ms
+        return spent_ms if spent_ms > longest_ms * 0.01 else 0.0
+
+    def _serve(self, job: _Job) -> Reply:
+        avoided: set[str] = set()
+        while True:
+            ticket = self._place(job, avoided)
+            if ticket.instance is None:
+                return self._give_up(job, ticket)
+            attempt = self._attempt(job, ticket)
+            job.attempts.append(attempt)
+            self._metrics.count("attempts", job.service, attempt.outcome)
+            if attempt.is_final and attempt.answer is not None:
+                return attempt.answer
+            job.spare = attempt.answer or job.spare
+            avoided.add(attempt.instance)
+            if not self._may_repeat(job, attempt):
+                return self._give_up(job, ticket)
+
+    def _place(self, job: _Job, avoided: set[str]) -> Ticket:
+        decided = threading.Event()
+        ticket = Ticket(
+            job.route,
+            job.service,
+            job.key_hash,
+            job.end_ms,
+            job.target_end_ms,
+            job.is_return or bool(job.attempts),
+            decided.set,
+        )
+        ticket.avoided = avoided
+        self._site.submit(ticket, now_ms())
+        while not ticket.is_decided:
+            left_ms = job.end_ms - now_ms()
+            decided.wait(max(0.001, min(WAIT_STEP_MS, left_ms) / 1000))
+            if not ticket.is_decided:
+                self._site.poll(now_ms())
+            if job.request.has_left():
+                self._site.withdraw(ticket, now_ms())
+                ticket.instance = None
+                ticket.refusal = "left"
+        return ticket
+
+    def _attempt(self, job: _Job, ticket: Ticket) -> Attempt:
+        """Sends the request to the ticket's instance."""
+        instance = ticket.instance
+        assert instance is not None
+        entry = instance.entry
+        sent_ms = now_ms()
+        result = self._exchange(job, entry, self._try_end_ms(job, sent_ms))
+        elapsed_ms = now_ms() - sent_ms
+        with self._site.lock:
+            self._site.finish(ticket, now_ms())
+            if result.is_err():
+                return self._take_fault(job, ticket, result.unwrap_err())
+            return self._take_answer(job, ticket, result.unwrap(), elapsed_ms)
+
+    def _try_end_ms(self, job: _Job, at_ms: float) -> float:
+        is_last = len(job.attempts) + 1 >= job.route.max_attempts
+        if not job.route.is_idempotent or is_last:
+            return job.end_ms
+        return at_ms + (job.end_ms - at_ms) * SILENT_PART
+
+    def _exchange(
+        self, job: _Job, entry: InstanceEntry, end_ms: float
+    ) -> Result[RawAnswer, Fault]:
+        taken = self._connections.take(
+            entry.instance,
+            entry.address,
+            end_ms - now_ms(),
+            not job.route.is_idempotent,
+        )
+        if taken.is_err():
+            return taken
+        connection = taken.unwrap()
+        with self._departures.watch(job.request.has_left, connection):
+            result = connection.exchange(self._outgoing(job, entry), end_ms)
+        self._return_connection(entry.instance, connection, result)
+        return result
+
+    def _return_connection(
+        self, instance: str, connection: Connection, result: Result[RawAnswer, Fault]
+    ) -> None:
+        if result.is_ok():
+            self._connections.give_back(instance, connection, result.unwrap())
+        else:
+            connection.close(is_reset=True)
+
+    def _outgoing(self, job: _Job, entry: InstanceEntry) -> Outgoing:
+        request = job.request
+        kept = [
+            (name, value)
+            for name, value in fields.to_back_end(list(request.headers.items()))
+            if name not in self._wire.REPLACED and name not in DROPPED
+        ]
+        head = [("Host", request.headers.get("host", entry.address))]
+        if request.body or request.method not in BODILESS:
+            head.append(("Content-Length", str(len(request.body))))
+        added = self._wire.to_instance(entry, job.end_ms - now_ms())
+        target = request.path + ("?" + request.query if request.query else "")
+        return Outgoing(
+            request.method,
+            target,
+            head + kept + added,
+            request.body,
+            job.marks.request_id,
+        )
+
+    def _take_fault(self, job: _Job, ticket: Ticket, fault: Fault) -> Attempt:
+        instance = ticket.instance
+        assert instance is not None
+        name = instance.entry.instance
+        if fault.code is codes.INSTANCE_UNREACHED:
+            instance.suspend(now_ms())
+            self._connections.forget(name)
+            return Attempt(name, fault.code.name, False, is_arrival=False)
+        if fault.code is not codes.ATTEMPT_CUT:
+            instance.note_failure()
+        if fault.code is codes.INSTANCE_SILENT:
+            self._connections.forget(name)
+        return Attempt(name, fault.code.name)
+
+    def _take_answer(
+        self, job: _Job, ticket: Ticket, raw: RawAnswer, elapsed_ms: float
+    ) -> Attempt:
+        instance = ticket.instance
+        assert instance is not None
+        headers = raw.field_map()
+        marks = self._wire.read_answer(headers)
+        name = instance.entry.instance
+        if marks.load is not None:
+            instance.note_report(marks.load, now_ms())
+        if marks.cold_ms is not None:
+            instance.set_cold(marks.cold_ms, now_ms())
+        if raw.status == MISDIRECTED:
+            return self._take_misdirected(job, ticket, marks)
+        if marks.is_not_run:
+            instance.note_failure()
+            return Attempt(name, "NOT_RUN", False)
+        is_whole = marks.is_signed and "content-encoding" not in headers
+        if not is_whole or raw.status in PROMISES:
+            instance.note_failure()
+            return Attempt(name, codes.INSTANCE_GARBLED.name)
+        answer = Answer(raw.status, raw.fields, raw.body)
+        if raw.status >= 500:
+            instance.note_failure()
+            return Attempt(name, "FAILED", True, answer, not job.route.is_idempotent)
+        self._site.scheduler.note_answer(ticket, elapsed_ms)
+        return Attempt(name, "ANSWERED", True, answer, True)
+
+    def _take_misdirected(
+        self, job: _Job, ticket: Ticket, marks: AnswerMarks
+    ) -> Attempt:
+        instance = ticket.instance
+        assert instance is not None
+        name = instance.entry.instance
+        is_other = bool(marks.instance) and marks.instance != name
+        if is_other or job.key_hash is None:
+            instance.suspend(now_ms())
+            return Attempt(name, "OTHER_INSTANCE", False)
+        self._site.note_unheld(job.service, job.key_hash, now_ms())
+        return Attempt(name, "UNHELD", False, is_unheld=True)
+
+    def _may_repeat(self, job: _Job, attempt: Attempt) -> bool:
+        if attempt.outcome == codes.ATTEMPT_CUT.name or job.request.has_left():
+            return False
+        if attempt.may_have_run:
+            runs = sum(1 for item in job.attempts if item.may_have_run)
+            if not job.route.is_idempotent or runs >= job.route.max_attempts:
+                return False
+        if len(job.attempts) >= SENDS_MAX or now_ms() >= job.end_ms:
+            return False
+        if job.key_hash is not None and not attempt.is_arrival:
+            return False
+        return not attempt.is_arrival or self._site.take_repeat(job.service, now_ms())
+
+    def _give_up(self, job: _Job, ticket: Ticket) -> Reply:
+        """Returns the final answer of a request that is not tried again."""
+        if job.spare is not None:
+            return job.spare
+        if job.may_have_run:
+            is_late = now_ms() >= job.end_ms
+            code = caller_codes.ANSWER_LATE if is_late else codes.OUTCOME_UNKNOWN
+            return Problem(code, fields.UNKNOWN)
+        wait_ms = self._site.scheduler.retry_after_ms(ticket, now_ms())
+        return _refuse(_refusal_code(job, ticket), wait_ms)
+
+    def _note_unrouted(
+        self, request: CallerRequest, marks: CallerMarks, problem: Problem
+    ) -> Problem:
+        self._metrics.count_refusal("", problem.code)
+        self._log.write(
+            "request_refused",
+            request=marks.request_id,
+            code=problem.code.name,
+            host=request.headers.get("host", ""),
+            path=request.path,
+            config=self._config_version(),
+        )
+        return problem
+
+    def _config_version(self) -> int:
+        table = self._site.table
+        return table.config.version if table else 0
+
+    def _note(self, job: _Job, reply: Reply) -> None:
+        """Counts an answer and writes the line from which it can be explained."""
+        elapsed_ms = now_ms() - job.start_ms
+        is_problem = isinstance(reply, Problem)
+        status = reply.code.status if is_problem else reply.status
+        self._metrics.observe(job.route.name, status, elapsed_ms)
+        if is_problem:
+            self._metrics.count_refusal(job.service, reply.code)
+        self._log.write(
+            "request_refused" if is_problem else "request_answered",
+            request=job.marks.request_id,
+            route=job.route.name,
+            service=job.service,
+            key_hash=job.key_hash,
+            status=status,
+            code=reply.code.name if is_problem else "",
+            retry_after_ms=reply.retry_after_ms if is_problem else None,
+            took_ms=round(elapsed_ms, 1),
+            time_ms=round(job.end_ms - job.start_ms),
+            is_return=job.is_return,
+            attempts=[(item.instance, item.outcome) for item in job.attempts],
+            config=self._config_version(),
+        )
+
+
+def _refusal_code(job: _Job, ticket: Ticket) -> Code:
+    if ticket.refusal in ("overload", "timeout", "left"):
+        return codes.WAIT_TOO_LONG
+    if job.attempts and not job.attempts[-1].is_arrival:
+        return codes.UPSTREAM_UNREACHABLE
+    if job.attempts:
+        return codes.UPSTREAM_REFUSED
+    return codes.SERVER_WITHDRAWN if job.key_hash is not None else codes.CAPACITY_NONE
+
+
+def _refuse(code: Code, wait_ms: float) -> Problem:
+    return Problem(code, fields.NOT_RUN, retry_after_ms=wait_ms, is_retry_exact=True)
--- /dev/null
+++ b/src/skylarktrail/gateway/run.py
@@ -0,0 +1,68 @@
+"""Runs a gateway daemon until it is told to stop."""
+
+from __future__ import annotations
+
+import queue
+import signal
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from ..config.gateway_settings import GatewaySettings, parse_gateway_settings
+from ..config.schema import read_json
+from ..errors import settings as codes
+from ..errors.code import Fault
+from ..platform import adapter as platform_adapter  # noqa: F401  Fills the registry.
+from .adapters import ADAPTERS
+from .service import GatewayService
+
+LOOK_S = 2.0  # The settings file may also change without a signal.
+
+
+def serve(path: str, settings: GatewaySettings) -> Result[None, Fault]:
+    """Serves until SIGTERM or SIGINT has been handled."""
+    if settings.store.adapter not in ADAPTERS:
+        return Err(Fault(codes.VALUE_NOT_ALLOWED, "$.store.adapter"))
+    signals: queue.SimpleQueue[int] = queue.SimpleQueue()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, _: signals.put(number))
+    service = GatewayService(settings)
+    started = service.start()
+    if started.is_err():
+        return started
+    _wait(path, service, signals)
+    service.drain()
+    return Ok(None)
+
+
+def _wait(path: str, service: GatewayService, signals: queue.SimpleQueue[int]) -> None:
+    """Returns when the daemon is to stop; reloads the settings meanwhile."""
+    text = _read_text(path)
+    while True:
+        try:
+            number = signals.get(timeout=LOOK_S)
+        except queue.Empty:
+            number = 0
+        if number in (signal.SIGTERM, signal.SIGINT):
+            return
+        newer = _read_text(path)
+        if newer != text or number:
+            text = newer
+            _reload(path, service)
+
+
+def _read_text(path: str) -> str:
+    try:
+        return Path(path).read_text()
+    except OSError:
+        return ""  # It is being replaced; the next look finds it.
+
+
+def _reload(path: str, service: GatewayService) -> None:
+    plain = read_json(Path(path))
+    if plain.is_err():
+        return service.note_bad_settings([plain.unwrap_err()])
+    settings = parse_gateway_settings(plain.unwrap())
+    if settings.is_err():
+        return service.note_bad_settings(settings.unwrap_err())
+    service.reload(settings.unwrap().bounds)
--- /dev/null
+++ b/src/skylarktrail/gateway/service.py
@@ -0,0 +1,244 @@
+"""The gateway daemon: builds its parts, starts them and drains them."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+from result import Err, Ok, Result
+from uuid6 import uuid7
+from waitress.server import BaseWSGIServer, create_server
+
+from ..config.gateway_settings import Bounds, GatewaySettings
+from ..config.settings import Limits
+from ..daemon.caller_app import CallerApp, make_caller_server
+from ..daemon.ticker import Ticker
+from ..errors import caller as codes
+from ..errors.code import Fault
+from .adapters import ADAPTERS
+from .clock import now_ms
+from .connections import Connections
+from .departures import Departures
+from .event_log import EventLog
+from .granting import Candidate, GranterActor, LoadRead, SharedRead
+from .metrics import GatewayMetrics
+from .ready_app import ReadyApp
+from .router import GatewayRouter
+from .site import Site
+from .site_store import SiteStore
+from .watchers import (
+    CandidacyWatcher,
+    InstanceWatcher,
+    LoadReporter,
+    OperatorWatcher,
+    SharedWatcher,
+    StoreWatch,
+)
+from .worker import Worker
+
+TICK_MS = 100.0
+READY_THREADS = 2
+KEPT_DESCRIPTORS = 400  # For the store, the instances and the library's files.
+BODY_BYTES = 64 << 20
+UNREADY_MS = 3000.0  # Two health checks a second apart, and one in between.
+IDLE_MS = 300.0
+KILL_MARGIN_MS = 700.0  # Left of the grace for the last answers to go out.
+LOAD_WAIT_MS = 1000
+
+
+class GatewayService:
+    """One gateway process.
+
+    Args:
+        settings: Its checked settings.
+    """
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self._settings = settings
+        self._bounds = settings.bounds
+        self._adapter = ADAPTERS[settings.store.adapter]
+        self._process = str(uuid7())
+        self._log = EventLog(settings.daemon)
+        self._metrics = GatewayMetrics()
+        self._site = Site(settings.daemon, settings.zone, settings.bounds)
+        wire = self._adapter.wire()
+        self._connections = Connections(wire.REQUEST_ID.lower())
+        self._departures = Departures()
+        self._router = GatewayRouter(
+            self._site,
+            wire,
+            self._connections,
+            self._departures,
+            self._log,
+            self._metrics,
+        )
+        self._app = CallerApp(self._router, self._metrics)
+        self._is_draining = False
+        self._servers: list[BaseWSGIServer] = []
+        self._workers: list[Worker] = []
+        self._add_gauges()
+
+    def start(self) -> Result[None, Fault]:
+        """Binds the addresses and starts all threads."""
+        self._log.start()
+        try:
+            self._bind()
+        except OSError as error:
+            return Err(Fault(codes.ADDRESS_UNBOUND, detail=str(error)))
+        self._start_watchers()
+        self._departures.start()
+        for server in self._servers:
+            threading.Thread(target=server.run, daemon=True).start()
+        self._log.state("started", process=self._process, zone=self._settings.zone)
+        return Ok(None)
+
+    def reload(self, bounds: Bounds) -> None:
+        """Takes bounds that have changed in the settings file."""
+        self._bounds = bounds
+        self._site.set_bounds(bounds)
+        self._log.state("settings_reloaded", bounds=bounds._asdict())
+
+    def note_bad_settings(self, faults: list[Fault]) -> None:
+        """Logs that changed settings are at fault; the old ones stay in force."""
+        self._log.state("settings_refused", faults=[str(item) for item in faults])
+
+    def drain(self) -> None:
+        """Turns callers away to other daemons and serves those that are here."""
+        started_ms = now_ms()
+        self._log.state("draining", open_requests=self._router.open_requests)
+        self._is_draining = True
+        self._app.is_closing = True
+        self._candidacy.withdraw()
+        end_ms = started_ms + self._bounds.grace_s * 1000 - KILL_MARGIN_MS
+        busy_ms = now_ms()
+        while now_ms() < end_ms:
+            if self._router.open_requests:
+                busy_ms = now_ms()
+            is_idle = now_ms() - busy_ms >= IDLE_MS
+            if is_idle and now_ms() - started_ms >= UNREADY_MS:
+                break
+            time.sleep(0.05)
+        self._stop()
+
+    def is_ready(self) -> bool:
+        """Tells whether callers are to be sent here."""
+        is_informed = self._site.table is not None and self._instances.is_done_once
+        return is_informed and not self._is_draining
+
+    def _stop(self) -> None:
+        for worker in self._workers:
+            worker.stop()
+        self._log.state("stopped", open_requests=self._router.open_requests)
+        self._log.stop()
+
+    def _bind(self) -> None:
+        settings = self._settings
+        connections = max(64, settings.descriptors - KEPT_DESCRIPTORS)
+        limits = Limits(body_bytes=BODY_BYTES, connections=connections)
+        front = make_caller_server(
+            self._app, settings.caller_address, settings.threads, limits, 1
+        )
+        ready_app = ReadyApp(self.is_ready, self._metrics)
+        addresses = [settings.ready_address, settings.metrics_address]
+        self._servers = [front] + [
+            create_server(ready_app, listen=item, threads=READY_THREADS, ident=None)
+            for item in addresses
+            if item
+        ]
+
+    def _start_watchers(self) -> None:
+        site, log = self._site, self._log
+        self._granter = GranterActor.start(
+            site,
+            self._process,
+            self._store(),
+            self._adapter.make_orders(),
+            self._settings.leases,
+            log,
+            self._metrics,
+        )
+        tell = self._granter.tell
+        self._instances = InstanceWatcher(
+            self._store(), site, self._connections, self._watch("instances"), log
+        )
+        operators = OperatorWatcher(self._store(), site, self._watch("operators"), log)
+        shared = SharedWatcher(
+            self._store(),
+            site,
+            self._process,
+            self._watch("shared"),
+            lambda position, at_ms: tell(SharedRead(position, at_ms)),
+            self._is_granter,
+        )
+        self._candidacy = CandidacyWatcher(
+            self._store(),
+            site,
+            self._watch("candidacy"),
+            lambda is_candidate: tell(Candidate(is_candidate)),
+        )
+        reporter = LoadReporter(self._store(), site, self._watch("load_report"))
+        self._load_store = self._store()
+        self._load_position: int | None = None
+        self._load_watch = self._watch("loads")
+        rounds = {
+            "instances": self._instances.round,
+            "operators": operators.round,
+            "shared": shared.round,
+            "candidacy": self._candidacy.round,
+            "load-report": reporter.round,
+            "loads": self._read_loads,
+        }
+        self._workers = [Worker(name, task, log) for name, task in rounds.items()]
+        for worker in self._workers:
+            worker.start()
+        self._ticker = Ticker([self._granter], TICK_MS)
+        self._ticker.start()
+
+    def _read_loads(self) -> float:
+        """Reads the reports of load while this daemon is the granter."""
+        if not self._is_granter():
+            self._load_position = None
+            return LOAD_WAIT_MS
+        read = self._load_store.read_loads(self._load_position, LOAD_WAIT_MS)
+        pause_ms = self._load_watch.check(read)
+        if pause_ms is not None:
+            self._load_position = None
+            return pause_ms
+        update = read.unwrap()
+        self._load_position = update.position
+        if update.reports:
+            self._granter.tell(LoadRead(update.reports))
+        return LOAD_WAIT_MS / 2
+
+    def _is_granter(self) -> bool:
+        return self._site.shared.granter.process == self._process
+
+    def _store(self) -> SiteStore:
+        return self._adapter.make_store(self._settings.store.address)
+
+    def _watch(self, name: str) -> StoreWatch:
+        return StoreWatch(name, self._log, self._metrics)
+
+    def _add_gauges(self) -> None:
+        add = self._metrics.add_gauge
+        add("ready", "1 while callers are to be sent here.", lambda: self.is_ready())
+        add(
+            "open_requests",
+            "Requests without an answer yet.",
+            lambda: self._router.open_requests,
+        )
+        add(
+            "waiting_requests",
+            "Requests that wait for an instance.",
+            lambda: self._site.scheduler.waiting_count(),
+        )
+        add(
+            "log_lines_dropped",
+            "Log lines left out to bound their volume.",
+            lambda: self._log.dropped,
+        )
+        add(
+            "connections_opened",
+            "Connections opened to instances.",
+            lambda: self._connections.opened,
+        )
--- /dev/null
+++ b/src/skylarktrail/gateway/site.py
@@ -0,0 +1,261 @@
+"""What this daemon knows of its site, and the scheduler over it, behind one lock."""
+
+from __future__ import annotations
+
+import random
+import threading
+
+from ..config.gateway_settings import Bounds
+from ..core.gateway.budget import RepeatBudget
+from ..core.gateway.fleet import Fleet, FleetChange
+from ..core.gateway.key_load import BUCKET_HASHES
+from ..core.gateway.model import Route, ServiceSpec, SiteConfig
+from ..core.gateway.ranges import OwnedRange, OwnerTable
+from ..core.gateway.routes import RouteTable, Splitter
+from ..core.gateway.scheduler import Scheduler, SchedulerView, Ticket
+from ..core.gateway.shared import SharedState
+from .site_store import Listing, OperatorUpdate, SharedUpdate
+
+NEW_OWNER_MS = 12.0  # A grant reaches its owner about when its record is read.
+UNHELD_MS = 60.0  # How long an owner that does not hold a key is not asked again.
+UNHELD_MAX = 4096
+
+
+class Site:
+    """State of the site. Every public method takes the lock itself.
+
+    Args:
+        daemon: Name of this daemon.
+        zone: Its availability zone.
+        bounds: Bounds of the site.
+    """
+
+    def __init__(self, daemon: str, zone: str, bounds: Bounds) -> None:
+        self.daemon = daemon
+        self.zone = zone
+        self.lock = threading.RLock()
+        self.fleet = Fleet()
+        self.shared = SharedState()
+        self.zones_out: dict[str, float] = {}
+        self.table: RouteTable | None = None
+        self._bounds = bounds
+        self._splitter = Splitter()
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._unheld: dict[tuple[str, int], tuple[str, float]] = {}
+        self._settling: dict[tuple[str, OwnedRange], float] = {}
+        self._now_ms = 0.0
+        self._listing_position = -1
+        self._key_counts: dict[str, dict[int, int]] = {}
+        self.scheduler = Scheduler(self.fleet, self._view(), random.random)
+
+    def take_listing(self, listing: Listing, now_ms: float) -> list[FleetChange]:
+        """Takes the instances' entries; an older read than before is ignored."""
+        with self.lock:
+            if listing.position < self._listing_position:
+                return []
+            self._listing_position = listing.position
+            changes = self.fleet.merge(listing.entries, now_ms)
+            self._poll(now_ms)
+            return changes
+
+    def note_listing_failure(self, now_ms: float) -> None:
+        """Says that the instances' entries could not be read."""
+        with self.lock:
+            self.fleet.note_outage(now_ms)
+
+    def take_operators(
+        self, update: OperatorUpdate, now_ms: float
+    ) -> SiteConfig | None:
+        """Takes the operators' wishes; returns a configuration that came into force."""
+        with self.lock:
+            self._take_zones(update, now_ms)
+            config = self._take_config(update.config)
+            self._poll(now_ms)
+            return config
+
+    def take_shared(self, update: SharedUpdate, now_ms: float) -> None:
+        """Takes the daemons' shared records."""
+        with self.lock:
+            before = dict(self.shared.owners)
+            self.shared.apply(update.records, update.is_whole)
+            for service, table in self.shared.owners.items():
+                self._note_new_owners(service, before.get(service), table, now_ms)
+            self._share_extra()
+            self.scheduler.view = self._view()
+            self._poll(now_ms)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Returns the route of a request."""
+        with self.lock:
+            return self.table.find(host, path) if self.table else None
+
+    def choose_service(self, route: Route) -> str:
+        """Returns the service that gets a request of the route, and counts it."""
+        with self.lock:
+            return self._splitter.choose(route, random.random())
+
+    def service(self, name: str) -> ServiceSpec:
+        """Returns what the operators declare of a service."""
+        with self.lock:
+            return self.scheduler.services.get(name, ServiceSpec(name))
+
+    def submit(self, ticket: Ticket, now_ms: float) -> None:
+        """Asks for an instance."""
+        with self.lock:
+            self._now_ms = now_ms
+            self.scheduler.submit(ticket, now_ms)
+
+    def poll(self, now_ms: float) -> None:
+        """Decides waiting tickets."""
+        with self.lock:
+            self._poll(now_ms)
+
+    def withdraw(self, ticket: Ticket, now_ms: float) -> None:
+        """Gives up a ticket, decided or not."""
+        with self.lock:
+            self.scheduler.withdraw(ticket)
+            self.scheduler.release(ticket)
+            self._poll(now_ms)
+
+    def finish(self, ticket: Ticket, now_ms: float) -> None:
+        """Ends the use of a ticket's instance."""
+        with self.lock:
+            self.scheduler.release(ticket)
+            self._poll(now_ms)
+
+    def note_unheld(self, service: str, key_hash: int, now_ms: float) -> None:
+        """Notes that the recorded owner of a hash does not hold it at the moment."""
+        with self.lock:
+            table = self.shared.owners.get(service)
+            owned = table.find(key_hash) if table else None
+            if owned is None:
+                return
+            if len(self._unheld) >= UNHELD_MAX:
+                self._unheld.clear()
+            bucket = (service, key_hash // BUCKET_HASHES)
+            self._unheld[bucket] = (owned.owner, now_ms + UNHELD_MS)
+
+    def note_key(self, service: str, key_hash: int) -> None:
+        """Counts a request of a keyed service for the report of load."""
+        with self.lock:
+            counts = self._key_counts.setdefault(service, {})
+            bucket = key_hash // BUCKET_HASHES
+            counts[bucket] = counts.get(bucket, 0) + 1
+
+    def take_key_counts(self) -> dict[str, dict[int, int]]:
+        """Returns the counts of keyed requests since the last call."""
+        with self.lock:
+            counts, self._key_counts = self._key_counts, {}
+            return counts
+
+    def note_first(self, service: str, now_ms: float) -> None:
+        """Counts a caller's request against the bound on repeats."""
+        with self.lock:
+            self._budget(service).note_first(now_ms)
+
+    def take_repeat(self, service: str, now_ms: float) -> bool:
+        """Counts a repeat if the bound allows one more."""
+        with self.lock:
+            return self._budget(service).take(now_ms)
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Takes other bounds."""
+        with self.lock:
+            self._bounds = bounds
+            self._budgets.clear()
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            limits = self._bounds
+            budget = RepeatBudget(
+                limits.repeat_window_s * 1000, limits.repeat_ratio, self._extra()
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _extra(self) -> float:
+        """Returns this daemon's part of the repeats beyond the ratio."""
+        return self._bounds.repeat_extra / 2 / max(4, len(self.shared.members))
+
+    def _share_extra(self) -> None:
+        for budget in self._budgets.values():
+            budget.extra = self._extra()
+
+    def _poll(self, now_ms: float) -> None:
+        self._now_ms = now_ms
+        self.scheduler.poll(now_ms)
+
+    def _take_zones(self, update: OperatorUpdate, now_ms: float) -> None:
+        zones = {} if update.is_whole else dict(self.zones_out)
+        for zone, is_out in update.zones.items():
+            if is_out:
+                zones[zone] = self.zones_out.get(zone, now_ms)
+            else:
+                zones.pop(zone, None)
+        if zones != self.zones_out:
+            self.zones_out = zones
+            self.scheduler.view = self._view()
+
+    def _take_config(self, config: SiteConfig | None) -> SiteConfig | None:
+        if config is None:
+            return None
+        if self.table and config.version <= self.table.config.version:
+            return None
+        self.table = RouteTable(config)
+        self.scheduler.services = config.services
+        self._splitter.keep_only(config.routes)
+        return config
+
+    def _note_new_owners(
+        self, service: str, before: OwnerTable | None, after: OwnerTable, now_ms: float
+    ) -> None:
+        if before is None or before is after:
+            return
+        known = set(before.ranges)
+        self._settling = {k: v for k, v in self._settling.items() if v > now_ms}
+        for owned in after.ranges:
+            was = before.find(owned.first)
+            is_same = (
+                was is not None and was[2:] == owned[2:] and was.last >= owned.last
+            )
+            if owned not in known and not is_same:
+                self._settling[(service, owned)] = now_ms + NEW_OWNER_MS
+
+    def _owner_of(self, service: str, key_hash: int) -> str:
+        table = self.shared.owners.get(service)
+        owned = table.find(key_hash) if table else None
+        if owned is None:
+            return ""
+        if self._settling.get((service, owned), 0.0) > self._now_ms:
+            return ""
+        owner, until_ms = self._unheld.get(
+            (service, key_hash // BUCKET_HASHES), ("", 0.0)
+        )
+        if owner == owned.owner and until_ms > self._now_ms:
+            return ""
+        instance = self.fleet.find(owned.owner)
+        is_life = instance is not None and instance.entry.born_ms == owned.born_ms
+        return owned.owner if is_life else ""
+
+    def _is_moving(self, service: str, key_hash: int) -> bool:
+        """Tells whether a hash is about to get an owner.
+
+        An owner that has vanished may keep its lease for seconds, so its hashes are
+        not expected back soon.
+        """
+        table = self.shared.owners.get(service)
+        if table is None:
+            return False
+        owned = table.find(key_hash)
+        return owned is None or self.fleet.find(owned.owner) is not None
+
+    def _view(self) -> SchedulerView:
+        return SchedulerView(
+            self._owner_of,
+            self._is_moving,
+            dict(self.zones_out),
+            frozenset(self.shared.members) | {self.daemon},
+            self.daemon,
+            self.zone,
+        )
--- /dev/null
+++ b/src/skylarktrail/gateway/watchers.py
@@ -0,0 +1,233 @@
+"""Readers of the store: instances, operators' wishes, shared records, candidacy."""
+
+from __future__ import annotations
+
+from typing import Any, Callable
+
+import cbor2
+from result import Result
+
+from ..core.gateway.shared import MEMBER_PREFIX, encode_member
+from ..errors import platform as codes
+from ..errors.code import Fault
+from .clock import now_ms
+from .connections import Connections
+from .event_log import EventLog
+from .metrics import GatewayMetrics
+from .site import Site
+from .site_store import SiteStore
+
+LISTING_MS = 1000.0  # A leaving instance gets no work 2 s after it said so.
+OPERATORS_WAIT_MS = 3000  # A silent connection is noticed after this.
+SHARED_WAIT_MS = 2500
+GRANTER_WAIT_MS = 1000  # The granter confirms its term this often.
+FAILED_MS = 250.0  # Pause after a failed call; the store counts refused calls too.
+FAILED_MAX_MS = 700.0
+STAND_MS = 500.0
+STAND_TTL_MS = 1500  # A lost granter is replaced after this.
+LOAD_REPORT_MS = 1500.0
+
+
+class StoreWatch:
+    """Counts calls to the store and logs when it is lost and regained.
+
+    Args:
+        name: Name of the call.
+        log: Gets the lines.
+        metrics: Counts the calls.
+    """
+
+    def __init__(self, name: str, log: EventLog, metrics: GatewayMetrics) -> None:
+        self._name = name
+        self._log = log
+        self._metrics = metrics
+        self._failures = 0
+        self._lost_ms = 0.0
+
+    def check(self, result: Result[Any, Fault]) -> float | None:
+        """Takes the end of a call; returns the pause after a failure, else None."""
+        if result.is_ok():
+            self._metrics.count("store_calls", self._name, "done")
+            if self._failures:
+                lost_ms = round(now_ms() - self._lost_ms)
+                self._log.state("store_regained", call=self._name, lost_ms=lost_ms)
+            self._failures = 0
+            return None
+        fault = result.unwrap_err()
+        self._metrics.count("store_calls", self._name, fault.code.name)
+        if not self._failures:
+            self._lost_ms = now_ms()
+            self._log.state("store_lost", call=self._name, fault=str(fault))
+        self._failures += 1
+        return min(FAILED_MAX_MS, FAILED_MS * self._failures)
+
+
+class InstanceWatcher:
+    """Reads the instances' entries."""
+
+    def __init__(
+        self,
+        store: SiteStore,
+        site: Site,
+        connections: Connections,
+        watch: StoreWatch,
+        log: EventLog,
+    ) -> None:
+        self._store = store
+        self._site = site
+        self._connections = connections
+        self._watch = watch
+        self._log = log
+        self.is_done_once = False
+
+    def round(self) -> float:
+        """Reads once; returns the pause until the next read."""
+        started_ms = now_ms()
+        read = self._store.read_instances()
+        pause_ms = self._watch.check(read)
+        if pause_ms is not None:
+            self._site.note_listing_failure(now_ms())
+            return pause_ms
+        listing = read.unwrap()
+        changes = self._site.take_listing(listing, now_ms())
+        for change in changes:
+            self._log.state(
+                "instance_" + change.change,
+                instance=change.instance,
+                service=change.service,
+                position=listing.position,
+            )
+        if changes:
+            self._connections.keep_only(set(self._site.fleet.instances))
+        self.is_done_once = True
+        return LISTING_MS - (now_ms() - started_ms)
+
+
+class OperatorWatcher:
+    """Reads the configuration and the zones that are out."""
+
+    def __init__(
+        self, store: SiteStore, site: Site, watch: StoreWatch, log: EventLog
+    ) -> None:
+        self._store = store
+        self._site = site
+        self._watch = watch
+        self._log = log
+        self._position: int | None = None
+
+    def round(self) -> float:
+        """Reads once; returns the pause until the next read."""
+        read = self._store.read_operators(self._position, OPERATORS_WAIT_MS)
+        pause_ms = self._watch.check(read)
+        if pause_ms is not None:
+            if read.unwrap_err().code is codes.STORE_TRIMMED:
+                self._position = None
+            return pause_ms
+        update = read.unwrap()
+        self._position = update.position
+        config = self._site.take_operators(update, now_ms())
+        if config is not None:
+            routes = len(config.routes)
+            self._log.state("config_in_force", version=config.version, routes=routes)
+        for zone, is_out in update.zones.items():
+            self._log.state("zone_out" if is_out else "zone_back", zone=zone)
+        return 0.0
+
+
+class SharedWatcher:
+    """Reads the daemons' shared records and adds this daemon to the members."""
+
+    def __init__(
+        self,
+        store: SiteStore,
+        site: Site,
+        process: str,
+        watch: StoreWatch,
+        on_read: Callable[[int, float], None],
+        is_granter: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._site = site
+        self._process = process
+        self._watch = watch
+        self._on_read = on_read
+        self._is_granter = is_granter
+        self._position: int | None = None
+
+    def round(self) -> float:
+        """Reads once; returns the pause until the next read."""
+        started_ms = now_ms()
+        wait_ms = GRANTER_WAIT_MS if self._is_granter() else SHARED_WAIT_MS
+        read = self._store.read_shared(self._position, wait_ms)
+        pause_ms = self._watch.check(read)
+        if pause_ms is not None:
+            if read.unwrap_err().code is codes.STORE_TRIMMED:
+                self._position = None
+            return pause_ms
+        update = read.unwrap()
+        is_newer = self._position is None or update.position >= self._position
+        if is_newer:
+            self._position = update.position
+            self._site.take_shared(update, now_ms())
+            self._on_read(update.position, started_ms)
+        self._join()
+        return 0.0
+
+    def _join(self) -> None:
+        if self._site.daemon in self._site.shared.members:
+            return
+        key = MEMBER_PREFIX + self._site.daemon
+        self._watch.check(self._store.share(key, encode_member(self._process), None))
+
+
+class CandidacyWatcher:
+    """Stands for granter."""
+
+    def __init__(
+        self,
+        store: SiteStore,
+        site: Site,
+        watch: StoreWatch,
+        on_candidate: Callable[[bool], None],
+    ) -> None:
+        self._store = store
+        self._site = site
+        self._watch = watch
+        self._on_candidate = on_candidate
+        self._is_withdrawn = False
+
+    def round(self) -> float:
+        """Renews the candidacy; returns the pause until the next renewal."""
+        if self._is_withdrawn or not self._has_keyed_service():
+            return STAND_MS
+        stood = self._store.stand(self._site.daemon, STAND_TTL_MS)
+        pause_ms = self._watch.check(stood)
+        if pause_ms is not None:
+            return pause_ms
+        self._on_candidate(stood.unwrap())
+        return STAND_MS
+
+    def withdraw(self) -> None:
+        """Lets another daemon become granter."""
+        self._is_withdrawn = True
+        self._watch.check(self._store.withdraw(self._site.daemon))
+
+    def _has_keyed_service(self) -> bool:
+        services = self._site.scheduler.services.values()
+        return any(service.is_keyed for service in services)
+
+
+class LoadReporter:
+    """Tells the granter how this daemon's keyed requests are spread."""
+
+    def __init__(self, store: SiteStore, site: Site, watch: StoreWatch) -> None:
+        self._store = store
+        self._site = site
+        self._watch = watch
+
+    def round(self) -> float:
+        """Reports once; returns the pause until the next report."""
+        counts = self._site.take_key_counts()
+        if counts:
+            self._watch.check(self._store.report_load(cbor2.dumps(counts)))
+        return LOAD_REPORT_MS
--- a/src/skylarktrail/platform/__init__.py
+++ b/src/skylarktrail/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters to the platform, one module each, chosen by name."""
+"""Translates between the users' platform and the product's own types."""
--- /dev/null
+++ b/src/skylarktrail/platform/adapter.py
@@ -0,0 +1,33 @@
+"""Registers the users' platform as one that a gateway can run on."""
+
+from __future__ import annotations
+
+from typing import cast
+
+from ..gateway.adapters import site_adapter
+from ..gateway.granting import Orders
+from ..gateway.router import Wire
+from ..gateway.site_store import SiteStore
+from . import headers
+from .orders import InstanceOrders
+from .provider import PlatformStore
+
+
+@site_adapter("platform")
+class PlatformAdapter:
+    """The users' platform."""
+
+    @staticmethod
+    def make_store(address: str) -> SiteStore:
+        """Returns a client of the store, for one thread."""
+        return PlatformStore(address)
+
+    @staticmethod
+    def make_orders() -> Orders:
+        """Returns a client that sends grants to instances."""
+        return InstanceOrders()
+
+    @staticmethod
+    def wire() -> Wire:
+        """Returns how requests and answers are spelled."""
+        return cast(Wire, headers)
--- /dev/null
+++ b/src/skylarktrail/platform/configuration.py
@@ -0,0 +1,70 @@
+"""Decodes the operators' configuration."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..core.gateway.model import CallerLimits, Part, Route, ServiceSpec, SiteConfig
+
+IDEMPOTENT = "idempotent"
+
+
+def read_configuration(plain: dict[str, Any]) -> SiteConfig:
+    """Decodes one version of the configuration.
+
+    Raises:
+        KeyError, TypeError, ValueError: It is not a configuration.
+    """
+    services = [_read_service(item) for item in plain["services"]]
+    routes = [
+        _read_route(host["hostname"].lower(), path)
+        for host in plain["hosts"]
+        for path in host["paths"]
+    ]
+    return SiteConfig(
+        int(plain["configVersion"], 16),
+        tuple(routes),
+        {item.name: item for item in services},
+        _read_limits(plain.get("limits", {})),
+    )
+
+
+def _read_service(plain: dict[str, Any]) -> ServiceSpec:
+    return ServiceSpec(
+        plain["name"],
+        int(plain.get("maxConnections", 100)),
+        float(plain.get("coldStartS", 0)) * 1000,
+        float(plain.get("coldPerS", 10)),
+        bool(plain.get("sharded", False)),
+        plain.get("healthCheck", "/health"),
+    )
+
+
+def _read_route(host: str, plain: dict[str, Any]) -> Route:
+    split = plain.get("trafficSplit")
+    if split:
+        parts = tuple(Part(item["backend"], float(item["weight"])) for item in split)
+    else:
+        parts = (Part(plain["backend"], 1.0),)
+    timeout_ms = float(plain["timeoutMs"])
+    return Route(
+        plain["name"],
+        host,
+        plain["pathPrefix"],
+        plain["routeType"] == IDEMPOTENT,
+        parts,
+        int(plain.get("maxAttempts", 1)),
+        timeout_ms,
+        float(plain.get("targetLatencyMs", timeout_ms)),
+        int(plain.get("priority", 0)),
+    )
+
+
+def _read_limits(plain: dict[str, Any]) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        int(plain.get("maxHeaderBytes", usual.header_bytes)),
+        int(plain.get("maxBodyBytes", usual.body_bytes)),
+        int(plain.get("headerTimeoutMs", usual.header_timeout_ms)),
+        int(plain.get("idleTimeoutMs", usual.idle_timeout_ms)),
+    )
--- /dev/null
+++ b/src/skylarktrail/platform/entries.py
@@ -0,0 +1,50 @@
+"""Decodes what instances write of themselves into the store."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from ..core.gateway.model import InstanceEntry
+
+DRAINING = "draining"
+STATES = ("ready", DRAINING)
+
+
+def read_entry(instance: str, value: bytes) -> InstanceEntry | None:
+    """Decodes one entry.
+
+    Returns:
+        The entry, or None for one of another writer that names no usable instance.
+    """
+    try:
+        return _read(instance, json.loads(value))
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _read(instance: str, plain: dict[str, Any]) -> InstanceEntry | None:
+    state = plain["state"]
+    texts = (plain["backend"], plain["address"], plain["zone"])
+    if state not in STATES or not all(isinstance(item, str) for item in texts):
+        return None
+    host, _, port = plain["address"].rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        return None
+    return InstanceEntry(
+        instance,
+        plain["backend"],
+        plain["address"],
+        plain["zone"],
+        max(1, _whole(plain["slots"])),
+        state == DRAINING,
+        float(_whole(plain.get("coldRemainingMs", 0))),
+        _whole(plain.get("born", 0)),
+        _whole(plain["sequence"]),
+    )
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError(f"not a number: {value!r}")
+    return int(value)
--- /dev/null
+++ b/src/skylarktrail/platform/orders.py
@@ -0,0 +1,69 @@
+"""Grants and releases of key ranges, as instances take them."""
+
+from __future__ import annotations
+
+import json
+
+import urllib3
+
+from ..core.gateway.granter import CallResult, GrantCall, ReleaseCall
+from .headers import TARGET
+
+CONNECT_TIMEOUT_MS = 300.0
+GRANT_TIMEOUT_MS = 700.0
+RELEASE_TIMEOUT_MS = 3000.0  # Answered when the work that runs on the keys has ended.
+POOLS = 256
+DONE, FENCED, REFUSED = "done", "fenced", "refused"
+UNSENT, SILENT = "unsent", "silent"
+OUTCOMES = {200: DONE, 409: FENCED, 400: FENCED, 421: REFUSED}
+
+
+class InstanceOrders:
+    """Sends grants and releases; may be used from any thread."""
+
+    def __init__(self) -> None:
+        self._pools = urllib3.PoolManager(num_pools=POOLS, maxsize=4, block=False)
+
+    def grant(self, call: GrantCall) -> CallResult:
+        """Grants a range or renews its lease."""
+        body = {
+            "from": call.first,
+            "to": call.last,
+            "fence": call.fence,
+            "holdMs": int(call.lease_ms),
+        }
+        if call.handover:
+            body["handover"] = call.handover
+        return self._send(call, "/api/grant", body, GRANT_TIMEOUT_MS)
+
+    def release(self, call: ReleaseCall) -> CallResult:
+        """Takes a range back."""
+        body = {"from": call.first, "to": call.last, "fence": call.fence}
+        return self._send(call, "/api/release", body, RELEASE_TIMEOUT_MS)
+
+    def _send(
+        self,
+        call: GrantCall | ReleaseCall,
+        path: str,
+        body: dict[str, object],
+        timeout_ms: float,
+    ) -> CallResult:
+        timeout = urllib3.Timeout(CONNECT_TIMEOUT_MS / 1000, timeout_ms / 1000)
+        try:
+            answer = self._pools.request(
+                "POST",
+                f"http://{call.address}{path}",
+                body=json.dumps(body).encode(),
+                headers={"Content-Type": "application/json", TARGET: call.instance},
+                retries=False,
+                timeout=timeout,
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return CallResult(call.call, REFUSED if is_refused else UNSENT)
+        except urllib3.exceptions.ConnectTimeoutError:
+            return CallResult(call.call, UNSENT)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return CallResult(call.call, SILENT)
+        outcome = OUTCOMES.get(answer.status, SILENT)
+        return CallResult(call.call, outcome, answer.headers.get("Handover", ""))
--- /dev/null
+++ b/src/skylarktrail/platform/provider.py
@@ -0,0 +1,147 @@
+"""The platform's store as the gateway's shared state."""
+
+from __future__ import annotations
+
+import json
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from ..core.gateway.model import SiteConfig
+from ..errors import platform as codes
+from ..errors.code import Fault
+from ..gateway.site_store import Listing, LoadUpdate, OperatorUpdate, SharedUpdate
+from .configuration import read_configuration
+from .entries import read_entry
+from .store import KeyedRecord, Newest, StoreClient, pack_keyed, unpack_keyed
+
+OPERATORS = "keyed.op"
+INSTANCES = "keyed.servers"
+SHARED = "keyed.skylarktrail"
+LOADS = "skylarktrail.load"
+CANDIDATES = "skylarktrail.granter"
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+FIRST_PART = 0
+
+
+class KeyedRead(NamedTuple):
+    """Records of a keyed log since a position, or the newest of all keys."""
+
+    records: list[KeyedRecord]
+    is_whole: bool
+    position: int
+
+
+class PlatformStore:
+    """Shared state of the site; one instance serves one thread.
+
+    Args:
+        address: `host:port` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._client = StoreClient(address)
+        self._generation = 0
+
+    def read_instances(self) -> Result[Listing, Fault]:
+        """Reads the entries of all instances."""
+        return self._client.read_newest(INSTANCES).map(_to_listing)
+
+    def read_operators(
+        self, position: int | None, wait_ms: int
+    ) -> Result[OperatorUpdate, Fault]:
+        """Reads what the operators want, from a position on or as a whole."""
+        read = self._read_keyed(OPERATORS, position, wait_ms)
+        if read.is_err():
+            return Err(read.unwrap_err())
+        return _to_operator_update(read.unwrap())
+
+    def read_shared(
+        self, position: int | None, wait_ms: int
+    ) -> Result[SharedUpdate, Fault]:
+        """Reads the daemons' own records, from a position on or as a whole."""
+        read = self._read_keyed(SHARED, position, wait_ms)
+        return read.map(
+            lambda keyed: SharedUpdate(
+                [(item.key, item.value) for item in keyed.records],
+                keyed.is_whole,
+                keyed.position,
+            )
+        )
+
+    def share(self, key: str, value: bytes, position: int | None) -> Result[int, Fault]:
+        """Writes a record, if given only where the log ends at a position.
+
+        Returns:
+            The position after the record.
+        """
+        return self._client.append(
+            SHARED, pack_keyed(KeyedRecord(key, value)), position
+        )
+
+    def report_load(self, report: bytes) -> Result[int, Fault]:
+        """Adds a report of this daemon's load."""
+        return self._client.append(LOADS, report)
+
+    def read_loads(
+        self, position: int | None, wait_ms: int
+    ) -> Result[LoadUpdate, Fault]:
+        """Reads reports of load; without a position none, only where they end."""
+        if position is None:
+            found = self._client.read(LOADS, 0, 0)
+            if found.is_err():
+                return Err(found.unwrap_err())
+            return Ok(LoadUpdate([], found.unwrap().end))
+        read = self._client.read(LOADS, position, wait_ms)
+        return read.map(lambda batch: LoadUpdate(batch.records, batch.next_offset))
+
+    def stand(self, daemon: str, ttl_ms: int) -> Result[bool, Fault]:
+        """Stands for granter; tells whether this daemon is to take the role."""
+        joined = self._client.join(
+            CANDIDATES, daemon, CANDIDATES, ttl_ms, self._generation
+        )
+        if joined.is_err():
+            return Err(joined.unwrap_err())
+        self._generation, parts = joined.unwrap()
+        return Ok(FIRST_PART in parts)
+
+    def withdraw(self, daemon: str) -> Result[bytes, Fault]:
+        """Stops standing for granter."""
+        return self._client.leave(CANDIDATES, daemon)
+
+    def _read_keyed(
+        self, topic: str, position: int | None, wait_ms: int
+    ) -> Result[KeyedRead, Fault]:
+        if position is None:
+            return self._client.read_newest(topic).map(_to_whole_read)
+        read = self._client.read(topic, position, wait_ms)
+        if read.is_err():
+            return Err(read.unwrap_err())
+        batch = read.unwrap()
+        records = [unpack_keyed(item) for item in batch.records]
+        return Ok(KeyedRead(records, False, batch.next_offset))
+
+
+def _to_whole_read(newest: Newest) -> KeyedRead:
+    records = [KeyedRecord(key, value) for key, value in newest.values.items()]
+    return KeyedRead(records, True, newest.end)
+
+
+def _to_listing(newest: Newest) -> Listing:
+    entries = [read_entry(key, value) for key, value in newest.values.items()]
+    return Listing([item for item in entries if item is not None], newest.end)
+
+
+def _to_operator_update(read: KeyedRead) -> Result[OperatorUpdate, Fault]:
+    config: SiteConfig | None = None
+    zones: dict[str, bool] = {}
+    for record in read.records:
+        if record.key == CONFIGURATION_KEY and record.value:
+            try:
+                config = read_configuration(json.loads(record.value))
+            except (KeyError, TypeError, ValueError) as error:
+                return Err(Fault(codes.STORE_MALFORMED, record.key, repr(error)))
+        elif record.key.startswith(EVACUATION_PREFIX):
+            zones[record.key.removeprefix(EVACUATION_PREFIX)] = bool(record.value)
+    return Ok(OperatorUpdate(config, zones, read.is_whole, read.position))
--- /dev/null
+++ b/src/skylarktrail/platform/store.py
@@ -0,0 +1,204 @@
+"""Client of the platform's store: logs, keyed logs and group membership.
+
+One instance serves one thread. Each call is sent once; whether to repeat it is the
+caller's decision.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any, Iterator, NamedTuple
+from urllib.parse import urlencode
+
+import urllib3
+from result import Err, Ok, Result
+
+from ..errors import platform as codes
+from ..errors.code import Fault
+
+ANSWER_TIMEOUT_MS = 900.0  # A usual answer takes 4 ms; a silent one is given up.
+CONNECT_TIMEOUT_MS = 400.0
+STATUS_FAULTS = {
+    409: codes.STORE_CONFLICT,
+    410: codes.STORE_TRIMMED,
+    412: codes.STORE_CONFLICT,
+    429: codes.STORE_REFUSED,
+    503: codes.STORE_REFUSED,
+    507: codes.STORE_REFUSED,
+}
+FRAME_BYTES = 4
+POSITION_BYTES = 8
+
+
+class KeyedRecord(NamedTuple):
+    """A record of a keyed log; without a value the key is dropped."""
+
+    key: str
+    value: bytes
+
+
+class Newest(NamedTuple):
+    """The newest record of each key.
+
+    Attributes:
+        values: Values by key.
+        end: Offset after the last record, as of the first page.
+    """
+
+    values: dict[str, bytes]
+    end: int
+
+
+class Batch(NamedTuple):
+    """Records of a log.
+
+    Attributes:
+        end: Offset after the last record of the log.
+        next_offset: Offset after the last record of this batch.
+        records: Records in order, without their frames.
+    """
+
+    end: int
+    next_offset: int
+    records: list[bytes]
+
+
+class StoreClient:
+    """HTTP client of the store.
+
+    Args:
+        address: `host:port`.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=2, block=False)
+
+    def read_newest(self, topic: str) -> Result[Newest, Fault]:
+        """Reads the newest record of each key of a keyed log, page by page."""
+        values: dict[str, bytes] = {}
+        end: int | None = None
+        query = {"topic": topic, "part": "0"}
+        while True:
+            page = self._call("GET", "/api/log-newest", query)
+            if page.is_err():
+                return Err(page.unwrap_err())
+            plain = json.loads(page.unwrap())
+            end = plain["endOffset"] if end is None else end
+            for item in plain["items"]:
+                values[item["key"]] = base64.b64decode(item["value"])
+            if not plain["more"] or not plain["items"]:
+                return Ok(Newest(values, end))
+            query["after"] = plain["items"][-1]["key"]
+
+    def read(self, topic: str, offset: int, wait_ms: int) -> Result[Batch, Fault]:
+        """Reads records from an offset on, waiting for one if there is none."""
+        query = {"topic": topic, "part": "0", "from": offset, "waitMs": wait_ms}
+        answer = self._call("GET", "/api/log-read", query, extra_ms=wait_ms)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        data = answer.unwrap()
+        end = int.from_bytes(data[:POSITION_BYTES], "big")
+        records = list(_unframe(data[2 * POSITION_BYTES :]))
+        return Ok(Batch(end, offset + len(records), records))
+
+    def append(
+        self, topic: str, record: bytes, at: int | None = None
+    ) -> Result[int, Fault]:
+        """Appends one record, if given only where the log ends at an offset.
+
+        Returns:
+            The offset after the record. A fault other than `STORE_CONFLICT` and
+            `STORE_REFUSED` leaves open whether the record takes effect.
+        """
+        query: dict[str, Any] = {"topic": topic, "part": "0"}
+        if at is not None:
+            query["at"] = at
+        body = len(record).to_bytes(FRAME_BYTES, "big") + record
+        answer = self._call("POST", "/api/log-append", query, body)
+        return answer.map(lambda data: json.loads(data)["endOffset"])
+
+    def join(
+        self, group: str, member: str, topic: str, ttl_ms: int, generation: int
+    ) -> Result[tuple[int, set[int]], Fault]:
+        """Joins a group or stays in it; returns its generation and own partitions."""
+        plain = {
+            "group": group,
+            "member": member,
+            "topics": [topic],
+            "ttlMs": ttl_ms,
+            "generation": generation,
+        }
+        answer = self._call("POST", "/api/log-join", {}, json.dumps(plain).encode())
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        reply = json.loads(answer.unwrap())
+        return Ok((reply["generation"], {row[1] for row in reply["parts"]}))
+
+    def leave(self, group: str, member: str) -> Result[bytes, Fault]:
+        """Leaves a group, so that its partitions are dealt to others at once."""
+        body = json.dumps({"group": group, "member": member}).encode()
+        return self._call("POST", "/api/log-leave", {}, body)
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._pool.close()
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes | None = None,
+        extra_ms: float = 0.0,
+    ) -> Result[bytes, Fault]:
+        url = f"{path}?{urlencode(query)}" if query else path
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_MS / 1000,
+            read=(ANSWER_TIMEOUT_MS + extra_ms) / 1000,
+        )
+        is_json = body is not None and not query
+        headers = {"Content-Type": "application/json"} if is_json else {}
+        try:
+            answer = self._pool.urlopen(
+                method, url, body, headers, retries=False, timeout=timeout
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            return Err(Fault(codes.STORE_REFUSED, path, str(error)))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            self._pool.close()
+            self._reopen()
+            return Err(Fault(codes.STORE_SILENT, path, str(error)))
+        if answer.status == 200:
+            return Ok(answer.data)
+        code = STATUS_FAULTS.get(answer.status, codes.STORE_SILENT)
+        return Err(Fault(code, path, f"status {answer.status}"))
+
+    def _reopen(self) -> None:
+        """Starts with new connections, as the old ones may be silent for good."""
+        pool = self._pool
+        self._pool = urllib3.HTTPConnectionPool(
+            pool.host, pool.port, maxsize=2, block=False
+        )
+
+
+def _unframe(data: bytes) -> Iterator[bytes]:
+    position = 0
+    while position + FRAME_BYTES <= len(data):
+        start = position + FRAME_BYTES
+        position = start + int.from_bytes(data[position:start], "big")
+        if position <= len(data):
+            yield data[start:position]
+
+
+def pack_keyed(record: KeyedRecord) -> bytes:
+    """Encodes a record of a keyed log."""
+    key = record.key.encode()
+    return bytes([len(key)]) + key + record.value
+
+
+def unpack_keyed(record: bytes) -> KeyedRecord:
+    """Decodes a record of a keyed log."""
+    end = 1 + record[0]
+    return KeyedRecord(record[1:end].decode(), record[end:])
--- /dev/null
+++ b/src/skylarktrail/providers/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform, one module each, chosen by name."""
--- a/tests/config/test_accepted_files.py
+++ b/tests/config/test_accepted_files.py
@@ -16,8 +16,8 @@
 from skylarktrail.core.traffic.traffic import Traffic
 from skylarktrail.daemon.publisher import complete_file, make_instances
 from skylarktrail.daemon.routes import CallerRequest, RouteTable
-from skylarktrail.platform.interface import Vm
-from skylarktrail.platform.record_codec import decode, encode
+from skylarktrail.providers.interface import Vm
+from skylarktrail.providers.record_codec import decode, encode
 
 BASE: dict[str, Any] = {
     "format": 1,
--- a/tests/ctl/conftest.py
+++ b/tests/ctl/conftest.py
@@ -11,7 +11,7 @@
 
 from skylarktrail.errors import platform as codes
 from skylarktrail.errors.code import Fault
-from skylarktrail.platform.interface import Batch
+from skylarktrail.providers.interface import Batch
 
 DEPLOYMENTS = Path(__file__).parents[2] / "demo" / "deployments"
 NO_ANSWER = Err(Fault(codes.PLATFORM_NO_ANSWER))
--- a/tests/ctl/test_publish_over_sockets.py
+++ b/tests/ctl/test_publish_over_sockets.py
@@ -11,7 +11,7 @@
 from skylarktrail.core.records import Publish
 from skylarktrail.ctl.log_view import LogView
 from skylarktrail.ctl.publishing import Outcome, Publisher
-from skylarktrail.platform.registry import make_log
+from skylarktrail.providers.registry import make_log
 from standins.log import Log, make_application
 
 TIMEOUT_S = 10.0
--- a/tests/ctl/test_publishing.py
+++ b/tests/ctl/test_publishing.py
@@ -12,7 +12,7 @@
 from skylarktrail.ctl.publishing import Outcome, Publisher
 from skylarktrail.errors import log as log_codes
 from skylarktrail.errors import tool as tool_codes
-from skylarktrail.platform.record_codec import decode, encode
+from skylarktrail.providers.record_codec import decode, encode
 
 TIMEOUT_S = 5.0
 
--- a/tests/processes/test_recovery.py
+++ b/tests/processes/test_recovery.py
@@ -8,8 +8,8 @@
 
 from demo.site import Options
 from skylarktrail.core.records import Envelope, Leave
-from skylarktrail.platform.http_log import HttpLog
-from skylarktrail.platform.record_codec import encode
+from skylarktrail.providers.http_log import HttpLog
+from skylarktrail.providers.record_codec import encode
 
 from .conftest import OPTIONS
 
--- a/tests/platform/test_record_codec.py
+++ b/tests/providers/test_record_codec.py
@@ -20,7 +20,7 @@
     Resign,
     Split,
 )
-from skylarktrail.platform.record_codec import decode, encode
+from skylarktrail.providers.record_codec import decode, encode
 
 BODIES = [
     Publish("p1", 0, {"format": 1}),
--- a/tests/standins/test_log.py
+++ b/tests/standins/test_log.py
@@ -7,7 +7,7 @@
 import pytest
 
 from skylarktrail.errors import platform as codes
-from skylarktrail.platform.http_log import HttpLog
+from skylarktrail.providers.http_log import HttpLog
 from standins.log import Log, make_application
 
 
--- a/tests/standins/test_server.py
+++ b/tests/standins/test_server.py
@@ -8,7 +8,7 @@
 
 from skylarktrail.core.hashing import HASH_SPACE, hash_key
 from skylarktrail.core.ownership.messages import Grant
-from skylarktrail.platform.http_grants import HttpGrants
+from skylarktrail.providers.http_grants import HttpGrants
 from standins.server import Server
 
 KEY = "discus"
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -8,7 +8,7 @@
 import pytest
 import urllib3
 
-from skylarktrail.platform.http_reports import HttpReports
+from skylarktrail.providers.http_reports import HttpReports
 from standins import backend as backend_module
 from standins.upstream import Upstream, Warmth
 
--- a/tests/standins/test_vms.py
+++ b/tests/standins/test_vms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from skylarktrail.platform.http_vms import HttpVmList
+from skylarktrail.providers.http_vms import HttpVmList
 from standins.vms import LaggingList, make_application
 
 SERVER = {
