Carry loads, owners and entries over links between gateways

Two instances that were listed first got all keys of a new site, since moves for balance waited for samples. Change: the granter tells records and changed entries to all and gets loads each 0.5 s over the existing peer links; a daemon that does not hear it reads for itself. Load is counted by single hash; an excess has to exceed chance; a new site waits 2.5 s for its instances to be listed.

--- a/src/skylarktrail/config/gateway_settings.py
+++ b/src/skylarktrail/config/gateway_settings.py
@@ -53,6 +53,7 @@
         zone: Its availability zone.
         caller_address: `host:port` for callers.
         ready_address: `host:port` for health checks and metrics.
+        peer_address: `host:port` where other daemons connect.
         store: The store of the site.
         bounds: Bounds of the site.
         metrics_address: `host:port` for metrics alone; empty for none.
@@ -65,6 +66,7 @@
     zone: str
     caller_address: str
     ready_address: str
+    peer_address: str
     store: StoreSettings
     bounds: Bounds = Bounds()
     metrics_address: str = ""
--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -10,8 +10,9 @@
 from __future__ import annotations
 
 import math
-from typing import Mapping, NamedTuple, Sequence
+from typing import Mapping, NamedTuple
 
+from .key_load import LoadCurve
 from .model import HASHES
 from .planner import Holding, Move, plan_moves
 from .ranges import OwnedRange, OwnerTable, coalesce, find_gaps
@@ -224,11 +225,11 @@
         recorded = self._hand_out()
         return actions + ([recorded] if recorded else [])
 
-    def rebalance(self, cumulated: Sequence[float], is_even_wanted: bool) -> list[Move]:
+    def rebalance(self, curve: LoadCurve, is_even_wanted: bool) -> list[Move]:
         """Marks the ranges that get another owner; returns the moves.
 
         Args:
-            cumulated: Load below each bucket.
+            curve: How the load is spread.
             is_even_wanted: Whether to move keys for the sake of load alone.
         """
         capacities = {
@@ -245,7 +246,7 @@
             for item in self._ranges
             if not item.is_free and not item.target
         ]
-        moves = plan_moves(holdings, capacities, cumulated)
+        moves = plan_moves(holdings, capacities, curve)
         if not is_even_wanted:
             moves = [move for move in moves if not self._is_usable_at(move.first)]
         for move in moves:
--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -42,6 +42,9 @@
         self._reported_ms = -math.inf
         self._suspended_until_ms = -math.inf
         self._suspensions = 0
+        self._answers = 0
+        self._work_sum = 0.0
+        self._failures = 0
 
     def refresh(self, entry: InstanceEntry, now_ms: float) -> None:
         """Takes a newer entry of the same life."""
@@ -85,9 +88,22 @@
         self.failure_ratio *= 1 - FAILURE_SMOOTHING
         self._suspensions = 0
         self._suspended_until_ms = -math.inf
+        self._answers += 1
+        self._work_sum += elapsed_ratio
+
+    def has_sample(self) -> bool:
+        """Tells whether there were answers or failures since `take_sample`."""
+        return bool(self._answers or self._failures)
+
+    def take_sample(self) -> tuple[int, float, int]:
+        """Returns answers, the sum of their work ratios, and failures; starts anew."""
+        sample = (self._answers, self._work_sum, self._failures)
+        self._answers, self._work_sum, self._failures = 0, 0.0, 0
+        return sample
 
     def note_failure(self) -> None:
         """Counts an attempt that brought no usable answer."""
+        self._failures += 1
         self.failure_ratio += FAILURE_SMOOTHING * (1 - self.failure_ratio)
 
     def suspend(self, now_ms: float) -> None:
--- a/src/skylarktrail/core/gateway/key_load.py
+++ b/src/skylarktrail/core/gateway/key_load.py
@@ -3,47 +3,83 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_left
 from itertools import accumulate
 from typing import Mapping
 
 from .model import HASHES
 
-BUCKET_HASHES = 4  # Busy keys lie close together, so buckets have to be narrow.
-BUCKETS = HASHES // BUCKET_HASHES
-FADE_MS = 3000.0  # Hot keys change within seconds; older requests count less.
-EVEN_PART = 0.15  # Load that is assumed to be even, as samples are few.
+FADE_MS = 4000.0  # Hot keys change within seconds; older requests count less.
+EVEN_PART = 0.1  # Load that is assumed to be even, as samples are few.
+TRUSTED_SAMPLES = 60.0  # Fewer requests say little about the spread.
+FORGOTTEN = 0.05  # Counts below this are dropped.
+
+
+class LoadCurve:
+    """Load below each hash; the whole load is 1.
+
+    Args:
+        counts: Requests by hash.
+        even: Part of the load that is spread evenly over all hashes.
+        samples: Number of requests behind it.
+    """
+
+    def __init__(
+        self, counts: Mapping[int, float], even: float, samples: float
+    ) -> None:
+        self.samples = samples
+        self._even = even if counts else 1.0
+        self._hashes = sorted(counts)
+        total = sum(counts.values()) or 1.0
+        scaled = [counts[item] * (1 - self._even) / total for item in self._hashes]
+        self._sums = [0.0, *accumulate(scaled)]
+
+    def below(self, key_hash: int) -> float:
+        """Returns the load of all lower hashes."""
+        counted = self._sums[bisect_left(self._hashes, key_hash)]
+        return self._even * key_hash / HASHES + counted
+
+    def between(self, first: int, last: int) -> float:
+        """Returns the load of hashes from first to last, both included."""
+        return self.below(last + 1) - self.below(first)
+
+    def hash_at(self, load: float) -> int:
+        """Returns the lowest hash below which there is at least this load."""
+        low, high = 0, HASHES
+        while low < high:
+            middle = (low + high) // 2
+            if self.below(middle) < load:
+                low = middle + 1
+            else:
+                high = middle
+        return low
 
 
 class KeyLoad:
-    """Requests by bucket of hashes, older ones fading out."""
+    """Requests by hash, older ones fading out."""
 
     def __init__(self) -> None:
         self._counts: dict[int, float] = {}
         self._at_ms = 0.0
-        self.total = 0.0
 
     def add(self, counts: Mapping[int, int], now_ms: float) -> None:
-        """Adds requests by bucket."""
+        """Adds requests by hash."""
         self._fade(now_ms)
-        for bucket, count in counts.items():
-            self._counts[bucket] = self._counts.get(bucket, 0.0) + count
-            self.total += count
+        for key_hash, count in counts.items():
+            self._counts[key_hash] = self._counts.get(key_hash, 0.0) + count
 
-    def cumulate(self, now_ms: float) -> list[float]:
-        """Returns the load below each bucket; the last item is the whole load, 1."""
+    def curve(self, now_ms: float) -> LoadCurve:
+        """Returns how the load is spread now."""
         self._fade(now_ms)
-        total = max(self.total, 1e-9)
-        even = 1.0 if self.total < 1 else EVEN_PART
-        weights = [even / BUCKETS] * BUCKETS
-        for bucket, count in self._counts.items():
-            weights[bucket] += (1 - even) * count / total
-        return [0.0, *accumulate(weights)]
+        samples = sum(self._counts.values())
+        trust = min(1.0, samples / TRUSTED_SAMPLES)
+        even = EVEN_PART + (1 - EVEN_PART) * (1 - trust)
+        return LoadCurve(self._counts, even, samples)
 
     def _fade(self, now_ms: float) -> None:
         if now_ms - self._at_ms < FADE_MS / 10:
             return
         factor = math.exp(-(now_ms - self._at_ms) / FADE_MS)
         self._at_ms = now_ms
-        faded = {b: c * factor for b, c in self._counts.items() if c * factor > 0.02}
-        self._counts = faded
-        self.total = sum(faded.values())
+        faded = {item: count * factor for item, count in self._counts.items()}
+        self._counts = {k: v for k, v in faded.items() if v > FORGOTTEN}
--- a/src/skylarktrail/core/gateway/planner.py
+++ b/src/skylarktrail/core/gateway/planner.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
+import math
 from typing import Mapping, NamedTuple, Sequence
 
-from .key_load import BUCKET_HASHES
+from .key_load import LoadCurve
 
-START_RATIO = 1.35  # Moves begin above this part of an owner's fair load.
+START_RATIO = 1.3  # Moves begin above this part of an owner's fair load.
+DEVIATIONS = 2.5  # An excess has to be more than this many standard deviations.
 STOP_RATIO = 1.1  # Moves go on until no owner is above this.
 IDLE_RATIO = 0.35  # An instance below this part of its fair load gets more.
 MAX_MOVES = 12  # Each move keeps its keys waiting for the work that runs on them.
@@ -42,16 +43,16 @@
     Args:
         holdings: Hashes that may move; together with those that may not, all hashes.
         capacities: Speed of each instance that may own keys.
-        cumulated: Load below each bucket, from `KeyLoad.cumulate`.
+        curve: How the load is spread.
     """
 
     def __init__(
         self,
         holdings: Sequence[Holding],
         capacities: Mapping[str, float],
-        cumulated: Sequence[float],
+        curve: LoadCurve,
     ) -> None:
-        self._cumulated = cumulated
+        self._curve = curve
         total = sum(capacities.values()) or 1.0
         self._fair = {name: speed / total for name, speed in capacities.items()}
         self._held: dict[str, list[Holding]] = {name: [] for name in capacities}
@@ -59,7 +60,7 @@
         for item in holdings:
             self._held.get(item.owner, self._orphans).append(item)
         self._load = {
-            name: sum(self._load_of(item.first, item.last) for item in items)
+            name: sum(self._curve.between(item.first, item.last) for item in items)
             for name, items in self._held.items()
         }
 
@@ -68,20 +69,19 @@
         if not self._held:
             return []
         moves = self._place_orphans()
-        ratios = [self._ratio(name) for name in self._held]
-        if max(ratios) > START_RATIO or min(ratios) < IDLE_RATIO:
+        if self._is_uneven():
             moves += self._even_out()
         return moves
 
-    def _load_of(self, first: int, last: int) -> float:
-        return self._load_below(last + 1) - self._load_below(first)
+    def _is_uneven(self) -> bool:
+        """Tells whether the load differs by more than chance explains."""
+        if min(self._ratio(name) for name in self._held) < IDLE_RATIO:
+            return True
+        return any(self._ratio(name) > self._start_ratio(name) for name in self._held)
 
-    def _load_below(self, key_hash: int) -> float:
-        bucket, rest = divmod(key_hash, BUCKET_HASHES)
-        if not rest:
-            return self._cumulated[bucket]
-        low, high = self._cumulated[bucket], self._cumulated[bucket + 1]
-        return low + (high - low) * rest / BUCKET_HASHES
+    def _start_ratio(self, name: str) -> float:
+        samples = max(1.0, self._curve.samples * self._fair[name])
+        return max(START_RATIO, 1 + DEVIATIONS / math.sqrt(samples))
 
     def _ratio(self, name: str) -> float:
         return self._load[name] / self._fair[name]
@@ -91,26 +91,24 @@
         for item in self._orphans:
             for first, last in self._cut(item):
                 name = min(self._held, key=self._ratio)
-                self._load[name] += self._load_of(first, last)
+                self._load[name] += self._curve.between(first, last)
                 moves.append(Move(first, last, name))
         return moves
 
     def _cut(self, item: Holding) -> list[tuple[int, int]]:
         """Cuts hashes into pieces of about the same load."""
-        load = self._load_of(item.first, item.last)
+        load = self._curve.between(item.first, item.last)
         smallest = min(self._fair.values()) / ORPHAN_PIECES
         pieces = min(int(load / smallest) + 1, 4 * len(self._fair))
-        base = self._load_below(item.first)
+        base = self._curve.below(item.first)
         cuts = [
-            self._hash_at(base + load * number / pieces) for number in range(1, pieces)
+            self._curve.hash_at(base + load * number / pieces)
+            for number in range(1, pieces)
         ]
         edges = [item.first, *cuts, item.last + 1]
         pairs = zip(edges, edges[1:])
         return [(low, high - 1) for low, high in pairs if low < high <= item.last + 1]
 
-    def _hash_at(self, load: float) -> int:
-        return bisect_left(self._cumulated, load) * BUCKET_HASHES
-
     def _even_out(self) -> list[Move]:
         moves: list[Move] = []
         while len(moves) < MAX_MOVES:
@@ -135,7 +133,7 @@
         best: tuple[float, Holding, Move] | None = None
         for item in self._held[source]:
             for move in self._ends(item, wanted, target):
-                load = self._load_of(move.first, move.last)
+                load = self._curve.between(move.first, move.last)
                 gap = abs(load - wanted)
                 if load < surplus + room and (best is None or gap < best[0]):
                     best = (gap, item, move)
@@ -145,18 +143,20 @@
         return best[2]
 
     def _ends(self, item: Holding, wanted: float, target: str) -> list[Move]:
-        low, high = self._load_below(item.first), self._load_below(item.last + 1)
+        low, high = self._curve.below(item.first), self._curve.below(item.last + 1)
         if high - low <= wanted:
             return [Move(item.first, item.last, target)]
-        below = min(max(self._hash_at(low + wanted), item.first + 1), item.last + 1)
-        above = max(min(self._hash_at(high - wanted), item.last), item.first)
+        below = min(
+            max(self._curve.hash_at(low + wanted), item.first + 1), item.last + 1
+        )
+        above = max(min(self._curve.hash_at(high - wanted), item.last), item.first)
         return [
             Move(item.first, below - 1, target),
             Move(above, item.last, target),
         ]
 
     def _apply(self, source: str, item: Holding, move: Move) -> None:
-        load = self._load_of(move.first, move.last)
+        load = self._curve.between(move.first, move.last)
         self._load[source] -= load
         self._load[move.owner] += load
         held = self._held[source]
@@ -170,7 +170,7 @@
 def plan_moves(
     holdings: Sequence[Holding],
     capacities: Mapping[str, float],
-    cumulated: Sequence[float],
+    curve: LoadCurve,
 ) -> list[Move]:
     """Returns the moves that give each usable instance its share of the load."""
-    return Planner(holdings, capacities, cumulated).plan()
+    return Planner(holdings, capacities, curve).plan()
--- a/src/skylarktrail/core/gateway/shared.py
+++ b/src/skylarktrail/core/gateway/shared.py
@@ -27,6 +27,18 @@
     term: int
 
 
+class Member(NamedTuple):
+    """A daemon of the site.
+
+    Attributes:
+        process: Identifier of its process.
+        peer_address: `host:port` where other daemons connect; empty for none.
+    """
+
+    process: str
+    peer_address: str
+
+
 NO_GRANTER = GranterRecord("", "", 0)
 
 
@@ -40,9 +52,9 @@
     return cbor2.dumps([list(item) for item in ranges])
 
 
-def encode_member(process: str) -> bytes:
+def encode_member(member: Member) -> bytes:
     """Encodes a daemon's word that it is there."""
-    return cbor2.dumps(process)
+    return cbor2.dumps(list(member))
 
 
 class SharedState:
@@ -50,7 +62,7 @@
 
     def __init__(self) -> None:
         self.granter = NO_GRANTER
-        self.members: dict[str, str] = {}
+        self.members: dict[str, Member] = {}
         self.owners: dict[str, OwnerTable] = {}
 
     def apply(self, records: Iterable[tuple[str, bytes]], is_whole: bool) -> None:
@@ -75,7 +87,7 @@
         elif key.startswith(MEMBER_PREFIX):
             name = key.removeprefix(MEMBER_PREFIX)
             if value:
-                self.members[name] = cbor2.loads(value)
+                self.members[name] = Member(*cbor2.loads(value))
             else:
                 self.members.pop(name, None)
         elif key.startswith(OWNERS_PREFIX) and value:
--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -29,9 +29,11 @@
     encode_granter,
     encode_owners,
 )
+from ..core.gateway.speeds import Speeds
 from ..daemon.messages import Tick
 from ..errors import platform as codes
 from ..errors.code import Fault
+from ..peer.messages import GatewayLoad
 from .clock import now_ms
 from .event_log import EventLog
 from .metrics import GatewayMetrics
@@ -40,11 +42,9 @@
 
 EVEN_MS = 1000.0  # Load moves this often at most.
 MERGE_MS = 3000.0
-SAMPLES_MIN = 40.0  # Fewer requests say nothing about the spread of load.
 SETTLE_MS = 200.0  # Pause before a write of unknown outcome is repeated.
 CALL_THREADS = 24
-CAPACITY_LIMITS = (0.25, 2.0)
-FAILURE_MAX = 0.9
+START_WAIT_MS = 2500.0  # Instances of a new site are listed within this time.
 
 
 class Orders(Protocol):
@@ -88,10 +88,10 @@
     result: Result[int, Fault]
 
 
-class LoadRead(NamedTuple):
-    """Reports of load were read."""
+class LoadTold(NamedTuple):
+    """A daemon has told its load."""
 
-    reports: list[bytes]
+    report: GatewayLoad
 
 
 class _Write:
@@ -117,6 +117,7 @@
         timings: Durations of leases.
         log: Gets a line for each decision.
         metrics: Counts.
+        on_written: Told key, value and position of each record written.
     """
 
     use_daemon_thread = True
@@ -130,8 +131,10 @@
         timings: Timings,
         log: EventLog,
         metrics: GatewayMetrics,
+        on_written: Callable[[str, bytes, int], None],
     ) -> None:
         super().__init__()
+        self._on_written = on_written
         self._site = site
         self._process = process
         self._store = store
@@ -148,6 +151,8 @@
         self._has_rival = True
         self._granters: dict[str, Granter] = {}
         self._loads: dict[str, KeyLoad] = {}
+        self._speeds = Speeds()
+        self._begun_ms = 0.0
         self._writes: list[_Write] = []
         self._even_ms = 0.0
         self._merge_ms = 0.0
@@ -166,8 +171,8 @@
             self._take_call(message)
         elif isinstance(message, WriteEnded):
             self._take_write(message.result)
-        elif isinstance(message, LoadRead):
-            self._take_loads(message.reports)
+        elif isinstance(message, LoadTold):
+            self._take_load(message.report)
 
     def on_stop(self) -> None:
         """Ends the threads."""
@@ -221,6 +226,7 @@
 
     def _begin(self, term: int) -> None:
         self._term = term
+        self._begun_ms = now_ms()
         self.is_granter = True
         self._granters = {}
         self._log.state("granter_begins", term=term, position=self._position)
@@ -254,6 +260,7 @@
         if result.is_ok():
             self._metrics.count("store_calls", "share", "done")
             self._position = max(self._position, result.unwrap())
+            self._on_written(write.key, write.value, write.at)
             self._end_write(write, True)
             return
         code = result.unwrap_err().code
@@ -302,12 +309,15 @@
 
     def _plan(self, service: str, granter: Granter, at_ms: float) -> None:
         load = self._loads.setdefault(service, KeyLoad())
-        is_even_due = at_ms >= self._even_ms and load.total >= SAMPLES_MIN
+        is_new = service not in self._site.shared.owners
+        if is_new and at_ms < self._begun_ms + START_WAIT_MS:
+            return
+        is_even_due = at_ms >= self._even_ms
         if not is_even_due and not granter.has_orphans():
             return
         if is_even_due:
             self._even_ms = at_ms + EVEN_MS
-        moves = granter.rebalance(load.cumulate(at_ms), is_even_due)
+        moves = granter.rebalance(load.curve(at_ms), is_even_due)
         for move in moves:
             self._metrics.count("moved_ranges", service)
             self._log.write(
@@ -335,7 +345,7 @@
                 i.entry.address,
                 i.entry.born_ms,
                 id(i) in usable,
-                _capacity(i),
+                self._speeds.capacity(i.entry.instance),
             )
             for i in instances
         }
@@ -382,21 +392,19 @@
         if granter.has_free():
             self._step()
 
-    def _take_loads(self, reports: list[bytes]) -> None:
-        at_ms = now_ms()
-        for report in reports:
-            for service, counts in cbor2.loads(report).items():
-                self._loads.setdefault(service, KeyLoad()).add(counts, at_ms)
+    def _take_load(self, report: GatewayLoad) -> None:
+        if not self.is_granter:
+            return
+        counts: dict[str, dict[int, int]] = {}
+        for item in report.keys:
+            counts.setdefault(item.service, {})[item.key_hash] = item.count
+        for service, by_hash in counts.items():
+            self._loads.setdefault(service, KeyLoad()).add(by_hash, now_ms())
+        for sample in report.speeds:
+            self._speeds.add(*sample)
 
 
 def _is_staying(instance: Instance, zones_out: set[str], at_ms: float) -> bool:
     if instance.entry.is_draining or instance.entry.zone in zones_out:
         return False
     return not instance.is_suspended(at_ms)
-
-
-def _capacity(instance: Instance) -> float:
-    """Returns the speed of an instance; failed requests count as lost speed."""
-    low, high = CAPACITY_LIMITS
-    speed = min(high, max(low, 1 / instance.speed_ratio))
-    return speed * (1 - min(FAILURE_MAX, instance.failure_ratio))
--- /dev/null
+++ b/src/skylarktrail/gateway/messenger.py
@@ -0,0 +1,202 @@
+"""Links between gateways: loads to the granter, its records and listings to all."""
+
+from __future__ import annotations
+
+import threading
+from typing import Callable
+
+from result import Result
+
+from ..core.gateway.fleet import Fleet
+from ..core.gateway.model import InstanceEntry
+from ..errors.code import Fault
+from ..peer.hub import Reply
+from ..peer.links import PeerLinks
+from ..peer.messages import (
+    GatewayListing,
+    GatewayLoad,
+    GatewayRecord,
+    Message,
+    ToldInstance,
+)
+from .clock import now_ms
+from .event_log import EventLog
+from .site import Site
+from .site_store import Listing, SharedUpdate
+
+HEARTBEAT_MS = 500
+FRESH_MS = 1300.0  # After this a daemon reads the instances' entries itself.
+
+
+class ListingFeed:
+    """The granter's side: tells each daemon what has changed since its last update."""
+
+    def __init__(self) -> None:
+        self._told: dict[str, ToldInstance] = {}
+        self._position = -1
+        self._reached: dict[str, int] = {}
+
+    def update(self, fleet: Fleet, position: int) -> GatewayListing:
+        """Takes the entries after a read; returns the change."""
+        now = {name: _to_told(i.entry) for name, i in fleet.instances.items()}
+        changed = [
+            entry
+            for name, entry in now.items()
+            if name not in self._told or _is_changed(self._told[name], entry)
+        ]
+        gone = tuple(set(self._told) - set(now))
+        base, self._position = self._position, position
+        for entry in changed:
+            self._told[entry.instance] = entry
+        for name in gone:
+            del self._told[name]
+        return GatewayListing(base, position, tuple(changed), gone)
+
+    def whole(self) -> GatewayListing:
+        """Returns all entries."""
+        return GatewayListing(-1, self._position, tuple(self._told.values()), ())
+
+    def next_for(self, daemon: str, change: GatewayListing) -> GatewayListing:
+        """Returns the update for a daemon, whole if it lacks an earlier one."""
+        reached = self._reached.get(daemon)
+        self._reached[daemon] = change.position
+        return change if reached == change.base and change.base >= 0 else self.whole()
+
+    def note_reached(self, daemon: str, position: int) -> None:
+        """Takes a daemon's word of the last update that it has."""
+        if position < 0:
+            self._reached.pop(daemon, None)
+
+
+def _is_changed(before: ToldInstance, after: ToldInstance) -> bool:
+    return before._replace(sequence=0) != after._replace(sequence=0)
+
+
+def _to_told(entry: InstanceEntry) -> ToldInstance:
+    return ToldInstance(*entry)
+
+
+class Messenger:
+    """This daemon's links to the others.
+
+    Args:
+        site: What is known of the site.
+        process: Identifier of this process.
+        address: `host:port` where other daemons connect.
+        log: Gets lines about links.
+        on_load: Takes a report of load while this daemon is the granter.
+        on_shared: Takes a shared record that the granter has written.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        process: str,
+        address: str,
+        log: EventLog,
+        on_load: Callable[[GatewayLoad], None],
+        on_shared: Callable[[SharedUpdate, int], None],
+    ) -> None:
+        self._site = site
+        self._log = log
+        self._on_load = on_load
+        self._on_shared = on_shared
+        self._feed = ListingFeed()
+        self._lock = threading.Lock()
+        self._entries: dict[str, InstanceEntry] = {}
+        self._told_ms = -1e18
+        self._told_by = ""
+        self._peers: dict[str, str] = {}
+        self._links = PeerLinks(
+            site.daemon,
+            process,
+            site.zone,
+            address,
+            self._take,
+            lambda *_: None,
+            lambda *_: None,
+            HEARTBEAT_MS,
+        )
+
+    def start(self) -> Result[str, Fault]:
+        """Binds the peer address."""
+        return self._links.start()
+
+    def set_members(self) -> None:
+        """Takes the members on record as peers."""
+        members = self._site.shared.members
+        peers = {
+            name: member.peer_address
+            for name, member in members.items()
+            if member.peer_address and name != self._site.daemon
+        }
+        if peers != self._peers:
+            self._peers = peers
+            self._links.set_peers(peers)
+
+    def hears_granter(self) -> bool:
+        """Tells whether the granter has sent entries a moment ago."""
+        is_same = self._told_by == self._site.shared.granter.daemon
+        return is_same and now_ms() - self._told_ms < FRESH_MS
+
+    def report(self) -> None:
+        """Tells the granter of this daemon's load."""
+        granter = self._site.shared.granter.daemon
+        if not granter:
+            return
+        report = self._site.take_report()
+        if granter == self._site.daemon:
+            self._on_load(report)
+        else:
+            self._links.send(granter, report)
+
+    def tell_record(self, key: str, value: bytes, position: int) -> None:
+        """Sends a record that this daemon has written as granter to all others."""
+        for name in self._peers:
+            self._links.send(name, GatewayRecord(key, value, position))
+
+    def tell_listing(self, listing: Listing) -> None:
+        """Sends what has changed in the instances' entries to all others."""
+        with self._site.lock:
+            change = self._feed.update(self._site.fleet, listing.position)
+        for name in self._peers:
+            self._links.send(name, self._feed.next_for(name, change))
+
+    def _take(self, daemon: str, message: Message, _: Reply) -> None:
+        if isinstance(message, GatewayLoad):
+            self._feed.note_reached(daemon, message.listing)
+            self._on_load(message)
+        elif isinstance(message, GatewayRecord):
+            update = SharedUpdate(
+                [(message.key, message.value)], False, message.position + 1
+            )
+            self._on_shared(update, message.position)
+        elif isinstance(message, GatewayListing):
+            self._take_listing(daemon, message)
+
+    def _take_listing(self, daemon: str, message: GatewayListing) -> None:
+        if daemon != self._site.shared.granter.daemon:
+            return
+        if message.base >= 0 and (
+            message.base != self._site.told_position or daemon != self._told_by
+        ):
+            self._site.told_position = -1
+            return
+        if message.base < 0:
+            self._entries = {}
+        for told in message.entries:
+            self._entries[told.instance] = InstanceEntry(*told)
+        for name in message.gone:
+            self._entries.pop(name, None)
+        self._told_by = daemon
+        self._told_ms = now_ms()
+        self._site.told_position = message.position
+        listing = Listing(list(self._entries.values()), message.position)
+        for change in self._site.take_listing(listing, now_ms()):
+            self._log.state(
+                "instance_" + change.change,
+                instance=change.instance,
+                service=change.service,
+                position=message.position,
+                told_by=daemon,
+            )
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -107,6 +107,9 @@
         departures: Notices callers that leave.
         log: Gets a line for each request.
         metrics: Counts.
+
+    Attributes:
+        is_draining: Whether the daemon shuts down.
     """
 
     def __init__(
@@ -127,6 +130,7 @@
         self._longest_ms: dict[str, float] = {}
         self._lock = threading.Lock()
         self._open = 0
+        self.is_draining = False
 
     @property
     def open_requests(self) -> int:
@@ -240,8 +244,14 @@
             return self._take_answer(job, ticket, result.unwrap(), elapsed_ms)
 
     def _try_end_ms(self, job: _Job, at_ms: float) -> float:
+        """Returns until when a try may stay silent.
+
+        Only another instance can do better, and keys have one owner. A draining
+        daemon breaks off no work.
+        """
         is_last = len(job.attempts) + 1 >= job.route.max_attempts
-        if not job.route.is_idempotent or is_last:
+        is_bound = job.key_hash is not None or self.is_draining
+        if not job.route.is_idempotent or is_last or is_bound:
             return job.end_ms
         return at_ms + (job.end_ms - at_ms) * SILENT_PART
 
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -11,21 +11,24 @@
 
 from ..config.gateway_settings import Bounds, GatewaySettings
 from ..config.settings import Limits
+from ..core.gateway.shared import Member
 from ..daemon.caller_app import CallerApp, make_caller_server
 from ..daemon.ticker import Ticker
 from ..errors import caller as codes
 from ..errors.code import Fault
+from ..peer.messages import GatewayLoad
 from .adapters import ADAPTERS
 from .clock import now_ms
 from .connections import Connections
 from .departures import Departures
 from .event_log import EventLog
-from .granting import Candidate, GranterActor, LoadRead, SharedRead
+from .granting import Candidate, GranterActor, LoadTold, SharedRead
+from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .ready_app import ReadyApp
 from .router import GatewayRouter
 from .site import Site
-from .site_store import SiteStore
+from .site_store import SharedUpdate, SiteStore
 from .watchers import (
     CandidacyWatcher,
     InstanceWatcher,
@@ -43,7 +46,6 @@
 UNREADY_MS = 3000.0  # Two health checks a second apart, and one in between.
 IDLE_MS = 300.0
 KILL_MARGIN_MS = 700.0  # Left of the grace for the last answers to go out.
-LOAD_WAIT_MS = 1000
 
 
 class GatewayService:
@@ -72,6 +74,14 @@
             self._log,
             self._metrics,
         )
+        self._messenger = Messenger(
+            self._site,
+            self._process,
+            settings.peer_address,
+            self._log,
+            self._take_load,
+            self._take_told,
+        )
         self._app = CallerApp(self._router, self._metrics)
         self._is_draining = False
         self._servers: list[BaseWSGIServer] = []
@@ -85,6 +95,9 @@
             self._bind()
         except OSError as error:
             return Err(Fault(codes.ADDRESS_UNBOUND, detail=str(error)))
+        listening = self._messenger.start()
+        if listening.is_err():
+            return Err(listening.unwrap_err())
         self._start_watchers()
         self._departures.start()
         for server in self._servers:
@@ -108,6 +121,7 @@
         self._log.state("draining", open_requests=self._router.open_requests)
         self._is_draining = True
         self._app.is_closing = True
+        self._router.is_draining = True
         self._candidacy.withdraw()
         end_ms = started_ms + self._bounds.grace_s * 1000 - KILL_MARGIN_MS
         busy_ms = now_ms()
@@ -156,16 +170,23 @@
             self._settings.leases,
             log,
             self._metrics,
+            self._tell_written,
         )
         tell = self._granter.tell
         self._instances = InstanceWatcher(
-            self._store(), site, self._connections, self._watch("instances"), log
+            self._store(),
+            site,
+            self._connections,
+            self._watch("instances"),
+            log,
+            self._messenger,
+            self._is_granter,
         )
         operators = OperatorWatcher(self._store(), site, self._watch("operators"), log)
-        shared = SharedWatcher(
+        self._shared = SharedWatcher(
             self._store(),
             site,
-            self._process,
+            Member(self._process, self._settings.peer_address),
             self._watch("shared"),
             lambda position, at_ms: tell(SharedRead(position, at_ms)),
             self._is_granter,
@@ -176,17 +197,12 @@
             self._watch("candidacy"),
             lambda is_candidate: tell(Candidate(is_candidate)),
         )
-        reporter = LoadReporter(self._store(), site, self._watch("load_report"))
-        self._load_store = self._store()
-        self._load_position: int | None = None
-        self._load_watch = self._watch("loads")
         rounds = {
             "instances": self._instances.round,
             "operators": operators.round,
-            "shared": shared.round,
+            "shared": self._shared.round,
             "candidacy": self._candidacy.round,
-            "load-report": reporter.round,
-            "loads": self._read_loads,
+            "load-report": LoadReporter(self._messenger).round,
         }
         self._workers = [Worker(name, task, log) for name, task in rounds.items()]
         for worker in self._workers:
@@ -194,21 +210,17 @@
         self._ticker = Ticker([self._granter], TICK_MS)
         self._ticker.start()
 
-    def _read_loads(self) -> float:
-        """Reads the reports of load while this daemon is the granter."""
-        if not self._is_granter():
-            self._load_position = None
-            return LOAD_WAIT_MS
-        read = self._load_store.read_loads(self._load_position, LOAD_WAIT_MS)
-        pause_ms = self._load_watch.check(read)
-        if pause_ms is not None:
-            self._load_position = None
-            return pause_ms
-        update = read.unwrap()
-        self._load_position = update.position
-        if update.reports:
-            self._granter.tell(LoadRead(update.reports))
-        return LOAD_WAIT_MS / 2
+    def _tell_written(self, key: str, value: bytes, position: int) -> None:
+        """Tells this daemon and all others of a record as soon as it is written."""
+        update = SharedUpdate([(key, value)], False, position + 1)
+        self._shared.take_told(update, position)
+        self._messenger.tell_record(key, value, position)
+
+    def _take_told(self, update: SharedUpdate, position: int) -> None:
+        self._shared.take_told(update, position)
+
+    def _take_load(self, report: GatewayLoad) -> None:
+        self._granter.tell(LoadTold(report))
 
     def _is_granter(self) -> bool:
         return self._site.shared.granter.process == self._process
--- a/src/skylarktrail/gateway/site.py
+++ b/src/skylarktrail/gateway/site.py
@@ -8,12 +8,12 @@
 from ..config.gateway_settings import Bounds
 from ..core.gateway.budget import RepeatBudget
 from ..core.gateway.fleet import Fleet, FleetChange
-from ..core.gateway.key_load import BUCKET_HASHES
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
 from ..core.gateway.ranges import OwnedRange, OwnerTable
 from ..core.gateway.routes import RouteTable, Splitter
 from ..core.gateway.scheduler import Scheduler, SchedulerView, Ticket
 from ..core.gateway.shared import SharedState
+from ..peer.messages import GatewayLoad, KeyCount, SpeedSample
 from .site_store import Listing, OperatorUpdate, SharedUpdate
 
 NEW_OWNER_MS = 12.0  # A grant reaches its owner about when its record is read.
@@ -45,7 +45,8 @@
         self._settling: dict[tuple[str, OwnedRange], float] = {}
         self._now_ms = 0.0
         self._listing_position = -1
-        self._key_counts: dict[str, dict[int, int]] = {}
+        self._key_counts: dict[tuple[str, int], int] = {}
+        self.told_position = -1
         self.scheduler = Scheduler(self.fleet, self._view(), random.random)
 
     def take_listing(self, listing: Listing, now_ms: float) -> list[FleetChange]:
@@ -132,21 +133,25 @@
                 return
             if len(self._unheld) >= UNHELD_MAX:
                 self._unheld.clear()
-            bucket = (service, key_hash // BUCKET_HASHES)
-            self._unheld[bucket] = (owned.owner, now_ms + UNHELD_MS)
+            self._unheld[(service, key_hash)] = (owned.owner, now_ms + UNHELD_MS)
 
     def note_key(self, service: str, key_hash: int) -> None:
         """Counts a request of a keyed service for the report of load."""
         with self.lock:
-            counts = self._key_counts.setdefault(service, {})
-            bucket = key_hash // BUCKET_HASHES
-            counts[bucket] = counts.get(bucket, 0) + 1
+            key = (service, key_hash)
+            self._key_counts[key] = self._key_counts.get(key, 0) + 1
 
-    def take_key_counts(self) -> dict[str, dict[int, int]]:
-        """Returns the counts of keyed requests since the last call."""
+    def take_report(self) -> GatewayLoad:
+        """Returns what the granter is to know of the requests since the last call."""
         with self.lock:
             counts, self._key_counts = self._key_counts, {}
-            return counts
+            keys = [KeyCount(*key, count) for key, count in counts.items()]
+            speeds = [
+                SpeedSample(name, *instance.take_sample())
+                for name, instance in self.fleet.instances.items()
+                if instance.has_sample()
+            ]
+            return GatewayLoad(tuple(keys), tuple(speeds), self.told_position)
 
     def note_first(self, service: str, now_ms: float) -> None:
         """Counts a caller's request against the bound on repeats."""
@@ -229,9 +234,7 @@
             return ""
         if self._settling.get((service, owned), 0.0) > self._now_ms:
             return ""
-        owner, until_ms = self._unheld.get(
-            (service, key_hash // BUCKET_HASHES), ("", 0.0)
-        )
+        owner, until_ms = self._unheld.get((service, key_hash), ("", 0.0))
         if owner == owned.owner and until_ms > self._now_ms:
             return ""
         instance = self.fleet.find(owned.owner)
--- a/src/skylarktrail/gateway/site_store.py
+++ b/src/skylarktrail/gateway/site_store.py
@@ -52,18 +52,6 @@
     position: int
 
 
-class LoadUpdate(NamedTuple):
-    """Reports of load.
-
-    Attributes:
-        reports: Encoded reports.
-        position: Where to read on.
-    """
-
-    reports: list[bytes]
-    position: int
-
-
 class SiteStore(Protocol):
     """The store. One instance serves one thread; a call is never repeated."""
 
@@ -83,14 +71,6 @@
     def share(self, key: str, value: bytes, position: int | None) -> Result[int, Fault]:
         """Writes a record, if given only where the log ends at a position."""
 
-    def report_load(self, report: bytes) -> Result[int, Fault]:
-        """Adds a report of this daemon's load."""
-
-    def read_loads(
-        self, position: int | None, wait_ms: int
-    ) -> Result[LoadUpdate, Fault]:
-        """Reads reports of load; without a position only where they end."""
-
     def stand(self, daemon: str, ttl_ms: int) -> Result[bool, Fault]:
         """Stands for granter; tells whether this daemon is to take the role."""
 
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -2,30 +2,33 @@
 
 from __future__ import annotations
 
+import threading
 from typing import Any, Callable
 
-import cbor2
 from result import Result
 
-from ..core.gateway.shared import MEMBER_PREFIX, encode_member
+from ..core.gateway.shared import MEMBER_PREFIX, Member, encode_member
 from ..errors import platform as codes
 from ..errors.code import Fault
 from .clock import now_ms
 from .connections import Connections
 from .event_log import EventLog
+from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .site import Site
-from .site_store import SiteStore
+from .site_store import SharedUpdate, SiteStore
 
 LISTING_MS = 1000.0  # A leaving instance gets no work 2 s after it said so.
-OPERATORS_WAIT_MS = 3000  # A silent connection is noticed after this.
+GRANTER_LISTING_MS = 700.0  # The granter reads for all; its word takes a moment.
+TOLD_LOOK_MS = 100.0
+OPERATORS_WAIT_MS = 4000  # A silent connection is noticed after this.
 SHARED_WAIT_MS = 2500
 GRANTER_WAIT_MS = 1000  # The granter confirms its term this often.
 FAILED_MS = 250.0  # Pause after a failed call; the store counts refused calls too.
 FAILED_MAX_MS = 700.0
 STAND_MS = 500.0
 STAND_TTL_MS = 1500  # A lost granter is replaced after this.
-LOAD_REPORT_MS = 1500.0
+LOAD_REPORT_MS = 500.0
 
 
 class StoreWatch:
@@ -72,16 +75,24 @@
         connections: Connections,
         watch: StoreWatch,
         log: EventLog,
+        messenger: Messenger,
+        is_granter: Callable[[], bool],
     ) -> None:
         self._store = store
         self._site = site
+        self._messenger = messenger
+        self._is_granter = is_granter
         self._connections = connections
         self._watch = watch
         self._log = log
         self.is_done_once = False
 
     def round(self) -> float:
-        """Reads once; returns the pause until the next read."""
+        """Reads once, unless the granter tells; returns the pause until the next."""
+        if not self._is_granter() and self._messenger.hears_granter():
+            self.is_done_once = True
+            self._connections.keep_only(set(self._site.fleet.instances))
+            return TOLD_LOOK_MS
         started_ms = now_ms()
         read = self._store.read_instances()
         pause_ms = self._watch.check(read)
@@ -100,7 +111,10 @@
         if changes:
             self._connections.keep_only(set(self._site.fleet.instances))
         self.is_done_once = True
-        return LISTING_MS - (now_ms() - started_ms)
+        if not self._is_granter():
+            return LISTING_MS - (now_ms() - started_ms)
+        self._messenger.tell_listing(listing)
+        return GRANTER_LISTING_MS - (now_ms() - started_ms)
 
 
 class OperatorWatcher:
@@ -135,49 +149,87 @@
 
 
 class SharedWatcher:
-    """Reads the daemons' shared records and adds this daemon to the members."""
+    """Reads the daemons' shared records and adds this daemon to the members.
+
+    Args:
+        on_read: Told the position reached and when the read began.
+        is_granter: Tells whether this daemon is the granter.
+    """
 
     def __init__(
         self,
         store: SiteStore,
         site: Site,
-        process: str,
+        me: Member,
         watch: StoreWatch,
         on_read: Callable[[int, float], None],
         is_granter: Callable[[], bool],
     ) -> None:
         self._store = store
         self._site = site
-        self._process = process
+        self._me = me
         self._watch = watch
         self._on_read = on_read
         self._is_granter = is_granter
         self._position: int | None = None
+        self._lock = threading.Lock()
+        self._kick = threading.Event()
+        self._is_told = False
 
     def round(self) -> float:
         """Reads once; returns the pause until the next read."""
+        if self._is_told or self._is_granter():
+            pause_s = (GRANTER_WAIT_MS if self._is_granter() else SHARED_WAIT_MS) / 1000
+            self._kick.wait(pause_s)
+            self._kick.clear()
+            return self._read(0)
+        return self._read(SHARED_WAIT_MS)
+
+    def take_told(self, update: SharedUpdate, at: int) -> None:
+        """Takes a record that the granter tells; reads if one before it is missing."""
+        with self._lock:
+            self._is_told = True
+            if self._position == at:
+                self._position = update.position
+                self._site.take_shared(update, now_ms())
+                return
+            is_known = self._position is not None and self._position > at
+        if not is_known:
+            self._kick.set()
+
+    def kick(self) -> None:
+        """Has the records read soon."""
+        self._kick.set()
+
+    def _read(self, wait_ms: int) -> float:
         started_ms = now_ms()
-        wait_ms = GRANTER_WAIT_MS if self._is_granter() else SHARED_WAIT_MS
-        read = self._store.read_shared(self._position, wait_ms)
+        position = self._position
+        read = self._store.read_shared(position, wait_ms)
         pause_ms = self._watch.check(read)
         if pause_ms is not None:
             if read.unwrap_err().code is codes.STORE_TRIMMED:
                 self._position = None
             return pause_ms
         update = read.unwrap()
-        is_newer = self._position is None or update.position >= self._position
-        if is_newer:
-            self._position = update.position
-            self._site.take_shared(update, now_ms())
-            self._on_read(update.position, started_ms)
+        with self._lock:
+            if self._position == position:
+                self._take(update)
+        self._on_read(update.position, started_ms)
         self._join()
         return 0.0
 
+    def _take(self, update: SharedUpdate) -> None:
+        before = self._site.shared.granter
+        self._position = update.position
+        self._site.take_shared(update, now_ms())
+        if self._site.shared.granter != before:
+            self._is_told = False
+
     def _join(self) -> None:
-        if self._site.daemon in self._site.shared.members:
+        if self._site.shared.members.get(self._site.daemon) == self._me:
             return
         key = MEMBER_PREFIX + self._site.daemon
-        self._watch.check(self._store.share(key, encode_member(self._process), None))
+        self._watch.check(self._store.share(key, encode_member(self._me), None))
 
 
 class CandidacyWatcher:
@@ -220,14 +272,11 @@
 class LoadReporter:
     """Tells the granter how this daemon's keyed requests are spread."""
 
-    def __init__(self, store: SiteStore, site: Site, watch: StoreWatch) -> None:
-        self._store = store
-        self._site = site
-        self._watch = watch
+    def __init__(self, messenger: Messenger) -> None:
+        self._messenger = messenger
 
     def round(self) -> float:
         """Reports once; returns the pause until the next report."""
-        counts = self._site.take_key_counts()
-        if counts:
-            self._watch.check(self._store.report_load(cbor2.dumps(counts)))
+        self._messenger.set_members()
+        self._messenger.report()
         return LOAD_REPORT_MS
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -314,8 +314,114 @@
     ages: tuple[ToldAge, ...]
 
 
+class KeyCount(NamedTuple):
+    """Requests for one hash of a keyed service.
+
+    Attributes:
+        service: Name of the service.
+        key_hash: The hash.
+        count: Number of requests.
+    """
+
+    service: str
+    key_hash: int
+    count: int
+
+
+class SpeedSample(NamedTuple):
+    """Answers of one instance.
+
+    Attributes:
+        instance: Its identifier.
+        answers: Number of answers.
+        work_sum: Sum of their work times, each relative to the mean of its route.
+        failures: Number of attempts that failed.
+    """
+
+    instance: str
+    answers: int
+    work_sum: float
+    failures: int
+
+
+@message("gateway_load")
+class GatewayLoad(NamedTuple):
+    """What a gateway tells the granter of its last requests.
+
+    Attributes:
+        keys: Requests by hash.
+        speeds: Answers by instance.
+        listing: Position of the instances' entries that it knows by the granter.
+    """
+
+    keys: tuple[KeyCount, ...]
+    speeds: tuple[SpeedSample, ...]
+    listing: int
+
+
+@message("gateway_record")
+class GatewayRecord(NamedTuple):
+    """A shared record that the granter has written.
+
+    Attributes:
+        key: Its key.
+        value: Its value.
+        position: Where it stands in the log.
+    """
+
+    key: str
+    value: bytes
+    position: int
+
+
+class ToldInstance(NamedTuple):
+    """An instance's entry as the granter has read it.
+
+    Attributes:
+        instance: Identifier of the instance.
+        service: Service that it belongs to.
+        address: `host:port`.
+        zone: Its availability zone.
+        slots: Requests that it works on at once.
+        is_draining: Whether it is about to leave.
+        cold_ms: How much longer it is cold.
+        born_ms: Wall-clock time of its start.
+        sequence: Number of the heartbeat.
+    """
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    is_draining: bool
+    cold_ms: float
+    born_ms: int
+    sequence: int
+
+
+@message("gateway_listing")
+class GatewayListing(NamedTuple):
+    """What has changed in the instances' entries.
+
+    Attributes:
+        base: Position to which the change applies; below 0 for a whole listing.
+        position: Position that is reached by it.
+        entries: New and changed entries.
+        gone: Instances that are no longer listed.
+    """
+
+    base: int
+    position: int
+    entries: tuple[ToldInstance, ...]
+    gone: tuple[str, ...]
+
+
 Message = (
-    Hello
+    GatewayLoad
+    | GatewayRecord
+    | GatewayListing
+    | Hello
     | Heartbeat
     | PromiseAsk
     | Promise
--- a/src/skylarktrail/platform/provider.py
+++ b/src/skylarktrail/platform/provider.py
@@ -10,7 +10,7 @@
 from ..core.gateway.model import SiteConfig
 from ..errors import platform as codes
 from ..errors.code import Fault
-from ..gateway.site_store import Listing, LoadUpdate, OperatorUpdate, SharedUpdate
+from ..gateway.site_store import Listing, OperatorUpdate, SharedUpdate
 from .configuration import read_configuration
 from .entries import read_entry
 from .store import KeyedRecord, Newest, StoreClient, pack_keyed, unpack_keyed
@@ -18,7 +18,6 @@
 OPERATORS = "keyed.op"
 INSTANCES = "keyed.servers"
 SHARED = "keyed.skylarktrail"
-LOADS = "skylarktrail.load"
 CANDIDATES = "skylarktrail.granter"
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
@@ -80,22 +79,6 @@
             SHARED, pack_keyed(KeyedRecord(key, value)), position
         )
 
-    def report_load(self, report: bytes) -> Result[int, Fault]:
-        """Adds a report of this daemon's load."""
-        return self._client.append(LOADS, report)
-
-    def read_loads(
-        self, position: int | None, wait_ms: int
-    ) -> Result[LoadUpdate, Fault]:
-        """Reads reports of load; without a position none, only where they end."""
-        if position is None:
-            found = self._client.read(LOADS, 0, 0)
-            if found.is_err():
-                return Err(found.unwrap_err())
-            return Ok(LoadUpdate([], found.unwrap().end))
-        read = self._client.read(LOADS, position, wait_ms)
-        return read.map(lambda batch: LoadUpdate(batch.records, batch.next_offset))
-
     def stand(self, daemon: str, ttl_ms: int) -> Result[bool, Fault]:
         """Stands for granter; tells whether this daemon is to take the role."""
         joined = self._client.join(
