--- a/src/skylarktrail/core/gateway/cold.py
+++ b/src/skylarktrail/core/gateway/cold.py
@@ -10,7 +10,9 @@
 
 def rank(daemons: frozenset[str], instance: str) -> list[str]:
     """Orders daemons for one instance by rendezvous hashing."""
-    return sorted(daemons, key=lambda name: xxhash.xxh64_intdigest(name + instance))
+    return sorted(
+        daemons, key=lambda name: xxhash.xxh64_intdigest(f"{name}/{instance}".encode())
+    )
 
 
 def cold_rate_per_s(
--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -22,6 +22,7 @@
 LEASE_SLACK_MS = 100.0  # Late timers on both sides.
 RETRY_MS = 250.0  # Pause before a call that brought no answer is repeated.
 FENCING_LEASE_MS = 1000.0  # Lease of a grant that only shuts out earlier ones.
+GRANT, FENCING, RELEASE = "grant", "fencing", "release"
 REFUSED_PROOF = 2  # Refused connections that prove an unlisted process ended.
 
 
@@ -260,10 +261,11 @@
             if item.call != result.call:
                 continue
             item.call = 0
-            if kind == "grant":
-                self._take_grant(item, result, lease_ms, now_ms)
-            else:
+            if kind == RELEASE:
                 self._take_release(item, result, now_ms)
+            else:
+                is_fencing = kind == FENCING
+                self._take_grant(item, result, lease_ms, is_fencing, now_ms)
 
     def take_recorded(self, is_recorded: bool) -> None:
         """Takes the end of the record that was asked for."""
@@ -309,7 +311,12 @@
         return is_adjacent and is_same and is_calm(left) and is_calm(right)
 
     def _take_grant(
-        self, item: _Range, result: CallResult, lease_ms: float, now_ms: float
+        self,
+        item: _Range,
+        result: CallResult,
+        lease_ms: float,
+        is_fencing: bool,
+        now_ms: float,
     ) -> None:
         longest_ms = now_ms + self._longest_ms(lease_ms)
         if result.outcome == "done":
@@ -318,8 +325,9 @@
             item.lease_end_ms = max(item.lease_end_ms, longest_ms)
             item.next_call_ms = now_ms + self._timings.renew_ms
             if item.is_leaving:
-                item.unanswered_until_ms = -math.inf
                 item.next_call_ms = now_ms
+            if is_fencing:
+                item.unanswered_until_ms = -math.inf
             return
         item.next_call_ms = now_ms + RETRY_MS
         if result.outcome == "fenced":
@@ -377,7 +385,8 @@
         self._calls += 1
         item.call = self._calls
         item.address = address
-        self._pending[self._calls] = ([item], lease_ms, "grant")
+        kind = FENCING if item.is_leaving else GRANT
+        self._pending[self._calls] = ([item], lease_ms, kind)
         owned = item.owned
         return GrantCall(
             self._calls,
@@ -401,7 +410,7 @@
                 continue
             self._calls += 1
             item.call = self._calls
-            self._pending[self._calls] = ([item], 0.0, "release")
+            self._pending[self._calls] = ([item], 0.0, RELEASE)
             owned = item.owned
             actions.append(
                 ReleaseCall(
@@ -421,7 +430,8 @@
             owner = self._owners.get(item.owned.owner)
             is_other_life = self._is_other_life(item)
             is_ended = owner is None and item.refusals >= REFUSED_PROOF
-            is_lapsed = item.is_leaving and now_ms >= item.lease_end_ms
+            is_quiet = item.is_leaving and not item.call
+            is_lapsed = is_quiet and now_ms >= item.lease_end_ms
             if is_other_life or is_ended or is_lapsed:
                 item.is_free = True
                 item.is_leaving = True
--- /dev/null
+++ b/tests/core/gateway/conftest.py
@@ -0,0 +1,41 @@
+"""Fixtures for the gateway's decisions."""
+
+from __future__ import annotations
+
+import pytest
+
+from skylarktrail.core.gateway.model import InstanceEntry, Part, Route
+
+
+@pytest.fixture
+def make_route():
+    """Returns a function that builds a route with some fields changed."""
+
+    def make(**changes) -> Route:
+        route = Route(
+            "r-stock",
+            "shop.example",
+            "/stock/",
+            True,
+            (Part("stock", 1.0),),
+            2,
+            1200.0,
+            300.0,
+            1,
+        )
+        return route._replace(**changes)
+
+    return make
+
+
+@pytest.fixture
+def make_entry():
+    """Returns a function that builds an instance's entry."""
+
+    def make(instance="i-1", **changes) -> InstanceEntry:
+        entry = InstanceEntry(
+            instance, "stock", "10.0.0.1:80", "east", 3, False, 0.0, 1000, 1
+        )
+        return entry._replace(**changes)
+
+    return make
--- /dev/null
+++ b/tests/core/gateway/test_bounds.py
@@ -0,0 +1,76 @@
+"""Tests of what is bounded over all daemons together: repeats and cold instances."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from skylarktrail.core.gateway.budget import RepeatBudget, TokenBucket
+from skylarktrail.core.gateway.cold import cold_rate_per_s, shared_rate_per_s
+from skylarktrail.core.gateway.retry_after import retry_after_ms
+from skylarktrail.core.gateway.scheduler import BURST_COLD
+
+DAEMONS = frozenset(f"d{number}" for number in range(67))
+COLD_PER_S = 11.0
+COLD_BOUND = COLD_PER_S * 1.5 + 5
+
+
+@given(st.lists(st.tuples(st.integers(0, 200), st.booleans()), max_size=300))
+def test_repeats_stay_within_ratio_and_extra_in_every_window(events):
+    budget = RepeatBudget(10_000.0, 0.2, 3.0)
+    firsts, repeats, now_ms = [], [], 0.0
+    for pause_ms, is_repeat in events:
+        now_ms += pause_ms
+        if not is_repeat:
+            budget.note_first(now_ms)
+            firsts.append(now_ms)
+        elif budget.take(now_ms):
+            repeats.append(now_ms)
+        recent = [at for at in repeats if at > now_ms - 10_000]
+        asked = [at for at in firsts if at > now_ms - 10_000]
+        assert len(recent) <= 0.2 * len(asked) + 3 + 1e-9
+
+
+def test_all_daemons_together_stay_within_what_a_cold_instance_bears():
+    rates = [cold_rate_per_s(DAEMONS, name, "i-1", COLD_PER_S) for name in DAEMONS]
+    using = [rate for rate in rates if rate]
+    assert sum(using) <= COLD_PER_S
+    assert sum(using) + BURST_COLD * len(using) <= COLD_BOUND
+
+
+def test_cold_instances_are_used_by_different_daemons():
+    users = {
+        name
+        for number in range(20)
+        for name in DAEMONS
+        if cold_rate_per_s(DAEMONS, name, f"i-{number}", COLD_PER_S)
+    }
+    assert len(users) > 20
+
+
+def test_shared_rate_adds_up_to_less_than_the_declared_one():
+    assert shared_rate_per_s(DAEMONS, COLD_PER_S) * len(DAEMONS) < COLD_PER_S
+
+
+def test_bucket_allows_its_rate_and_burst_only():
+    bucket = TokenBucket(2.0, 1.0, 0.0)
+    taken = sum(bucket.take(at_ms) for at_ms in range(0, 1000, 10))
+    assert taken <= 3
+
+
+@given(
+    left_ms=st.floats(1, 5000),
+    backlog_ms=st.floats(0, 10_000),
+    target_ms=st.floats(50, 1000),
+    draw=st.floats(0, 0.999),
+)
+def test_callers_return_within_the_part_of_their_time_that_they_heed(
+    left_ms, backlog_ms, target_ms, draw
+):
+    wait_ms = retry_after_ms(left_ms, backlog_ms, target_ms, draw)
+    assert 0 <= wait_ms <= left_ms / 3
+
+
+def test_callers_refused_together_return_spread():
+    waits = {retry_after_ms(1000, 5000, 300, draw / 10) for draw in range(10)}
+    assert max(waits) - min(waits) > 75
--- /dev/null
+++ b/tests/core/gateway/test_fleet.py
@@ -0,0 +1,83 @@
+"""Tests of what a daemon believes of instances."""
+
+from __future__ import annotations
+
+from skylarktrail.core.gateway.fleet import RETURN_MS, Fleet
+from skylarktrail.core.gateway.instance import Instance
+from skylarktrail.core.gateway.model import LoadReport
+
+
+def changes_of(changes):
+    return [(item.instance, item.change) for item in changes]
+
+
+def test_instances_join_drain_and_go(make_entry):
+    fleet = Fleet()
+    assert changes_of(fleet.merge([make_entry()], 0.0)) == [("i-1", "joined")]
+    leaving = make_entry(is_draining=True, sequence=2)
+    assert changes_of(fleet.merge([leaving], 1.0)) == [("i-1", "draining")]
+    assert changes_of(fleet.merge([], 2.0)) == [("i-1", "gone")]
+    assert fleet.of_service("stock") == []
+
+
+def test_a_new_life_under_an_old_identifier_starts_anew(make_entry):
+    fleet = Fleet()
+    fleet.merge([make_entry(sequence=90)], 0.0)
+    fleet.find("i-1").in_flight = 2
+    reborn = make_entry(sequence=1, born_ms=5000)
+    assert changes_of(fleet.merge([reborn], 1.0)) == [("i-1", "reborn")]
+    assert fleet.find("i-1").in_flight == 0
+
+
+def test_an_entry_of_a_former_life_is_left_out(make_entry):
+    fleet = Fleet()
+    fleet.merge([make_entry(born_ms=5000)], 0.0)
+    fleet.merge([make_entry(born_ms=1000, sequence=99)], 1.0)
+    assert fleet.find("i-1").entry.born_ms == 5000
+
+
+def test_entries_lost_during_an_outage_of_the_store_are_kept_until_they_return(
+    make_entry,
+):
+    fleet = Fleet()
+    fleet.merge([make_entry()], 0.0)
+    fleet.note_outage(1000.0)
+    assert fleet.merge([], 1000.0 + RETURN_MS - 1) == []
+    assert changes_of(fleet.merge([], 1000.0 + RETURN_MS)) == [("i-1", "gone")]
+
+
+def test_cold_time_counts_from_the_entry_that_said_it(make_entry):
+    fleet = Fleet()
+    fleet.merge([make_entry(cold_ms=3000.0)], 0.0)
+    instance = fleet.find("i-1")
+    fleet.merge([make_entry(cold_ms=3000.0)], 900.0)
+    assert instance.is_cold(2999.0)
+    assert not instance.is_cold(3000.0)
+
+
+def test_load_of_other_daemons_fades(make_entry):
+    instance = Instance(make_entry(), 0.0)
+    instance.in_flight = 1
+    instance.note_report(LoadReport(3, 2, 3, 2.0), 100.0)
+    assert instance.occupancy(100.0) == 5
+    assert instance.pace(100.0) == 2.0
+    assert 1 < instance.occupancy(1000.0) < 2
+    assert instance.pace(2000.0) < 1.01
+
+
+def test_pauses_after_failed_connections_grow_and_end_with_an_answer(make_entry):
+    instance = Instance(make_entry(), 0.0)
+    instance.suspend(0.0)
+    assert instance.is_suspended(399.0) and not instance.is_suspended(400.0)
+    instance.suspend(400.0)
+    assert instance.is_suspended(1199.0)
+    instance.note_success(1.0)
+    assert not instance.is_suspended(1199.0)
+
+
+def test_samples_are_taken_once(make_entry):
+    instance = Instance(make_entry(), 0.0)
+    instance.note_success(1.5)
+    instance.note_failure()
+    assert instance.take_sample() == (1, 1.5, 1)
+    assert not instance.has_sample()
--- /dev/null
+++ b/tests/core/gateway/test_ranges.py
@@ -0,0 +1,166 @@
+"""Tests of key ranges, the load curve and the plan of moves."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from skylarktrail.core.gateway.key_load import KeyLoad, LoadCurve
+from skylarktrail.core.gateway.model import HASHES
+from skylarktrail.core.gateway.planner import Holding, plan_moves
+from skylarktrail.core.gateway.ranges import (
+    OwnedRange,
+    OwnerTable,
+    coalesce,
+    find_gaps,
+)
+from skylarktrail.core.gateway.shared import (
+    GRANTER_KEY,
+    MEMBER_PREFIX,
+    OWNERS_PREFIX,
+    GranterRecord,
+    Member,
+    SharedState,
+    encode_granter,
+    encode_member,
+    encode_owners,
+)
+
+NAMES = [f"i-{number}" for number in range(13)]
+EVEN = LoadCurve({}, 1.0, 0.0)
+
+
+def apply(holdings, moves):
+    """Returns the owner of each block of eight hashes after the moves."""
+    owners = {}
+    for item in [*holdings, *moves]:
+        for key_hash in range(item.first + -item.first % 8, item.last + 1, 8):
+            owners[key_hash] = item.owner
+    return owners
+
+
+def loads_of(owners, curve):
+    loads = dict.fromkeys(NAMES, 0.0)
+    for key_hash, owner in owners.items():
+        loads[owner] = loads.get(owner, 0.0) + curve.between(key_hash, key_hash + 7)
+    return loads
+
+
+def equal_holdings():
+    step = HASHES // len(NAMES)
+    firsts = [number * step for number in range(len(NAMES))]
+    lasts = [first - 1 for first in firsts[1:]] + [HASHES - 1]
+    return [Holding(*item) for item in zip(firsts, lasts, NAMES)]
+
+
+def test_neighbours_of_one_owner_are_joined():
+    ranges = [
+        OwnedRange(5, 9, "a", 1),
+        OwnedRange(0, 4, "a", 1),
+        OwnedRange(10, 11, "a", 2),
+    ]
+    assert coalesce(ranges) == [OwnedRange(0, 9, "a", 1), OwnedRange(10, 11, "a", 2)]
+
+
+def test_owner_of_a_hash():
+    table = OwnerTable([OwnedRange(10, 19, "a", 1), OwnedRange(30, 39, "b", 1)])
+    assert table.find(19).owner == "a"
+    assert table.find(20) is None
+    assert table.find(5) is None
+    assert find_gaps([(10, 19), (30, HASHES - 1)]) == [(0, 9), (20, 29)]
+
+
+def test_a_new_site_is_dealt_to_all_instances():
+    moves = plan_moves([Holding(0, HASHES - 1, "")], dict.fromkeys(NAMES, 1.0), EVEN)
+    loads = loads_of(apply([], moves), EVEN)
+    assert max(loads.values()) < 1.15 * min(loads.values())
+
+
+def test_a_hot_range_is_cut_and_spread():
+    """Load pattern: 40% of the requests are for 200 hashes side by side."""
+    load = KeyLoad()
+    load.add({30_000 + number: 2 for number in range(200)}, 0.0)
+    load.add({number * 109: 1 for number in range(600)}, 0.0)
+    curve = load.curve(0.0)
+    holdings = equal_holdings()
+    capacities = dict.fromkeys(NAMES, 1.0)
+    before = loads_of(apply(holdings, []), curve)
+    assert max(before.values()) > 4 / len(NAMES)
+    moves = plan_moves(holdings, capacities, curve)
+    after = loads_of(apply(holdings, moves), curve)
+    assert max(after.values()) < 1.5 / len(NAMES)
+
+
+def test_chance_alone_moves_nothing():
+    load = KeyLoad()
+    load.add({number * 655: 1 for number in range(100)}, 0.0)
+    capacities = dict.fromkeys(NAMES, 1.0)
+    assert plan_moves(equal_holdings(), capacities, load.curve(0.0)) == []
+
+
+def test_added_instances_get_keys():
+    capacities = dict.fromkeys([*NAMES, "new-1", "new-2"], 1.0)
+    moves = plan_moves(equal_holdings(), capacities, EVEN)
+    assert {move.owner for move in moves} >= {"new-1", "new-2"}
+
+
+def test_a_slow_instance_gets_less():
+    capacities = dict.fromkeys(NAMES, 1.0) | {"i-3": 0.4}
+    moves = plan_moves(equal_holdings(), capacities, LoadCurve({}, 1.0, 500.0))
+    assert moves and all(move.owner != "i-3" for move in moves)
+
+
+def test_keys_of_a_lost_owner_go_to_several_others():
+    capacities = dict.fromkeys(NAMES[1:], 1.0)
+    moves = plan_moves(equal_holdings(), capacities, EVEN)
+    assert len({move.owner for move in moves}) >= 3
+
+
+@given(
+    st.dictionaries(st.integers(0, HASHES - 1), st.floats(0.1, 50), max_size=30),
+    st.floats(0, 1),
+)
+def test_curve_and_its_inverse_agree(counts, load):
+    curve = LoadCurve(counts, 0.1, sum(counts.values()))
+    found = curve.hash_at(load)
+    assert found == HASHES or curve.below(found) >= load - 1e-9
+    assert found == 0 or curve.below(found - 1) < load + 1e-9
+
+
+@given(
+    st.dictionaries(st.integers(0, HASHES - 1), st.integers(1, 50), max_size=40),
+    st.lists(st.sampled_from(["", *NAMES]), min_size=1, max_size=20),
+    st.sets(st.sampled_from(NAMES), min_size=1),
+)
+def test_moves_go_to_usable_instances_and_do_not_overlap(counts, owners, usable):
+    load = KeyLoad()
+    load.add(counts, 0.0)
+    step = HASHES // len(owners)
+    edges = [number * step for number in range(len(owners))] + [HASHES]
+    holdings = [
+        Holding(low, high - 1, owner)
+        for low, high, owner in zip(edges, edges[1:], owners)
+    ]
+    moves = plan_moves(holdings, dict.fromkeys(usable, 1.0), load.curve(0.0))
+    spans = sorted((move.first, move.last) for move in moves)
+    assert all(first <= last for first, last in spans)
+    assert all(a[1] < b[0] for a, b in zip(spans, spans[1:]))
+    assert {move.owner for move in moves} <= usable
+
+
+def test_shared_records_are_folded_in_order():
+    state = SharedState()
+    ranges = [OwnedRange(0, 99, "a", 7)]
+    state.apply(
+        [
+            (MEMBER_PREFIX + "d1", encode_member(Member("p1", "10.0.0.1:1"))),
+            (MEMBER_PREFIX + "d2", encode_member(Member("p2", ""))),
+            (GRANTER_KEY, encode_granter(GranterRecord("d1", "p1", 3))),
+            (OWNERS_PREFIX + "stock", encode_owners(ranges)),
+        ],
+        True,
+    )
+    assert state.granter == GranterRecord("d1", "p1", 3)
+    assert state.owners["stock"].ranges == ranges
+    state.apply([(MEMBER_PREFIX + "d2", b"")], False)
+    assert state.members == {"d1": Member("p1", "10.0.0.1:1")}
--- /dev/null
+++ b/tests/core/gateway/world.py
@@ -0,0 +1,206 @@
+"""Instances, granters and messages between them, in simulated time."""
+
+from __future__ import annotations
+
+import random
+
+from skylarktrail.core.gateway.granter import (
+    CallResult,
+    GrantCall,
+    Granter,
+    Owner,
+    RecordWanted,
+    Timings,
+)
+from skylarktrail.core.gateway.key_load import LoadCurve
+from skylarktrail.core.gateway.ranges import OwnerTable
+
+TIMINGS = Timings()
+SLOW_CLOCK = 1.02  # An instance's clock may run this much slow.
+STEP_MS = 50.0
+LATE_MS = (2000, 12_000)
+EVEN = LoadCurve({}, 1.0, 0.0)
+PROBES = range(0, 1 << 16, 997)
+
+
+class Server:
+    """An instance that holds key ranges."""
+
+    def __init__(self, name: str, born_ms: int) -> None:
+        self.name = name
+        self.born_ms = born_ms
+        self.is_up = True
+        self.is_listed = True
+        self.holds: list[tuple[int, int, int, float]] = []
+        self.fences: list[tuple[int, int, int]] = []
+
+    def seen_fence(self, key_hash: int) -> int:
+        """Returns the highest fence that it has seen for a hash."""
+        fences = [f for first, last, f in self.fences if first <= key_hash <= last]
+        return max(fences, default=0)
+
+    def grant(self, call: GrantCall, arrived_ms: float, now_ms: float) -> str:
+        """Takes a grant that arrived at a time, perhaps earlier."""
+        overlapping = [
+            f
+            for first, last, f in self.fences
+            if first <= call.last and last >= call.first
+        ]
+        if max(overlapping, default=0) > call.fence:
+            return "fenced"
+        self.fences.append((call.first, call.last, call.fence))
+        end_ms = arrived_ms + call.lease_ms * SLOW_CLOCK
+        if end_ms > now_ms:
+            self.holds.append((call.first, call.last, call.fence, end_ms))
+        return "done"
+
+    def release(self, first: int, last: int, fence: int) -> None:
+        """Stops holding a range that was granted with this fence or a lower one."""
+        kept = []
+        for low, high, held, end_ms in self.holds:
+            if held > fence or high < first or low > last:
+                kept.append((low, high, held, end_ms))
+                continue
+            if low < first:
+                kept.append((low, first - 1, held, end_ms))
+            if high > last:
+                kept.append((last + 1, high, held, end_ms))
+        self.holds = kept
+
+    def holds_hash(self, key_hash: int, now_ms: float) -> bool:
+        """Tells whether it serves a hash."""
+        return self.is_up and any(
+            first <= key_hash <= last and now_ms < end_ms
+            for first, last, _, end_ms in self.holds
+        )
+
+
+class Seat:
+    """A daemon that grants, with what it can reach."""
+
+    def __init__(self, number: int, granter: Granter, now_ms: float) -> None:
+        self.number = number
+        self.granter = granter
+        self.confirmed_ms = now_ms
+        self.reaches_store = True
+        self.unreached: set[str] = set()
+
+
+class World:
+    """A keyed service under faults; checks that each hash has one holder."""
+
+    def __init__(self, servers: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now_ms = 0.0
+        self.servers = {f"s{n}": Server(f"s{n}", 1) for n in range(servers)}
+        self.record = OwnerTable()
+        self.term = 0
+        self.seats: list[Seat] = []
+        self.late: list[tuple[float, float, Server, int, GrantCall]] = []
+        self.lost_answers = 0.0
+        self.late_share = 0.0
+        self.take_over()
+
+    def take_over(self) -> None:
+        """Lets a new daemon become the granter by the record."""
+        self.term += 1
+        has_rival = bool(self.seats)
+        granter = Granter(TIMINGS, self.term, self.record, self.now_ms, has_rival)
+        self.seats.append(Seat(self.term, granter, self.now_ms))
+
+    def advance(self, duration_ms: float) -> None:
+        """Runs for a while and checks all the time."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += STEP_MS
+            self._apply_late()
+            for seat in self.seats:
+                self._run(seat)
+            self.check()
+
+    def check(self) -> None:
+        """Fails when two instances hold one hash."""
+        for key_hash in PROBES:
+            holders = [
+                server.name
+                for server in self.servers.values()
+                if server.holds_hash(key_hash, self.now_ms)
+            ]
+            assert len(holders) <= 1, (self.now_ms, key_hash, holders)
+
+    def unheld(self) -> int:
+        """Returns how many of the probed hashes nobody holds."""
+        return sum(
+            not any(s.holds_hash(key_hash, self.now_ms) for s in self.servers.values())
+            for key_hash in PROBES
+        )
+
+    def restart(self, name: str) -> None:
+        """Starts a new life under an identifier."""
+        born_ms = int(self.now_ms) + 2
+        self.servers[name] = Server(name, born_ms)
+
+    def _run(self, seat: Seat) -> None:
+        is_latest = seat is self.seats[-1]
+        if seat.reaches_store:
+            seat.confirmed_ms = self.now_ms
+            if not is_latest:
+                return
+        if self.now_ms - seat.confirmed_ms > TIMINGS.authority_ms:
+            return
+        owners = self._owners(seat)
+        if not owners:
+            return
+        actions = seat.granter.step(owners, self.now_ms)
+        if seat.granter.has_orphans() or self.random.random() < 0.1:
+            seat.granter.rebalance(EVEN, True)
+        actions += seat.granter.step(owners, self.now_ms)
+        if self.random.random() < 0.1:
+            seat.granter.merge_neighbours(self.now_ms)
+        for action in actions:
+            self._do(seat, action)
+
+    def _owners(self, seat: Seat) -> dict[str, Owner]:
+        return {
+            server.name: Owner(
+                server.name,
+                server.name,
+                server.born_ms,
+                server.name not in seat.unreached,
+            )
+            for server in self.servers.values()
+            if server.is_listed
+        }
+
+    def _do(self, seat: Seat, action) -> None:
+        if isinstance(action, RecordWanted):
+            is_recorded = seat is self.seats[-1] and seat.reaches_store
+            if is_recorded:
+                self.record = OwnerTable(action.ranges)
+            seat.granter.take_recorded(is_recorded)
+            return
+        server = self.servers[action.instance]
+        outcome = "silent"
+        if action.instance in seat.unreached or not server.is_up:
+            outcome = "unsent"
+        elif isinstance(action, GrantCall):
+            outcome = self._deliver_grant(server, action)
+        else:
+            server.release(action.first, action.last, action.fence)
+            outcome = "done"
+        if outcome != "unsent" and self.random.random() < self.lost_answers:
+            outcome = "silent"
+        seat.granter.take_result(CallResult(action.call, outcome), self.now_ms)
+
+    def _deliver_grant(self, server: Server, call: GrantCall) -> str:
+        if self.random.random() < self.late_share:
+            at_ms = self.now_ms + self.random.uniform(*LATE_MS)
+            self.late.append((at_ms, self.now_ms, server, server.born_ms, call))
+            return "silent"
+        return server.grant(call, self.now_ms, self.now_ms)
+
+    def _apply_late(self) -> None:
+        due = [item for item in self.late if item[0] <= self.now_ms]
+        self.late = [item for item in self.late if item[0] > self.now_ms]
+        for _, arrived_ms, server, _, call in due:
+            server.grant(call, arrived_ms, self.now_ms)
