End a drained daemon without breaking off the last request

Ruled out: the silence limit, which does not apply while draining. Change: from the last moment on requests are refused as not run; the process ends when those before are answered and sent.

--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -28,6 +28,7 @@
 SILENT_PART = 0.5  # Part of the time left after which an idempotent try is given up.
 SENDS_MAX = 6  # Tries of one request, refused ones included.
 START_RETRY_MS = 200.0  # A daemon that starts knows its configuration soon after.
+CLOSED_RETRY_MS = 20.0  # Another daemon takes the request at once.
 MISDIRECTED = 421
 PROMISES = frozenset((408, MISDIRECTED, 429, 503))  # Statuses that mean "not run".
 BODILESS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
@@ -110,6 +111,7 @@
 
     Attributes:
         is_draining: Whether the daemon shuts down.
+        is_closed: Whether it takes no further request, as it ends in a moment.
     """
 
     def __init__(
@@ -131,6 +133,7 @@
         self._lock = threading.Lock()
         self._open = 0
         self.is_draining = False
+        self.is_closed = False
 
     @property
     def open_requests(self) -> int:
@@ -149,6 +152,9 @@
 
     def _handle(self, request: CallerRequest) -> Reply:
         marks = self._wire.read_caller(request.headers)
+        if self.is_closed:
+            problem = _refuse(caller_codes.DRAINING, CLOSED_RETRY_MS)
+            return self._note_unrouted(request, marks, problem)
         if self._site.table is None:
             problem = _refuse(caller_codes.NOT_CONFIGURED, START_RETRY_MS)
             return self._note_unrouted(request, marks, problem)
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -44,7 +44,9 @@
 KEPT_DESCRIPTORS = 400  # For the store, the instances and the library's files.
 BODY_BYTES = 64 << 20
 UNREADY_MS = 3000.0  # Two health checks a second apart, and one in between.
-IDLE_MS = 300.0
+CLOSED_MS = 500.0  # Time for the last requests, with no new ones beside them.
+LOOK_S = 0.03
+FLUSH_S = 0.1  # The last answers leave the buffers.
 KILL_MARGIN_MS = 700.0  # Left of the grace for the last answers to go out.
 
 
@@ -124,14 +126,13 @@
         self._router.is_draining = True
         self._candidacy.withdraw()
         end_ms = started_ms + self._bounds.grace_s * 1000 - KILL_MARGIN_MS
-        busy_ms = now_ms()
-        while now_ms() < end_ms:
-            if self._router.open_requests:
-                busy_ms = now_ms()
-            is_idle = now_ms() - busy_ms >= IDLE_MS
-            if is_idle and now_ms() - started_ms >= UNREADY_MS:
-                break
-            time.sleep(0.05)
+        _sleep_until(min(end_ms, started_ms + UNREADY_MS))
+        while self._router.open_requests and now_ms() < end_ms - CLOSED_MS:
+            time.sleep(LOOK_S)
+        self._router.is_closed = True
+        while self._router.open_requests and now_ms() < end_ms:
+            time.sleep(LOOK_S)
+        time.sleep(FLUSH_S)
         self._stop()
 
     def is_ready(self) -> bool:
@@ -254,3 +255,7 @@
             "Connections opened to instances.",
             lambda: self._connections.opened,
         )
+
+
+def _sleep_until(end_ms: float) -> None:
+    time.sleep(max(0.0, end_ms - now_ms()) / 1000)
