--- /dev/null
+++ b/demo/gateway_site.py
@@ -0,0 +1,290 @@
+"""A site of gateways as processes: the store, instances, and daemons before them."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from pathlib import Path
+from typing import Any, Callable, NamedTuple
+
+import urllib3
+
+from .ports import Ports
+from .process import Process, kill_all
+
+HOST_NAME = "shop.example"
+START_S = 15.0
+STEP_S = 0.05
+DEADLINE_MS = 3000
+KEYS = 1 << 16
+
+
+class Kind(NamedTuple):
+    """A kind of request.
+
+    Attributes:
+        name: Its name, also the first part of its path.
+        service: Service that runs it.
+        is_keyed: Whether it carries a key.
+        is_idempotent: Whether it may run more than once.
+    """
+
+    name: str
+    service: str
+    is_keyed: bool
+    is_idempotent: bool
+
+
+KINDS = (
+    Kind("stock", "catalogo", True, True),
+    Kind("booking", "carga", False, False),
+)
+ZONES = ("heredia", "alajuela")
+
+
+class Reply(NamedTuple):
+    """What a client got.
+
+    Attributes:
+        request_id: Identifier of its attempt.
+        status: HTTP status; 0 for none.
+        body: Whole body.
+        is_signed: Whether an instance made the answer.
+        took_ms: Time until the answer.
+    """
+
+    request_id: str
+    status: int
+    body: str
+    is_signed: bool
+    took_ms: float
+
+
+class GatewaySite:
+    """Processes of one site; a context manager that ends all of them.
+
+    Args:
+        directory: Where settings and output are written.
+        gateways: Number of daemons.
+        instances: Number of instances of each service.
+        route: Returns the address by which one side reaches another, given the names
+            of both and the address of the second; faults are put in between by it.
+    """
+
+    def __init__(
+        self,
+        directory: Path,
+        gateways: int = 3,
+        instances: int = 4,
+        route: Callable[[str, str, str], str] = lambda source, target, address: address,
+    ) -> None:
+        self._directory = directory
+        self._ports = Ports()
+        self._route = route
+        self.random = random.Random(1)
+        self.version = 0
+        self.zones_out: set[str] = set()
+        self.store_address = self._ports.address()
+        self.store = self._process(
+            "store", "standins.platform.store", ["--address", self.store_address]
+        )
+        self.instances: dict[str, Process] = {}
+        self.instance_addresses: dict[str, str] = {}
+        self._add_instances(instances)
+        self.gateways: dict[str, Process] = {}
+        self.caller_addresses: dict[str, str] = {}
+        self.ready_addresses: dict[str, str] = {}
+        for number in range(gateways):
+            self._add_gateway(f"d{number + 1}", ZONES[number % len(ZONES)])
+        self._pool = urllib3.PoolManager(num_pools=64, maxsize=16, retries=False)
+
+    def __enter__(self) -> GatewaySite:
+        self.store.start()
+        self.wait_for(self.store_address, "/calls")
+        self.publish()
+        for process in [*self.instances.values(), *self.gateways.values()]:
+            process.start()
+        for address in self.ready_addresses.values():
+            self.wait_for(address, "/ready")
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        kill_all([*self.gateways.values(), *self.instances.values(), self.store])
+
+    def wait_for(self, address: str, path: str, timeout_s: float = START_S) -> None:
+        """Waits until an address answers 200.
+
+        Raises:
+            TimeoutError: It does not.
+        """
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end:
+            if self.get(address, path).status == 200:
+                return
+            time.sleep(STEP_S)
+        raise TimeoutError(f"{address}{path}")
+
+    def get(self, address: str, path: str) -> Reply:
+        """Asks a process itself."""
+        return self._send("GET", f"http://{address}{path}", {}, b"", 1.0)
+
+    def control(self, address: str, **values: Any) -> None:
+        """Sets switches of a stand-in."""
+        self._send(
+            "POST", f"http://{address}/control", {}, json.dumps(values).encode(), 2.0
+        )
+
+    def publish(self, **changes: Any) -> int:
+        """Writes a new configuration; returns its version."""
+        self.version += 1
+        value = make_configuration(self.version) | changes
+        self._put("keyed.op", "config", value)
+        return self.version
+
+    def take_out(self, zone: str, is_out: bool) -> None:
+        """Takes a zone out or back."""
+        self._put("keyed.op", f"evacuate/{zone}", {} if is_out else None)
+        (self.zones_out.add if is_out else self.zones_out.discard)(zone)
+
+    def request(
+        self, kind: Kind, gateway: str, key: int | None = None, keep: bool = True
+    ) -> Reply:
+        """Sends a request of a client."""
+        request_id = f"{self.random.getrandbits(64):016x}"
+        headers = {
+            "Host": HOST_NAME,
+            "Request-Id": request_id,
+            "Deadline-Ms": str(DEADLINE_MS),
+        }
+        if kind.is_keyed:
+            number = self.random.randrange(KEYS) if key is None else key
+            headers["Shard-Key"] = str(number)
+        if not keep:
+            headers["Connection"] = "close"
+        method = "GET" if kind.is_idempotent else "POST"
+        url = f"http://{self.caller_addresses[gateway]}/{kind.name}/x"
+        return self._send(method, url, headers, b"", DEADLINE_MS / 1000 + 1)
+
+    def runs(self) -> dict[str, int]:
+        """Returns how often each request has run, over all instances that answer."""
+        total: dict[str, int] = {}
+        for address in self.instance_addresses.values():
+            reply = self.get(address, "/runs")
+            if reply.status == 200:
+                for name, count in json.loads(reply.body).items():
+                    total[name] = total.get(name, 0) + count
+        return total
+
+    def owners_by_key(self) -> dict[int, list[str]]:
+        """Returns which instances hold each of some keys now."""
+        holders: dict[int, list[str]] = {key: [] for key in range(0, KEYS, 4099)}
+        for name, address in self.instance_addresses.items():
+            reply = self.get(address, "/ranges")
+            if reply.status != 200:
+                continue
+            for first, last, _, left_ms in json.loads(reply.body):
+                for key in holders:
+                    if first <= key <= last and left_ms > 0:
+                        holders[key].append(name)
+        return holders
+
+    def events(self, event: str) -> list[dict[str, Any]]:
+        """Returns the log lines of all daemons about one kind of event."""
+        found = []
+        for process in self.gateways.values():
+            for line in process.output().splitlines():
+                if line.startswith("{") and f'"{event}"' in line:
+                    found.append(json.loads(line))
+        return found
+
+    def _put(self, topic: str, key: str, value: Any) -> None:
+        body = json.dumps({"topic": topic, "key": key, "value": value}).encode()
+        self._send("POST", f"http://{self.store_address}/operator/put", {}, body, 2.0)
+
+    def _send(
+        self, method: str, url: str, headers: dict[str, str], body: bytes, timeout_s
+    ) -> Reply:
+        started = time.monotonic()
+        name = headers.get("Request-Id", "")
+        try:
+            answer = self._pool.request(
+                method, url, headers=headers, body=body, timeout=timeout_s
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            took_ms = (time.monotonic() - started) * 1000
+            return Reply(name, 0, "", False, took_ms)
+        took_ms = (time.monotonic() - started) * 1000
+        is_signed = "Response-Signature" in answer.headers
+        text = answer.data.decode(errors="replace")
+        return Reply(name, answer.status, text, is_signed, took_ms)
+
+    def _add_instances(self, count: int) -> None:
+        for kind in KINDS:
+            for number in range(count):
+                name = f"{kind.service}-{number + 1}"
+                address = self._ports.address()
+                self.instance_addresses[name] = address
+                arguments = [
+                    *("--name", name, "--service", kind.service),
+                    *("--address", address, "--zone", ZONES[number % len(ZONES)]),
+                    *("--store", self._route(name, "store", self.store_address)),
+                ]
+                if kind.is_keyed:
+                    arguments.append("--keyed")
+                self.instances[name] = self._process(
+                    name, "standins.platform.instance", arguments
+                )
+
+    def _add_gateway(self, name: str, zone: str) -> None:
+        self.caller_addresses[name] = self._ports.address()
+        self.ready_addresses[name] = self._ports.address()
+        settings = {
+            "kind": "gateway",
+            "daemon": name,
+            "zone": zone,
+            "caller_address": self.caller_addresses[name],
+            "ready_address": self.ready_addresses[name],
+            "peer_address": self._ports.address(),
+            "store": {"address": self._route(name, "store", self.store_address)},
+        }
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.gateways[name] = self._process(
+            name, "skylarktrail", ["--settings", str(path)]
+        )
+
+    def _process(self, name: str, module: str, arguments: list[str]) -> Process:
+        return Process(name, module, arguments, self._directory)
+
+
+def make_configuration(version: int) -> dict[str, Any]:
+    """Returns the operators' configuration of the site."""
+    return {
+        "configVersion": f"{version:08x}",
+        "services": [
+            {"name": kind.service, "sharded": kind.is_keyed, "maxConnections": 110}
+            for kind in KINDS
+        ],
+        "limits": {},
+        "hosts": [
+            {
+                "hostname": HOST_NAME,
+                "paths": [
+                    {
+                        "name": f"r-{kind.name}",
+                        "pathPrefix": f"/{kind.name}/",
+                        "routeType": (
+                            "idempotent" if kind.is_idempotent else "non_idempotent"
+                        ),
+                        "timeoutMs": 2500,
+                        "targetLatencyMs": 400,
+                        "priority": 1,
+                        "backend": kind.service,
+                        "maxAttempts": 2,
+                    }
+                    for kind in KINDS
+                ],
+            }
+        ],
+    }
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store and its instances."""
--- /dev/null
+++ b/tests/processes/test_gateway.py
@@ -0,0 +1,163 @@
+"""Tests of gateways as processes, with stand-ins for the store and the instances."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+
+import pytest
+
+from demo.gateway_site import KINDS, GatewaySite
+
+STOCK, BOOKING = KINDS
+SERVED_AGAIN_S = 5.0  # The target: a key is served again within 5 s of a loss.
+EVACUATED_S = 5.0
+CONFIG_S = 2.0
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    with GatewaySite(tmp_path_factory.mktemp("gateways")) as site:
+        wait_until(lambda: site.request(STOCK, "d1").status == 200)
+        yield site
+
+
+def wait_until(condition, timeout_s=15.0):
+    end = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < end, "it did not come about in time"
+        time.sleep(0.05)
+
+
+def is_served_by_all(site, kind):
+    return all(site.request(kind, name).status == 200 for name in site.gateways)
+
+
+def granter_of(site):
+    events = site.events("granter_begins")
+    return max(events, key=lambda item: item["term"])["daemon"] if events else None
+
+
+def test_every_key_is_served_by_every_daemon(site):
+    for key in range(0, 1 << 16, 8191):
+        for name in site.gateways:
+            reply = site.request(STOCK, name, key)
+            assert reply.status == 200 and reply.is_signed
+            assert reply.body.startswith(reply.request_id)
+
+
+def test_each_key_has_one_owner(site):
+    wait_until(lambda: all(len(names) == 1 for names in site.owners_by_key().values()))
+
+
+def test_an_order_runs_once(site):
+    replies = [site.request(BOOKING, "d1") for _ in range(20)]
+    runs = site.runs()
+    assert [runs[reply.request_id] for reply in replies] == [1] * 20
+
+
+def test_unknown_paths_are_refused(site):
+    address = site.caller_addresses["d1"]
+    assert site.get(address, "/nothing/").status == 404
+
+
+def test_a_configuration_is_in_force_everywhere_soon(site):
+    site.publish(hosts=[])
+    wait_until(lambda: site.request(STOCK, "d2").status == 404, CONFIG_S)
+    site.publish()
+    wait_until(lambda: is_served_by_all(site, STOCK), CONFIG_S)
+
+
+def test_metrics_are_served(site):
+    text = site.get(site.ready_addresses["d1"], "/metrics").body
+    assert "skylarktrail_answers_total" in text
+    assert "skylarktrail_request_seconds_bucket" in text
+
+
+def test_a_line_for_each_request_explains_it(site):
+    reply = site.request(STOCK, "d1", 77)
+    wait_until(
+        lambda: any(
+            item["request"] == reply.request_id
+            for item in site.events("request_answered")
+        )
+    )
+    line = [
+        item
+        for item in site.events("request_answered")
+        if item["request"] == reply.request_id
+    ][0]
+    assert line["key_hash"] == 77 and line["attempts"][0][1] == "ANSWERED"
+
+
+def test_a_zone_that_is_taken_out_gets_no_work(site):
+    site.take_out("alajuela", True)
+    wait_until(lambda: is_served_by_all(site, STOCK), EVACUATED_S)
+    time.sleep(EVACUATED_S)
+    before = {n: last_ms(site, n) for n in site.instances if n.endswith(("2", "4"))}
+    for _ in range(30):
+        assert site.request(STOCK, "d1").status == 200
+        assert site.request(BOOKING, "d2").status == 200
+    assert before == {n: last_ms(site, n) for n in before}
+    site.take_out("alajuela", False)
+
+
+def last_ms(site, name):
+    return json.loads(site.get(site.instance_addresses[name], "/last").body)["at_ms"]
+
+
+def test_keys_of_a_killed_server_are_served_again_within_the_target(site):
+    site.instances["catalogo-1"].kill()
+    time.sleep(SERVED_AGAIN_S)
+    for key in range(0, 1 << 16, 2039):
+        assert site.request(STOCK, "d1", key).status == 200
+    site.instances["catalogo-1"].start()
+
+
+def test_work_goes_on_when_the_granter_is_killed(site):
+    granter = granter_of(site)
+    site.gateways[granter].kill()
+    others = [name for name in site.gateways if name != granter]
+    wait_until(lambda: granter_of(site) != granter, SERVED_AGAIN_S)
+    for key in range(0, 1 << 16, 4099):
+        assert site.request(STOCK, others[0], key).status == 200
+    site.gateways[granter].start()
+    site.wait_for(site.ready_addresses[granter], "/ready")
+
+
+def test_requests_are_served_while_the_store_is_away(site):
+    site.control(site.store_address, mode="silent")
+    time.sleep(3.0)
+    statuses = {site.request(kind, "d1").status for kind in KINDS for _ in range(10)}
+    site.control(site.store_address, mode="up")
+    assert statuses == {200}
+    wait_until(lambda: is_served_by_all(site, STOCK))
+
+
+def test_a_shutdown_cuts_off_no_request(site):
+    process = site.gateways["d3"]
+    process.send(signal.SIGTERM)
+    started = time.monotonic()
+    replies = []
+    while process.is_running and time.monotonic() < started + 8:
+        replies.append(site.request(BOOKING, "d3"))
+    assert process.wait(1.0) == 0
+    cut = [reply for reply in replies if reply.status == 0]
+    runs = site.runs()
+    assert not [reply for reply in cut if runs.get(reply.request_id)]
+    assert len(replies) > 10
+    assert site.get(site.ready_addresses["d3"], "/ready").status != 200
+    process.start()
+    site.wait_for(site.ready_addresses["d3"], "/ready")
+
+
+def test_settings_with_faults_are_refused_with_their_path(tmp_path):
+    from demo.process import Process
+
+    path = tmp_path / "bad.json"
+    path.write_text(json.dumps({"kind": "gateway", "daemon": "d1"}))
+    process = Process("bad", "skylarktrail", ["--settings", str(path)], tmp_path)
+    process.start()
+    assert process.wait(10.0) == 1
+    assert "FIELD_MISSING" in process.output()
