Leave a granter at work alone, and ask former granters to end

Ruled out: the planner, which had named new owners at once. Changes: a candidate claims only when it does not hear the granter; a new granter asks former ones to end and waits for a second instead; a replaced process has ended; terms are remembered with the time of their successors. A granter that is refused for a higher fence stops until a read confirms it (it repeated 40 calls each 0.25 s before). From 2.9 s on requests are refused as not run, the rest is finished. Daemons that hear the granter read the operators' records when it has read news.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -109,15 +109,18 @@
 class _Range:
     """Hashes, their owner and what is known of the owner's lease."""
 
-    def __init__(self, owned: OwnedRange, address: str, lease_end_ms: float) -> None:
+    def __init__(
+        self, owned: OwnedRange, address: str, inherited_end_ms: float
+    ) -> None:
         self.owned = owned
         self.address = address
+        self.inherited_end_ms = inherited_end_ms
         self.fence = 0
         self.is_held = False
         self.is_leaving = False
         self.is_free = False
         self.unanswered_until_ms = -math.inf
-        self.lease_end_ms = lease_end_ms
+        self.lease_end_ms = -math.inf
         self.next_call_ms = 0.0
         self.call = 0
         self.refusals = 0
@@ -130,6 +133,7 @@
         self.fence = 0
         self.is_held = self.is_leaving = self.is_free = False
         self.unanswered_until_ms = self.lease_end_ms = -math.inf
+        self.inherited_end_ms = -math.inf
         self.next_call_ms = 0.0
         self.refusals = 0
         self.target = ""
@@ -141,10 +145,19 @@
     def part(self, first: int, last: int) -> _Range:
         """Returns a copy for some of its hashes."""
         copy = _Range(
-            self.owned._replace(first=first, last=last), self.address, self.lease_end_ms
+            self.owned._replace(first=first, last=last),
+            self.address,
+            self.inherited_end_ms,
         )
         names = ("fence", "is_held", "is_leaving", "is_free", "unanswered_until_ms")
-        for name in (*names, "next_call_ms", "handover", "target", "refusals"):
+        for name in (
+            *names,
+            "next_call_ms",
+            "handover",
+            "target",
+            "refusals",
+            "lease_end_ms",
+        ):
             setattr(copy, name, getattr(self, name))
         return copy
 
@@ -156,8 +169,7 @@
         timings: Durations of leases.
         term: Term of this granter, above all earlier ones.
         recorded: Owners on record.
-        now_ms: Time at which the term was taken.
-        has_rival: Whether another live daemon may still act for an earlier term.
+        rights_end_ms: Until when granters of earlier terms may still send grants.
     """
 
     def __init__(
@@ -165,16 +177,14 @@
         timings: Timings,
         term: int,
         recorded: OwnerTable,
-        now_ms: float,
-        has_rival: bool = True,
+        rights_end_ms: float,
     ) -> None:
         self._timings = timings
         self._term = term
         self._counter = 0
         self._calls = 0
         self._pending: dict[int, tuple[list[_Range], float, str]] = {}
-        rights_ms = timings.authority_ms if has_rival else 0.0
-        end_ms = now_ms + rights_ms + self._longest_ms(timings.lease_ms)
+        end_ms = rights_end_ms + self._longest_ms(timings.lease_ms)
         self._ranges = [_Range(item, "", end_ms) for item in recorded.ranges]
         self._owners: dict[str, Owner] = {}
         self._is_recording = False
@@ -189,6 +199,12 @@
         """Returns the owners, as they are to be recorded."""
         return coalesce(item.owned for item in self._ranges if not item.is_free)
 
+    def shorten_rights(self, rights_end_ms: float) -> None:
+        """Learns that granters of earlier terms have ended earlier than assumed."""
+        end_ms = rights_end_ms + self._longest_ms(self._timings.lease_ms)
+        for item in self._ranges:
+            item.inherited_end_ms = min(item.inherited_end_ms, end_ms)
+
     def has_orphans(self) -> bool:
         """Tells whether hashes have no owner that may keep them."""
         is_leaving = any(
@@ -294,6 +310,9 @@
                 previous.fence = 0
                 previous.next_call_ms = now_ms
                 previous.lease_end_ms = max(previous.lease_end_ms, item.lease_end_ms)
+                previous.inherited_end_ms = max(
+                    previous.inherited_end_ms, item.inherited_end_ms
+                )
             else:
                 joined.append(item)
         merged = len(self._ranges) - len(joined)
@@ -431,7 +450,8 @@
             is_other_life = self._is_other_life(item)
             is_ended = owner is None and item.refusals >= REFUSED_PROOF
             is_quiet = item.is_leaving and not item.call
-            is_lapsed = is_quiet and now_ms >= item.lease_end_ms
+            end_ms = max(item.lease_end_ms, item.inherited_end_ms)
+            is_lapsed = is_quiet and now_ms >= end_ms
             if is_other_life or is_ended or is_lapsed:
                 item.is_free = True
                 item.is_leaving = True
--- a/src/skylarktrail/core/gateway/planner.py
+++ b/src/skylarktrail/core/gateway/planner.py
@@ -12,7 +12,7 @@
 STOP_RATIO = 1.1  # Moves go on until no owner is above this.
 IDLE_RATIO = 0.35  # An instance below this part of its fair load gets more.
 MAX_MOVES = 12  # Each move keeps its keys waiting for the work that runs on them.
-ORPHAN_PIECES = 4  # Pieces that the keys of one lost owner are dealt in.
+LOST_PIECES = 3  # Pieces of one lost owner's keys; each costs a renewal a second.
 
 
 class Holding(NamedTuple):
@@ -98,8 +98,8 @@
     def _cut(self, item: Holding) -> list[tuple[int, int]]:
         """Cuts hashes into pieces of about the same load."""
         load = self._curve.between(item.first, item.last)
-        smallest = min(self._fair.values()) / ORPHAN_PIECES
-        pieces = min(int(load / smallest) + 1, 4 * len(self._fair))
+        shares = load / min(self._fair.values())
+        pieces = LOST_PIECES if shares <= 2 else math.ceil(shares - 0.01)
         base = self._curve.below(item.first)
         cuts = [
             self._curve.hash_at(base + load * number / pieces)
--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -9,6 +9,7 @@
 import pykka
 from result import Result
 
+from ..core.gateway.former import FormerGranters
 from ..core.gateway.granter import (
     CallResult,
     GrantCall,
@@ -44,6 +45,7 @@
 MERGE_MS = 3000.0
 SETTLE_MS = 200.0  # Pause before a write of unknown outcome is repeated.
 CALL_THREADS = 24
+CALL_MS = 1000.0  # Longest time that a grant under way may still take to arrive.
 START_WAIT_MS = 2500.0  # Instances of a new site are listed within this time.
 
 
@@ -75,6 +77,20 @@
     started_ms: float
 
 
+class TermEnded(NamedTuple):
+    """A former granter has said that it grants no more.
+
+    Attributes:
+        daemon: Its name.
+        term: Term of this granter.
+        at_ms: When it said so.
+    """
+
+    daemon: str
+    term: int
+    at_ms: float
+
+
 class CallEnded(NamedTuple):
     """A grant or release has ended."""
 
@@ -94,6 +110,17 @@
     report: GatewayLoad
 
 
+class EndedTerm:
+    """The highest term whose granter has asked this daemon to stop.
+
+    It is set from the thread of the links and read before each call, so that a stop
+    holds before it is confirmed.
+    """
+
+    def __init__(self) -> None:
+        self.term = 0
+
+
 class _Write:
     """A write under way, until it is known to have landed or not."""
 
@@ -118,6 +145,9 @@
         log: Gets a line for each decision.
         metrics: Counts.
         on_written: Told key, value and position of each record written.
+        hears_granter: Tells whether the present granter is at work.
+        ask_end: Asks a former granter to stop, and calls back when it has.
+        ended: Highest term whose granter has asked this daemon to stop.
     """
 
     use_daemon_thread = True
@@ -132,8 +162,16 @@
         log: EventLog,
         metrics: GatewayMetrics,
         on_written: Callable[[str, bytes, int], None],
+        hears_granter: Callable[[], bool],
+        ask_end: Callable[[str, int, Callable[[], None]], None],
+        ended: EndedTerm,
     ) -> None:
         super().__init__()
+        self._hears_granter = hears_granter
+        self._ask_end = ask_end
+        self._former = FormerGranters(timings.authority_ms)
+        self._fenced_ms = -1e18
+        self._ended = ended
         self._on_written = on_written
         self._site = site
         self._process = process
@@ -148,7 +186,6 @@
         self._position = -1
         self._confirmed_ms = -1e18
         self._term = 0
-        self._has_rival = True
         self._granters: dict[str, Granter] = {}
         self._loads: dict[str, KeyLoad] = {}
         self._speeds = Speeds()
@@ -167,6 +204,8 @@
             self._step()
         elif isinstance(message, SharedRead):
             self._take_read(message)
+        elif isinstance(message, TermEnded):
+            self._take_term_ended(message)
         elif isinstance(message, CallEnded):
             self._take_call(message)
         elif isinstance(message, WriteEnded):
@@ -182,16 +221,34 @@
     def _step(self) -> None:
         at_ms = now_ms()
         if self.is_granter:
-            if at_ms - self._confirmed_ms <= self._timings.authority_ms:
+            if self._may_grant(at_ms):
                 self._step_granters(at_ms)
-        elif self._is_candidate and self._position >= 0 and not self._writes:
+        elif self._may_claim():
             self._claim()
         self._send_write(at_ms)
 
+    def _may_grant(self, at_ms: float) -> bool:
+        """Tells whether this daemon may still act for its term.
+
+        After a grant was refused for a higher fence, only a read that began later and
+        shows no newer term lets it go on.
+        """
+        is_confirmed = at_ms - self._confirmed_ms <= self._timings.authority_ms
+        is_asked_to_end = self._ended.term > self._term
+        return (
+            is_confirmed
+            and self._confirmed_ms > self._fenced_ms
+            and not (is_asked_to_end)
+        )
+
+    def _may_claim(self) -> bool:
+        """Tells whether to take the role; a granter at work is left alone."""
+        if not self._is_candidate or self._position < 0 or self._writes:
+            return False
+        return not self._hears_granter()
+
     def _claim(self) -> None:
-        former = self._site.shared.granter
-        self._has_rival = former.daemon not in ("", self._site.daemon)
-        term = former.term + 1
+        term = self._site.shared.granter.term + 1
         record = GranterRecord(self._site.daemon, self._process, term)
         self._writes.append(_Write(GRANTER_KEY, encode_granter(record), ""))
 
@@ -199,10 +256,13 @@
         self._position = max(self._position, read.position)
         self._confirmed_ms = max(self._confirmed_ms, read.started_ms)
         granter = self._site.shared.granter
+        self._former.observe(granter, now_ms())
         is_mine = granter.process == self._process
         if self.is_granter and (not is_mine or granter.term != self._term):
             self._resign(granter)
         self._settle_by_read()
+        if self.is_granter:
+            self._shorten_rights()
         if is_mine and not self.is_granter:
             self._begin(granter.term)
         self._step()
@@ -228,10 +288,33 @@
         self._term = term
         self._begun_ms = now_ms()
         self.is_granter = True
+        record = GranterRecord(self._site.daemon, self._process, term)
+        self._former.observe(record, self._begun_ms)
+        for daemon in self._former.to_ask(self._site.daemon):
+            self._ask_end(daemon, term, self._make_term_ended(daemon, term))
         self._granters = {}
         self._log.state("granter_begins", term=term, position=self._position)
         self._step()
 
+    def _make_term_ended(self, daemon: str, term: int) -> Callable[[], None]:
+        tell = self.actor_ref.tell
+        return lambda: tell(TermEnded(daemon, term, now_ms()))
+
+    def _take_term_ended(self, ended: TermEnded) -> None:
+        if not self.is_granter or ended.term != self._term:
+            return
+        self._former.note_ended(ended.daemon, ended.at_ms + CALL_MS)
+        self._log.state("former_granter_ended", former=ended.daemon, term=ended.term)
+        self._shorten_rights()
+
+    def _shorten_rights(self) -> None:
+        members = self._site.shared.members
+        processes = {name: member.process for name, member in members.items()}
+        self._former.note_processes(processes, now_ms())
+        end_ms = self._former.rights_end_ms(self._site.daemon)
+        for granter in self._granters.values():
+            granter.shorten_rights(end_ms)
+
     def _resign(self, granter: GranterRecord) -> None:
         self.is_granter = False
         self._granters = {}
@@ -294,9 +377,8 @@
         granter = self._granters.get(spec.name)
         if granter is None:
             recorded = self._site.shared.owners.get(spec.name, OwnerTable())
-            granter = Granter(
-                self._timings, self._term, recorded, at_ms, self._has_rival
-            )
+            rights_end_ms = self._former.rights_end_ms(self._site.daemon)
+            granter = Granter(self._timings, self._term, recorded, rights_end_ms)
             self._granters[spec.name] = granter
         owners = self._owners(spec.name, at_ms)
         if not owners:
@@ -358,7 +440,14 @@
             return
         is_grant = isinstance(action, GrantCall)
         send = self._orders.grant if is_grant else self._orders.release
-        self._submit(self._calls, lambda: CallEnded(service, send(action)))
+        term = self._term
+
+        def call() -> CallEnded:
+            if self._ended.term > term:
+                return CallEnded(service, CallResult(action.call, "unsent"))
+            return CallEnded(service, send(action))
+
+        self._submit(self._calls, call)
 
     def _submit(self, pool: ThreadPoolExecutor, task: Callable[[], Any]) -> None:
         """Runs a task in a pool and tells this actor what it returns."""
@@ -387,6 +476,8 @@
         if granter is None:
             return
         granter.take_result(ended.result, now_ms())
+        if outcome == "fenced":
+            self._fenced_ms = now_ms()
         if outcome != "done":
             self._log.write("lease_call_failed", service=ended.service, outcome=outcome)
         if granter.has_free():
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import threading
+from concurrent.futures import Future
 from typing import Callable
 
 from result import Result
@@ -16,6 +16,8 @@
     GatewayListing,
     GatewayLoad,
     GatewayRecord,
+    GatewayTermAsk,
+    GatewayTermEnded,
     Message,
     ToldInstance,
 )
@@ -25,6 +27,7 @@
 from .site_store import Listing, SharedUpdate
 
 HEARTBEAT_MS = 500
+END_TIMEOUT_MS = 3000
 FRESH_MS = 1300.0  # After this a daemon reads the instances' entries itself.
 
 
@@ -34,6 +37,8 @@
     def __init__(self) -> None:
         self._told: dict[str, ToldInstance] = {}
         self._position = -1
+        self.shared = -1
+        self.operators = -1
         self._reached: dict[str, int] = {}
 
     def update(self, fleet: Fleet, position: int) -> GatewayListing:
@@ -50,11 +55,18 @@
             self._told[entry.instance] = entry
         for name in gone:
             del self._told[name]
-        return GatewayListing(base, position, tuple(changed), gone)
+        return self._make(base, tuple(changed), gone)
 
     def whole(self) -> GatewayListing:
         """Returns all entries."""
-        return GatewayListing(-1, self._position, tuple(self._told.values()), ())
+        return self._make(-1, tuple(self._told.values()), ())
+
+    def _make(
+        self, base: int, entries: tuple[ToldInstance, ...], gone: tuple[str, ...]
+    ) -> GatewayListing:
+        return GatewayListing(
+            base, self._position, self.shared, self.operators, entries, gone
+        )
 
     def next_for(self, daemon: str, change: GatewayListing) -> GatewayListing:
         """Returns the update for a daemon, whole if it lacks an earlier one."""
@@ -62,6 +74,14 @@
         self._reached[daemon] = change.position
         return change if reached == change.base and change.base >= 0 else self.whole()
 
+    def unchanged(self) -> GatewayListing:
+        """Returns an update without a change of entries."""
+        return self._make(self._position, (), ())
+
+    def has_reached(self, daemon: str) -> bool:
+        """Tells whether a daemon was sent the latest update."""
+        return self._reached.get(daemon) == self._position
+
     def note_reached(self, daemon: str, position: int) -> None:
         """Takes a daemon's word of the last update that it has."""
         if position < 0:
@@ -86,6 +106,8 @@
         log: Gets lines about links.
         on_load: Takes a report of load while this daemon is the granter.
         on_shared: Takes a shared record that the granter has written.
+        on_positions: Takes the granter's positions in shared and operators' records.
+        on_term: Stops grants of terms below one; called before this is answered.
     """
 
     def __init__(
@@ -96,13 +118,16 @@
         log: EventLog,
         on_load: Callable[[GatewayLoad], None],
         on_shared: Callable[[SharedUpdate, int], None],
+        on_positions: Callable[[int, int], None],
+        on_term: Callable[[int], None],
     ) -> None:
         self._site = site
         self._log = log
         self._on_load = on_load
         self._on_shared = on_shared
+        self._on_positions = on_positions
+        self._on_term = on_term
         self._feed = ListingFeed()
-        self._lock = threading.Lock()
         self._entries: dict[str, InstanceEntry] = {}
         self._told_ms = -1e18
         self._told_by = ""
@@ -139,6 +164,31 @@
         is_same = self._told_by == self._site.shared.granter.daemon
         return is_same and now_ms() - self._told_ms < FRESH_MS
 
+    def ask_end(self, daemon: str, term: int, on_ended: Callable[[], None]) -> None:
+        """Asks a former granter to stop; calls back when it says that it has."""
+
+        def check(future: Future) -> None:
+            if future.result().is_ok():
+                on_ended()
+
+        asked = self._links.request(daemon, GatewayTermAsk(term), END_TIMEOUT_MS)
+        asked.add_done_callback(check)
+
+    def note_positions(self, shared: int | None, operators: int | None) -> None:
+        """Notes how far this daemon has read, for the others while it is granter."""
+        if shared is not None:
+            self._feed.shared = shared
+        if operators is not None:
+            self._feed.operators = operators
+
+    def tell_positions(self) -> None:
+        """Sends the positions at once, as the operators have written."""
+        if self._site.daemon == self._site.shared.granter.daemon:
+            change = self._feed.unchanged()
+            for name in self._peers:
+                if self._feed.has_reached(name):
+                    self._links.send(name, change)
+
     def report(self) -> None:
         """Tells the granter of this daemon's load."""
         granter = self._site.shared.granter.daemon
@@ -162,8 +212,11 @@
         for name in self._peers:
             self._links.send(name, self._feed.next_for(name, change))
 
-    def _take(self, daemon: str, message: Message, _: Reply) -> None:
-        if isinstance(message, GatewayLoad):
+    def _take(self, daemon: str, message: Message, reply: Reply) -> None:
+        if isinstance(message, GatewayTermAsk):
+            self._on_term(message.term)
+            reply(GatewayTermEnded(message.term))
+        elif isinstance(message, GatewayLoad):
             self._feed.note_reached(daemon, message.listing)
             self._on_load(message)
         elif isinstance(message, GatewayRecord):
@@ -190,6 +243,7 @@
             self._entries.pop(name, None)
         self._told_by = daemon
         self._told_ms = now_ms()
+        self._on_positions(message.shared, message.operators)
         self._site.told_position = message.position
         listing = Listing(list(self._entries.values()), message.position)
         for change in self._site.take_listing(listing, now_ms()):
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -22,7 +22,7 @@
 from .connections import Connections
 from .departures import Departures
 from .event_log import EventLog
-from .granting import Candidate, GranterActor, LoadTold, SharedRead
+from .granting import Candidate, EndedTerm, GranterActor, LoadTold, SharedRead
 from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .ready_app import ReadyApp
@@ -43,11 +43,10 @@
 READY_THREADS = 2
 KEPT_DESCRIPTORS = 400  # For the store, the instances and the library's files.
 BODY_BYTES = 64 << 20
-UNREADY_MS = 3000.0  # Two health checks a second apart, and one in between.
-CLOSED_MS = 500.0  # Time for the last requests, with no new ones beside them.
+UNREADY_MS = 2900.0  # Health checks come each second; work taken later is cut off.
 LOOK_S = 0.03
 FLUSH_S = 0.1  # The last answers leave the buffers.
-KILL_MARGIN_MS = 700.0  # Left of the grace for the last answers to go out.
+KILL_MARGIN_MS = 400.0  # Left of the grace for the last answers to go out.
 
 
 class GatewayService:
@@ -62,6 +61,7 @@
         self._bounds = settings.bounds
         self._adapter = ADAPTERS[settings.store.adapter]
         self._process = str(uuid7())
+        self._ended = EndedTerm()
         self._log = EventLog(settings.daemon)
         self._metrics = GatewayMetrics()
         self._site = Site(settings.daemon, settings.zone, settings.bounds)
@@ -83,6 +83,8 @@
             self._log,
             self._take_load,
             self._take_told,
+            self._take_positions,
+            self._end_term,
         )
         self._app = CallerApp(self._router, self._metrics)
         self._is_draining = False
@@ -127,8 +129,6 @@
         self._candidacy.withdraw()
         end_ms = started_ms + self._bounds.grace_s * 1000 - KILL_MARGIN_MS
         _sleep_until(min(end_ms, started_ms + UNREADY_MS))
-        while self._router.open_requests and now_ms() < end_ms - CLOSED_MS:
-            time.sleep(LOOK_S)
         self._router.is_closed = True
         while self._router.open_requests and now_ms() < end_ms:
             time.sleep(LOOK_S)
@@ -172,6 +172,9 @@
             log,
             self._metrics,
             self._tell_written,
+            self._messenger.hears_granter,
+            self._messenger.ask_end,
+            self._ended,
         )
         tell = self._granter.tell
         self._instances = InstanceWatcher(
@@ -183,7 +186,9 @@
             self._messenger,
             self._is_granter,
         )
-        operators = OperatorWatcher(self._store(), site, self._watch("operators"), log)
+        self._operators = OperatorWatcher(
+            self._store(), site, self._watch("operators"), log, self._messenger
+        )
         self._shared = SharedWatcher(
             self._store(),
             site,
@@ -191,6 +196,7 @@
             self._watch("shared"),
             lambda position, at_ms: tell(SharedRead(position, at_ms)),
             self._is_granter,
+            self._messenger,
         )
         self._candidacy = CandidacyWatcher(
             self._store(),
@@ -200,7 +206,7 @@
         )
         rounds = {
             "instances": self._instances.round,
-            "operators": operators.round,
+            "operators": self._operators.round,
             "shared": self._shared.round,
             "candidacy": self._candidacy.round,
             "load-report": LoadReporter(self._messenger).round,
@@ -220,6 +226,14 @@
     def _take_told(self, update: SharedUpdate, position: int) -> None:
         self._shared.take_told(update, position)
 
+    def _take_positions(self, shared: int, operators: int) -> None:
+        self._shared.take_position(shared)
+        self._operators.take_position(operators)
+
+    def _end_term(self, term: int) -> None:
+        """Stops grants of earlier terms at once, ahead of the actor's messages."""
+        self._ended.term = max(self._ended.term, term)
+
     def _take_load(self, report: GatewayLoad) -> None:
         self._granter.tell(LoadTold(report))
 
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -21,14 +21,15 @@
 LISTING_MS = 1000.0  # A leaving instance gets no work 2 s after it said so.
 GRANTER_LISTING_MS = 700.0  # The granter reads for all; its word takes a moment.
 TOLD_LOOK_MS = 100.0
+TOLD_WAIT_MS = 300.0  # How often a daemon checks that it still hears the granter.
 # A read that hangs on a silent connection ends within the 3 s for which a site excuses
 # a disruption: this wait and the store's time for an answer.
 WAIT_MS = 2000
 GRANTER_WAIT_MS = 1000  # The granter confirms its term this often.
 FAILED_MS = 250.0  # Pause after a failed call; the store counts refused calls too.
-FAILED_MAX_MS = 700.0
-STAND_MS = 500.0
-STAND_TTL_MS = 1500  # A lost granter is replaced after this.
+FAILED_MAX_MS = 1000.0
+STAND_MS = 600.0
+STAND_TTL_MS = 1500  # A lost candidate is replaced after this.
 LOAD_REPORT_MS = 500.0
 
 
@@ -124,29 +125,56 @@
 
 
 class OperatorWatcher:
-    """Reads the configuration and the zones that are out."""
+    """Reads the configuration and the zones that are out.
+
+    A daemon that hears the granter reads when that has read something new.
+    """
 
     def __init__(
-        self, store: SiteStore, site: Site, watch: StoreWatch, log: EventLog
+        self,
+        store: SiteStore,
+        site: Site,
+        watch: StoreWatch,
+        log: EventLog,
+        messenger: Messenger,
     ) -> None:
         self._store = store
         self._site = site
         self._watch = watch
         self._log = log
+        self._messenger = messenger
         self._position: int | None = None
+        self._news = threading.Event()
 
     def round(self) -> float:
         """Reads once; returns the pause until the next read."""
-        wait_ms = 0 if self._watch.is_lost else WAIT_MS
+        if self._position is not None and self._messenger.hears_granter():
+            if not self._news.wait(TOLD_WAIT_MS / 1000):
+                return 0.0
+            return self._read(0)
+        return self._read(0 if self._watch.is_lost else WAIT_MS)
+
+    def take_position(self, position: int) -> None:
+        """Takes how far the granter has read."""
+        if self._position is None or position > self._position:
+            self._news.set()
+
+    def _read(self, wait_ms: int) -> float:
+        self._news.clear()
         read = self._store.read_operators(self._position, wait_ms)
         pause_ms = self._watch.check(read)
         if pause_ms is not None:
             if read.unwrap_err().code is codes.STORE_TRIMMED:
                 self._position = None
+            self._news.set()
             return pause_ms
         update = read.unwrap()
+        is_news = self._position != update.position
         self._position = update.position
         config = self._site.take_operators(update, now_ms())
+        if is_news:
+            self._messenger.note_positions(None, update.position)
+            self._messenger.tell_positions()
         if config is not None:
             routes = len(config.routes)
             self._log.state("config_in_force", version=config.version, routes=routes)
@@ -171,44 +199,49 @@
         watch: StoreWatch,
         on_read: Callable[[int, float], None],
         is_granter: Callable[[], bool],
+        messenger: Messenger,
     ) -> None:
         self._store = store
         self._site = site
+        self._messenger = messenger
         self._me = me
         self._watch = watch
         self._on_read = on_read
         self._is_granter = is_granter
         self._position: int | None = None
         self._lock = threading.Lock()
-        self._kick = threading.Event()
-        self._is_told = False
+        self._news = threading.Event()
 
     def round(self) -> float:
         """Reads once; returns the pause until the next read."""
-        if self._is_told or self._is_granter():
-            pause_s = (GRANTER_WAIT_MS if self._is_granter() else WAIT_MS) / 1000
-            self._kick.wait(pause_s)
-            self._kick.clear()
+        if self._is_granter():
+            self._news.wait(GRANTER_WAIT_MS / 1000)
+            return self._read(0)
+        if self._position is not None and self._messenger.hears_granter():
+            if not self._news.wait(TOLD_WAIT_MS / 1000):
+                return 0.0
             return self._read(0)
         return self._read(0 if self._watch.is_lost else WAIT_MS)
 
+    def take_position(self, position: int) -> None:
+        """Takes how far the granter has read."""
+        if self._position is None or position > self._position:
+            self._news.set()
+
     def take_told(self, update: SharedUpdate, at: int) -> None:
         """Takes a record that the granter tells; reads if one before it is missing."""
         with self._lock:
-            self._is_told = True
             if self._position == at:
                 self._position = update.position
+                self._messenger.note_positions(update.position, None)
                 self._site.take_shared(update, now_ms())
                 return
             is_known = self._position is not None and self._position > at
         if not is_known:
-            self._kick.set()
-
-    def kick(self) -> None:
-        """Has the records read soon."""
-        self._kick.set()
+            self._news.set()
 
     def _read(self, wait_ms: int) -> float:
+        self._news.clear()
         started_ms = now_ms()
         position = self._position
         read = self._store.read_shared(position, wait_ms)
@@ -226,11 +259,9 @@
         return 0.0
 
     def _take(self, update: SharedUpdate) -> None:
-        before = self._site.shared.granter
         self._position = update.position
+        self._messenger.note_positions(update.position, None)
         self._site.take_shared(update, now_ms())
-        if self._site.shared.granter != before:
-            self._is_told = False
 
     def _join(self) -> None:
         if self._site.shared.members.get(self._site.daemon) == self._me:
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -374,6 +374,28 @@
     position: int
 
 
+@message("gateway_term_ask")
+class GatewayTermAsk(NamedTuple):
+    """A new granter asks a former one to stop granting.
+
+    Attributes:
+        term: Term of the new granter.
+    """
+
+    term: int
+
+
+@message("gateway_term_ended")
+class GatewayTermEnded(NamedTuple):
+    """A former granter sends no grant of a lower term any more.
+
+    Attributes:
+        term: Term of the new granter.
+    """
+
+    term: int
+
+
 class ToldInstance(NamedTuple):
     """An instance's entry as the granter has read it.
 
@@ -407,18 +429,24 @@
     Attributes:
         base: Position to which the change applies; below 0 for a whole listing.
         position: Position that is reached by it.
+        shared: Position that the granter has reached in the shared records.
+        operators: Position that it has reached in the operators' records.
         entries: New and changed entries.
         gone: Instances that are no longer listed.
     """
 
     base: int
     position: int
+    shared: int
+    operators: int
     entries: tuple[ToldInstance, ...]
     gone: tuple[str, ...]
 
 
 Message = (
-    GatewayLoad
+    GatewayTermAsk
+    | GatewayTermEnded
+    | GatewayLoad
     | GatewayRecord
     | GatewayListing
     | Hello
--- a/tests/core/gateway/test_granter.py
+++ b/tests/core/gateway/test_granter.py
@@ -67,6 +67,15 @@
     assert world.unheld() == 0
 
 
+def test_keys_of_a_lost_server_are_served_again_soon_after_a_change_of_granter(world):
+    world.take_over()
+    world.servers["s1"].is_up = False
+    world.servers["s1"].is_listed = False
+    world.hear_that_former_granters_ended()
+    world.advance(SERVED_AGAIN_MS)
+    assert world.unheld() == 0
+
+
 class GranterMachine(RuleBasedStateMachine):
     """Servers and granters under faults in any order."""
 
@@ -105,6 +114,10 @@
     def granter_is_replaced(self):
         self.world.take_over()
 
+    @rule()
+    def former_granters_say_that_they_have_ended(self):
+        self.world.hear_that_former_granters_ended()
+
     @rule(reaches=st.booleans())
     def store_goes_away_or_returns(self, reaches):
         self.world.seats[-1].reaches_store = reaches
--- a/tests/core/gateway/world.py
+++ b/tests/core/gateway/world.py
@@ -104,10 +104,18 @@
     def take_over(self) -> None:
         """Lets a new daemon become the granter by the record."""
         self.term += 1
-        has_rival = bool(self.seats)
-        granter = Granter(TIMINGS, self.term, self.record, self.now_ms, has_rival)
+        former = self.seats[-1] if self.seats else None
+        rights_end_ms = self.now_ms + (TIMINGS.authority_ms if former else 0.0)
+        granter = Granter(TIMINGS, self.term, self.record, rights_end_ms)
         self.seats.append(Seat(self.term, granter, self.now_ms))
 
+    def hear_that_former_granters_ended(self) -> None:
+        """Has all former granters stop and the latest one learn of it."""
+        for seat in self.seats[:-1]:
+            seat.confirmed_ms = -1e18
+            seat.reaches_store = False
+        self.seats[-1].granter.shorten_rights(self.now_ms)
+
     def advance(self, duration_ms: float) -> None:
         """Runs for a while and checks all the time."""
         end_ms = self.now_ms + duration_ms
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -44,13 +44,30 @@
     return EventLog("d1", io.StringIO())
 
 
+class Messenger:
+    """Links over which a granter is heard or not."""
+
+    def __init__(self, is_heard=False) -> None:
+        self.is_heard = is_heard
+
+    def hears_granter(self):
+        """Tells whether the granter is heard."""
+        return self.is_heard
+
+    def note_positions(self, shared, operators):
+        """Takes positions."""
+
+    def tell_positions(self):
+        """Sends positions."""
+
+
 def update(version, position, zones=None):
     return Ok(OperatorUpdate(SiteConfig(version, (), {}), zones or {}, False, position))
 
 
-def watcher(store, site, log):
+def watcher(store, site, log, is_heard=False):
     watch = StoreWatch("operators", log, GatewayMetrics())
-    return OperatorWatcher(store, site, watch, log)
+    return OperatorWatcher(store, site, watch, log, Messenger(is_heard))
 
 
 def test_a_failed_read_is_followed_by_quick_ones_until_the_store_answers(site, log):
@@ -85,3 +102,15 @@
     assert set(site.zones_out) == {"west"}
     reader.round()
     assert not site.zones_out
+
+
+def test_a_daemon_that_hears_the_granter_reads_when_there_is_news(site, log):
+    store = ScriptedStore(update(4, 7), update(6, 8))
+    reader = watcher(store, site, log, is_heard=True)
+    reader.round()
+    reader.round()
+    assert len(store.asked) == 1
+    reader.take_position(8)
+    reader.round()
+    assert store.asked[1] == (7, 0)
+    assert site.table.config.version == 6
