--- a/src/skylarktrail/config/gateway_settings.py
+++ b/src/skylarktrail/config/gateway_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -58,6 +59,7 @@
         bounds: Bounds of the site.
         metrics_address: `host:port` for metrics alone; empty for none.
         threads: Requests held at once.
+        processors: Processor time that the process may use, in usual processors.
         descriptors: File descriptors that the process may use.
         leases: Durations of leases.
     """
@@ -71,6 +73,7 @@
     bounds: Bounds = Bounds()
     metrics_address: str = ""
     threads: int = 160
+    processors: float = 1.0
     descriptors: int = 1024
     leases: Timings = Timings()
 
@@ -90,6 +93,8 @@
     if faults:
         return Err(faults)
     fields = {name: value for name, value in plain.items() if name != "kind"}
+    if "processors" in plain:
+        fields["processors"] = math.prod(plain["processors"])
     fields["store"] = StoreSettings(**plain["store"])
     fields["bounds"] = bounds = Bounds(**plain.get("bounds", {}))
     leases = Timings(**plain.get("leases", {}))
--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -7,7 +7,10 @@
 from .budget import TokenBucket
 from .model import InstanceEntry, LoadReport
 
-SPEED_SMOOTHING = 0.15  # Weight of one answer in the speed of an instance.
+SPEED_SMOOTHING = 0.05  # Weight of one answer; work times vary several times over.
+SPEED_PRIOR = 8  # Answers that a new instance is credited with at the usual speed.
+SLOWED_SMOOTHING = 0.3  # Weight of one answer in finding a slowed instance.
+SLOWED_RATIO = 2.5  # Recent answers this much slower than usual are believed at once.
 SPEED_LIMITS = (0.3, 12.0)  # Keeps one odd answer from ruling an instance out.
 PACE_FADE_MS = 250.0  # Neighbours' noise lasts a few hundred milliseconds.
 OTHERS_FADE_MS = 600.0  # After this a load figure says little about other daemons.
@@ -23,7 +26,6 @@
         entry: What it last said of itself.
         in_flight: This daemon's requests at it.
         cold_until_ms: When it stops being cold.
-        speed_ratio: Its work time relative to the mean of its service.
         failure_ratio: Smoothed share of attempts that failed.
         cold_bucket: Limits requests while it is cold.
         draining_since_ms: When its leaving was seen; infinite while it stays.
@@ -33,7 +35,10 @@
         self.entry = entry
         self.in_flight = 0
         self.cold_until_ms = now_ms + entry.cold_ms
-        self.speed_ratio = 1.0
+        self._usual_ratio = 1.0
+        self._recent_ratio = 1.0
+        self._known = SPEED_PRIOR
+        self._starts: list[float] = []
         self.failure_ratio = 0.0
         self.cold_bucket: TokenBucket | None = None
         self.draining_since_ms = now_ms if entry.is_draining else math.inf
@@ -82,15 +87,39 @@
             elapsed_ratio: Its time without the wait for a slot, relative to the mean
                 of its kind.
         """
-        change = SPEED_SMOOTHING * (elapsed_ratio - self.speed_ratio)
         low, high = SPEED_LIMITS
-        self.speed_ratio = min(high, max(low, self.speed_ratio + change))
+        ratio = min(high, max(low, elapsed_ratio))
+        self._known += 1
+        weight = max(SPEED_SMOOTHING, 1 / self._known)
+        self._usual_ratio += weight * (ratio - self._usual_ratio)
+        self._recent_ratio += SLOWED_SMOOTHING * (ratio - self._recent_ratio)
         self.failure_ratio *= 1 - FAILURE_SMOOTHING
         self._suspensions = 0
         self._suspended_until_ms = -math.inf
         self._answers += 1
         self._work_sum += elapsed_ratio
 
+    @property
+    def speed_ratio(self) -> float:
+        """Returns its work time relative to the mean of its service."""
+        is_slowed = self._recent_ratio > SLOWED_RATIO * self._usual_ratio
+        return self._recent_ratio if is_slowed else self._usual_ratio
+
+    def begin(self, now_ms: float) -> None:
+        """Counts a request that is sent to it."""
+        self.in_flight += 1
+        self._starts.append(now_ms)
+
+    def end(self, started_ms: float) -> None:
+        """Counts the end of a request."""
+        self.in_flight -= 1
+        if started_ms in self._starts:
+            self._starts.remove(started_ms)
+
+    def oldest_ms(self, now_ms: float) -> float:
+        """Returns for how long its oldest request has been under way."""
+        return now_ms - min(self._starts) if self._starts else 0.0
+
     def has_sample(self) -> bool:
         """Tells whether there were answers or failures since `take_sample`."""
         return bool(self._answers or self._failures)
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -25,10 +25,13 @@
 from .retry_after import retry_after_ms
 
 QUEUE_SLOTS = 1.0  # Requests that may wait at an instance, relative to its slots.
+QUEUE_FALL = 0.5  # How much of that each step of priority costs.
 OWN_SHARE = 4.0  # Own requests at an instance, times its slots over the daemons.
 OWN_FLOOR = 3  # Own requests that are always allowed at one instance.
 OTHER_ZONE_RATIO = 1.04  # Bytes between zones cost; a little waiting costs more.
-CHOICE_JITTER = 0.12  # Keeps daemons from all choosing the same best instance.
+NEW_CONNECTION_RATIO = 1.1  # A new connection takes time and may hold a slot.
+CHOICE_JITTER = 0.1  # Keeps daemons from all choosing the same best instance.
+OVERDUE_RATIO = 3.0  # A request this much over its time says the instance is stuck.
 FAILURE_COST = 4.0  # A failed attempt costs about this many times its work.
 WORK_SMOOTHING = 0.03  # Weight of one answer in the mean work time of a route.
 FIRST_WORK_PART = 0.3  # Part of the target assumed before the first answer.
@@ -99,6 +102,7 @@
         owner_of: Returns the identifier of the owner of a hash of a service; empty
             where it has none at this moment.
         is_moving: Tells whether a hash of a service is about to get an owner.
+        has_idle: Tells whether an idle connection to an instance is open.
         zones_out: Zones that get no new work, and when that was seen.
         daemons: Names of all daemons on record.
         me: This daemon.
@@ -107,6 +111,7 @@
 
     owner_of: Callable[[str, int], str]
     is_moving: Callable[[str, int], bool]
+    has_idle: Callable[[str], bool]
     zones_out: Mapping[str, float]
     daemons: frozenset[str]
     me: str
@@ -161,7 +166,7 @@
     def release(self, ticket: Ticket) -> None:
         """Ends the use of the ticket's instance."""
         if ticket.instance is not None:
-            ticket.instance.in_flight -= 1
+            ticket.instance.end(ticket.placed_ms)
 
     def note_answer(self, ticket: Ticket, elapsed_ms: float) -> None:
         """Learns work times from an answer."""
@@ -215,7 +220,9 @@
         if not usable:
             self._decide_unserved(ticket, now_ms)
             return
-        free = [] if ahead else [i for i in usable if self._has_room(i, now_ms)]
+        priority = ticket.route.priority
+        room = [i for i in usable if self._has_room(i, priority, now_ms)]
+        free = [] if ahead else room
         if free:
             best = min(free, key=lambda i: self._cost_ms(ticket, i, now_ms))
             if self._fits(ticket, self._finish_ms(ticket, best, now_ms), now_ms):
@@ -259,7 +266,7 @@
         ticket.occupancy = instance.occupancy(now_ms)
         ticket.instance = instance
         ticket.placed_ms = now_ms
-        instance.in_flight += 1
+        instance.begin(now_ms)
         if instance.is_cold(now_ms):
             self._cold_bucket(instance, now_ms).take(now_ms)
 
@@ -311,25 +318,36 @@
         instance.cold_bucket.burst = BURST_COLD if rate else 0.0
         return instance.cold_bucket
 
-    def _has_room(self, instance: Instance, now_ms: float) -> bool:
+    def _has_room(self, instance: Instance, priority: int, now_ms: float) -> bool:
+        """Tells whether an instance may get a request now.
+
+        Less urgent requests leave a part of the queue, not of the slots, to others.
+        """
         slots = max(1, instance.entry.slots)
         own_limit = max(OWN_FLOOR, OWN_SHARE * slots / max(1, len(self.view.daemons)))
         if instance.in_flight >= own_limit:
             return False
-        return instance.occupancy(now_ms) < slots * (1 + QUEUE_SLOTS)
+        queue = QUEUE_SLOTS / (1 + QUEUE_FALL * max(0, priority))
+        return instance.occupancy(now_ms) < slots * (1 + queue)
 
     def _finish_ms(self, ticket: Ticket, instance: Instance, now_ms: float) -> float:
         """Estimates the time from now until the instance has answered."""
         slots = max(1, instance.entry.slots)
         work_ms = self.work_ms(ticket) * instance.work_ratio(now_ms)
         queued = max(0.0, instance.occupancy(now_ms) + 1 - slots)
-        return work_ms * (1 + queued / slots)
+        expected_ms = work_ms * (1 + queued / slots)
+        oldest_ms = instance.oldest_ms(now_ms)
+        if oldest_ms > OVERDUE_RATIO * expected_ms:
+            return oldest_ms * (1 + queued / slots)
+        return expected_ms
 
     def _cost_ms(self, ticket: Ticket, instance: Instance, now_ms: float) -> float:
         cost_ms = self._finish_ms(ticket, instance, now_ms)
         cost_ms *= 1 + FAILURE_COST * instance.failure_ratio
         if instance.entry.zone != self.view.my_zone:
             cost_ms *= OTHER_ZONE_RATIO
+        if not self.view.has_idle(instance.entry.instance):
+            cost_ms *= NEW_CONNECTION_RATIO
         return cost_ms * (1 + CHOICE_JITTER * self._draw())
 
     def _expected_ms(
--- a/src/skylarktrail/gateway/connections.py
+++ b/src/skylarktrail/gateway/connections.py
@@ -10,9 +10,9 @@
 from .clock import now_ms
 from .exchange import Connection, RawAnswer
 
-IDLE_MS = 6000.0  # Idle connections of unstated lifetime are dropped after this.
+IDLE_MS = 8500.0  # Idle connections of unstated lifetime are dropped after this.
 ONCE_IDLE_MS = 2500.0  # A request that must not run twice avoids older connections.
-SAFETY_MS = 1500.0  # Part of the stated lifetime that is left unused.
+SAFETY_MS = 1200.0  # Part of the stated lifetime that is left unused.
 IDLE_PER_INSTANCE = 12
 KEEP_ALIVE = "keep-alive"
 
@@ -62,6 +62,10 @@
         if surplus is not None:
             surplus.close()
 
+    def has_idle(self, instance: str) -> bool:
+        """Tells whether an idle connection to an instance is kept."""
+        return bool(self._idle.get(instance))
+
     def forget(self, instance: str) -> None:
         """Closes the idle connections to an instance."""
         with self._lock:
--- a/src/skylarktrail/gateway/run.py
+++ b/src/skylarktrail/gateway/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import queue
 import signal
 from pathlib import Path
@@ -16,11 +17,14 @@
 from .adapters import ADAPTERS
 from .service import GatewayService
 
+LIBRARY_LOGGERS = ("waitress", "urllib3")  # Their lines have no request id.
 LOOK_S = 2.0  # The settings file may also change without a signal.
 
 
 def serve(path: str, settings: GatewaySettings) -> Result[None, Fault]:
     """Serves until SIGTERM or SIGINT has been handled."""
+    for name in LIBRARY_LOGGERS:
+        logging.getLogger(name).setLevel(logging.ERROR)
     if settings.store.adapter not in ADAPTERS:
         return Err(Fault(codes.VALUE_NOT_ALLOWED, "$.store.adapter"))
     signals: queue.SimpleQueue[int] = queue.SimpleQueue()
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -45,6 +45,8 @@
 BODY_BYTES = 64 << 20
 UNREADY_MS = 2900.0  # Health checks come each second; work taken later is cut off.
 LOOK_S = 0.03
+GRANTER_PROCESSORS = 0.7  # A granter of a hundred ranges uses a tenth of a processor.
+SMALL_WAIT_MS = 4000.0  # A few terms of a lost granter's candidates.
 FLUSH_S = 0.1  # The last answers leave the buffers.
 KILL_MARGIN_MS = 400.0  # Left of the grace for the last answers to go out.
 
@@ -64,9 +66,14 @@
         self._ended = EndedTerm()
         self._log = EventLog(settings.daemon)
         self._metrics = GatewayMetrics()
-        self._site = Site(settings.daemon, settings.zone, settings.bounds)
         wire = self._adapter.wire()
         self._connections = Connections(wire.REQUEST_ID.lower())
+        self._site = Site(
+            settings.daemon,
+            settings.zone,
+            settings.bounds,
+            self._connections.has_idle,
+        )
         self._departures = Departures()
         self._router = GatewayRouter(
             self._site,
@@ -88,6 +95,7 @@
         )
         self._app = CallerApp(self._router, self._metrics)
         self._is_draining = False
+        self._unheard_ms = now_ms()
         self._servers: list[BaseWSGIServer] = []
         self._workers: list[Worker] = []
         self._add_gauges()
@@ -201,6 +209,7 @@
         self._candidacy = CandidacyWatcher(
             self._store(),
             site,
+            self._may_stand,
             self._watch("candidacy"),
             lambda is_candidate: tell(Candidate(is_candidate)),
         )
@@ -237,6 +246,18 @@
     def _take_load(self, report: GatewayLoad) -> None:
         self._granter.tell(LoadTold(report))
 
+    def _may_stand(self) -> bool:
+        """Tells whether to stand for granter.
+
+        Renewals take a part of a processor, so small VMs leave the role to others
+        unless there is no granter for a while.
+        """
+        if self._settings.processors >= GRANTER_PROCESSORS:
+            return True
+        if self._messenger.hears_granter():
+            self._unheard_ms = now_ms()
+        return now_ms() - self._unheard_ms > SMALL_WAIT_MS
+
     def _is_granter(self) -> bool:
         return self._site.shared.granter.process == self._process
 
--- a/src/skylarktrail/gateway/site.py
+++ b/src/skylarktrail/gateway/site.py
@@ -4,6 +4,7 @@
 
 import random
 import threading
+from typing import Callable
 
 from ..config.gateway_settings import Bounds
 from ..core.gateway.budget import RepeatBudget
@@ -28,9 +29,17 @@
         daemon: Name of this daemon.
         zone: Its availability zone.
         bounds: Bounds of the site.
+        has_idle: Tells whether an idle connection to an instance is open.
     """
 
-    def __init__(self, daemon: str, zone: str, bounds: Bounds) -> None:
+    def __init__(
+        self,
+        daemon: str,
+        zone: str,
+        bounds: Bounds,
+        has_idle: Callable[[str], bool] = lambda instance: False,
+    ) -> None:
+        self._has_idle = has_idle
         self.daemon = daemon
         self.zone = zone
         self.lock = threading.RLock()
@@ -257,6 +266,7 @@
         return SchedulerView(
             self._owner_of,
             self._is_moving,
+            self._has_idle,
             dict(self.zones_out),
             frozenset(self.shared.members) | {self.daemon},
             self.daemon,
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -271,24 +271,31 @@
 
 
 class CandidacyWatcher:
-    """Stands for granter."""
+    """Stands for granter.
+
+    Args:
+        may_stand: Tells whether this daemon is fit for the role.
+        on_candidate: Told whether this daemon is to take it.
+    """
 
     def __init__(
         self,
         store: SiteStore,
         site: Site,
+        may_stand: Callable[[], bool],
         watch: StoreWatch,
         on_candidate: Callable[[bool], None],
     ) -> None:
         self._store = store
         self._site = site
+        self._may_stand = may_stand
         self._watch = watch
         self._on_candidate = on_candidate
         self._is_withdrawn = False
 
     def round(self) -> float:
         """Renews the candidacy; returns the pause until the next renewal."""
-        if self._is_withdrawn or not self._has_keyed_service():
+        if self._is_withdrawn or not (self._has_keyed_service() and self._may_stand()):
             return STAND_MS
         stood = self._store.stand(self._site.daemon, STAND_TTL_MS)
         pause_ms = self._watch.check(stood)
--- a/src/skylarktrail/platform/orders.py
+++ b/src/skylarktrail/platform/orders.py
@@ -22,7 +22,7 @@
     """Sends grants and releases; may be used from any thread."""
 
     def __init__(self) -> None:
-        self._pools = urllib3.PoolManager(num_pools=POOLS, maxsize=4, block=False)
+        self._pools = urllib3.PoolManager(num_pools=POOLS, maxsize=16, block=False)
 
     def grant(self, call: GrantCall) -> CallResult:
         """Grants a range or renews its lease."""
--- a/tests/core/gateway/test_scheduler.py
+++ b/tests/core/gateway/test_scheduler.py
@@ -31,9 +31,12 @@
         self.speeds = speeds
         self.owners = owners or {}
         self.moving = False
+        self.idle: set[str] = set()
+        self.opened = 0
         view = SchedulerView(
             lambda _, key_hash: self.owners.get(key_hash, ""),
             lambda *_: self.moving,
+            lambda name: name in self.idle,
             {},
             frozenset(daemons),
             ME,
@@ -83,6 +86,8 @@
             return
         server = ticket.instance.entry.instance
         self.arrivals[server] += 1
+        self.opened += server not in self.idle
+        self.idle.add(server)
         item = (ticket, sent_ms, work_ms * self.speeds[server], name)
         self.queued[server].append(item)
         self.deepest = max(self.deepest, len(self.queued[server]) + self.busy[server])
@@ -259,3 +264,11 @@
     returning = load.request(90, key_hash=7, is_return=True)
     assert first.refusal == "overload"
     assert not returning.refusal
+
+
+def test_few_connections_are_opened_to_many_calm_instances(make_load):
+    """Load pattern: many calm instances, each with little work from this daemon."""
+    load = make_load({f"i-{number}": 1.0 for number in range(20)})
+    load.stream(10, 10_000)
+    load.run(12_000)
+    assert load.opened < 0.2 * sum(load.arrivals.values())
