--- a/src/skylarktrail/core/gateway/planner.py
+++ b/src/skylarktrail/core/gateway/planner.py
@@ -12,6 +12,7 @@
 STOP_RATIO = 1.1  # Moves go on until no owner is above this.
 IDLE_RATIO = 0.35  # An instance below this part of its fair load gets more.
 MAX_MOVES = 12  # Each move keeps its keys waiting for the work that runs on them.
+MOVES_RATIO = 0.4  # Moves for each instance, where this is more.
 LOST_PIECES = 3  # Pieces of one lost owner's keys; each costs a renewal a second.
 
 
@@ -111,7 +112,8 @@
 
     def _even_out(self) -> list[Move]:
         moves: list[Move] = []
-        while len(moves) < MAX_MOVES:
+        limit = max(MAX_MOVES, int(MOVES_RATIO * len(self._held)))
+        while len(moves) < limit:
             source = max(self._held, key=self._ratio)
             target = min(self._held, key=self._ratio)
             is_even = self._ratio(source) <= STOP_RATIO
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -28,7 +28,7 @@
 QUEUE_FALL = 0.5  # How much of that each step of priority costs.
 OWN_SHARE = 4.0  # Own requests at an instance, times its slots over the daemons.
 OWN_FLOOR = 3  # Own requests that are always allowed at one instance.
-OTHER_ZONE_RATIO = 1.04  # Bytes between zones cost; a little waiting costs more.
+OTHER_ZONE_RATIO = 1.12  # Bytes between zones are dear; much waiting is dearer.
 NEW_CONNECTION_RATIO = 1.1  # A new connection takes time and may hold a slot.
 CHOICE_JITTER = 0.1  # Keeps daemons from all choosing the same best instance.
 OVERDUE_RATIO = 3.0  # A request this much over its time says the instance is stuck.
@@ -40,7 +40,7 @@
 BURST_COLD = 1.0  # Requests to a cold instance at once.
 LEAVING_OWNER_MS = 700.0  # A leaving owner serves its keys while they move.
 OUT_OWNER_MS = 2500.0  # So does an owner in a zone that is taken out.
-MOVE_WAIT_MS = 400.0  # A key range moves when the work that runs on it has ended.
+MOVE_WAIT_MS = 500.0  # A key range moves when the work that runs on it has ended.
 
 
 class Ticket:
--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any, Callable, NamedTuple, Protocol
+from typing import Any, Callable, NamedTuple, Protocol, Sequence
 
 import cbor2
 import pykka
@@ -22,6 +22,7 @@
 from ..core.gateway.instance import Instance
 from ..core.gateway.key_load import KeyLoad
 from ..core.gateway.model import ServiceSpec
+from ..core.gateway.planner import Move
 from ..core.gateway.ranges import OwnerTable
 from ..core.gateway.shared import (
     GRANTER_KEY,
@@ -42,6 +43,7 @@
 from .site_store import SiteStore
 
 EVEN_MS = 1000.0  # Load moves this often at most.
+RECORD_MS = 60.0  # Ranges that come free together are recorded together.
 MERGE_MS = 3000.0
 SETTLE_MS = 200.0  # Pause before a write of unknown outcome is repeated.
 CALL_THREADS = 24
@@ -148,6 +150,7 @@
         hears_granter: Tells whether the present granter is at work.
         ask_end: Asks a former granter to stop, and calls back when it has.
         ended: Highest term whose granter has asked this daemon to stop.
+        tell_moving: Tells all daemons which hashes are about to move.
     """
 
     use_daemon_thread = True
@@ -165,6 +168,7 @@
         hears_granter: Callable[[], bool],
         ask_end: Callable[[str, int, Callable[[], None]], None],
         ended: EndedTerm,
+        tell_moving: Callable[[str, Sequence[Move]], None],
     ) -> None:
         super().__init__()
         self._hears_granter = hears_granter
@@ -172,6 +176,7 @@
         self._former = FormerGranters(timings.authority_ms)
         self._fenced_ms = -1e18
         self._ended = ended
+        self._tell_moving = tell_moving
         self._on_written = on_written
         self._site = site
         self._process = process
@@ -191,6 +196,7 @@
         self._speeds = Speeds()
         self._begun_ms = 0.0
         self._writes: list[_Write] = []
+        self._recorded_ms = 0.0
         self._even_ms = 0.0
         self._merge_ms = 0.0
         self.is_granter = False
@@ -400,6 +406,8 @@
         if is_even_due:
             self._even_ms = at_ms + EVEN_MS
         moves = granter.rebalance(load.curve(at_ms), is_even_due)
+        if moves:
+            self._tell_moving(service, moves)
         for move in moves:
             self._metrics.count("moved_ranges", service)
             self._log.write(
@@ -434,6 +442,7 @@
 
     def _do(self, service: str, action: GrantCall | ReleaseCall | RecordWanted) -> None:
         if isinstance(action, RecordWanted):
+            self._recorded_ms = now_ms()
             value = encode_owners(action.ranges)
             self._writes.append(_Write(OWNERS_PREFIX + service, value, service))
             self._send_write(now_ms())
@@ -480,7 +489,7 @@
             self._fenced_ms = now_ms()
         if outcome != "done":
             self._log.write("lease_call_failed", service=ended.service, outcome=outcome)
-        if granter.has_free():
+        if granter.has_free() and now_ms() >= self._recorded_ms + RECORD_MS:
             self._step()
 
     def _take_load(self, report: GatewayLoad) -> None:
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -3,22 +3,25 @@
 from __future__ import annotations
 
 from concurrent.futures import Future
-from typing import Callable
+from typing import Callable, Sequence
 
 from result import Result
 
 from ..core.gateway.fleet import Fleet
 from ..core.gateway.model import InstanceEntry
+from ..core.gateway.planner import Move
 from ..errors.code import Fault
 from ..peer.hub import Reply
 from ..peer.links import PeerLinks
 from ..peer.messages import (
     GatewayListing,
     GatewayLoad,
+    GatewayMoving,
     GatewayRecord,
     GatewayTermAsk,
     GatewayTermEnded,
     Message,
+    MovingRange,
     ToldInstance,
 )
 from .clock import now_ms
@@ -205,6 +208,14 @@
         for name in self._peers:
             self._links.send(name, GatewayRecord(key, value, position))
 
+    def tell_moving(self, service: str, moves: Sequence[Move]) -> None:
+        """Tells all that hashes are about to move, so that their requests wait."""
+        ranges = tuple(MovingRange(move.first, move.last) for move in moves)
+        message = GatewayMoving(service, ranges)
+        for name in self._peers:
+            self._links.send(name, message)
+        self._site.note_moving(message, now_ms())
+
     def tell_listing(self, listing: Listing) -> None:
         """Sends what has changed in the instances' entries to all others."""
         with self._site.lock:
@@ -224,6 +235,8 @@
                 [(message.key, message.value)], False, message.position + 1
             )
             self._on_shared(update, message.position)
+        elif isinstance(message, GatewayMoving):
+            self._site.note_moving(message, now_ms())
         elif isinstance(message, GatewayListing):
             self._take_listing(daemon, message)
 
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -183,6 +183,7 @@
             self._messenger.hears_granter,
             self._messenger.ask_end,
             self._ended,
+            self._messenger.tell_moving,
         )
         tell = self._granter.tell
         self._instances = InstanceWatcher(
@@ -247,15 +248,16 @@
         self._granter.tell(LoadTold(report))
 
     def _may_stand(self) -> bool:
-        """Tells whether to stand for granter.
+        """Tells whether to stand for granter; not while there is one at work.
 
         Renewals take a part of a processor, so small VMs leave the role to others
         unless there is no granter for a while.
         """
-        if self._settings.processors >= GRANTER_PROCESSORS:
-            return True
         if self._messenger.hears_granter():
             self._unheard_ms = now_ms()
+            return False
+        if self._settings.processors >= GRANTER_PROCESSORS:
+            return True
         return now_ms() - self._unheard_ms > SMALL_WAIT_MS
 
     def _is_granter(self) -> bool:
--- a/src/skylarktrail/gateway/site.py
+++ b/src/skylarktrail/gateway/site.py
@@ -4,7 +4,7 @@
 
 import random
 import threading
-from typing import Callable
+from typing import Callable, NamedTuple
 
 from ..config.gateway_settings import Bounds
 from ..core.gateway.budget import RepeatBudget
@@ -14,14 +14,24 @@
 from ..core.gateway.routes import RouteTable, Splitter
 from ..core.gateway.scheduler import Scheduler, SchedulerView, Ticket
 from ..core.gateway.shared import SharedState
-from ..peer.messages import GatewayLoad, KeyCount, SpeedSample
+from ..peer.messages import GatewayLoad, GatewayMoving, KeyCount, SpeedSample
 from .site_store import Listing, OperatorUpdate, SharedUpdate
 
 NEW_OWNER_MS = 12.0  # A grant reaches its owner about when its record is read.
-UNHELD_MS = 60.0  # How long an owner that does not hold a key is not asked again.
+MOVING_MS = 600.0  # Longest time for which a move keeps its requests waiting.
+UNHELD_MS = 200.0  # How long an owner that does not hold a key is not asked again.
 UNHELD_MAX = 4096
 
 
+class _Span(NamedTuple):
+    """Hashes that move away from an owner, and until when this is believed."""
+
+    first: int
+    last: int
+    owner: str
+    until_ms: float
+
+
 class Site:
     """State of the site. Every public method takes the lock itself.
 
@@ -51,6 +61,7 @@
         self._splitter = Splitter()
         self._budgets: dict[str, RepeatBudget] = {}
         self._unheld: dict[tuple[str, int], tuple[str, float]] = {}
+        self._moving: dict[str, list[_Span]] = {}
         self._settling: dict[tuple[str, OwnedRange], float] = {}
         self._now_ms = 0.0
         self._listing_position = -1
@@ -144,6 +155,24 @@
                 self._unheld.clear()
             self._unheld[(service, key_hash)] = (owned.owner, now_ms + UNHELD_MS)
 
+    def note_moving(self, message: GatewayMoving, now_ms: float) -> None:
+        """Notes that hashes are about to get another owner."""
+        with self.lock:
+            table = self.shared.owners.get(message.service)
+            if table is None:
+                return
+            kept = [
+                span
+                for span in self._moving.get(message.service, [])
+                if span.until_ms > now_ms
+            ]
+            for item in message.ranges:
+                owned = table.find(item.first)
+                if owned is not None:
+                    until_ms = now_ms + MOVING_MS
+                    kept.append(_Span(item.first, item.last, owned.owner, until_ms))
+            self._moving[message.service] = kept
+
     def note_key(self, service: str, key_hash: int) -> None:
         """Counts a request of a keyed service for the report of load."""
         with self.lock:
@@ -243,6 +272,8 @@
             return ""
         if self._settling.get((service, owned), 0.0) > self._now_ms:
             return ""
+        if self._is_span_moving(service, key_hash, owned.owner):
+            return ""
         owner, until_ms = self._unheld.get((service, key_hash), ("", 0.0))
         if owner == owned.owner and until_ms > self._now_ms:
             return ""
@@ -250,6 +281,14 @@
         is_life = instance is not None and instance.entry.born_ms == owned.born_ms
         return owned.owner if is_life else ""
 
+    def _is_span_moving(self, service: str, key_hash: int, owner: str) -> bool:
+        return any(
+            span.first <= key_hash <= span.last
+            and span.owner == owner
+            and span.until_ms > self._now_ms
+            for span in self._moving.get(service, ())
+        )
+
     def _is_moving(self, service: str, key_hash: int) -> bool:
         """Tells whether a hash is about to get an owner.
 
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -374,6 +374,31 @@
     position: int
 
 
+class MovingRange(NamedTuple):
+    """Hashes that are about to get another owner.
+
+    Attributes:
+        first: First hash.
+        last: Last hash, inclusive.
+    """
+
+    first: int
+    last: int
+
+
+@message("gateway_moving")
+class GatewayMoving(NamedTuple):
+    """The granter takes hashes from their owners.
+
+    Attributes:
+        service: Name of the service.
+        ranges: The hashes.
+    """
+
+    service: str
+    ranges: tuple[MovingRange, ...]
+
+
 @message("gateway_term_ask")
 class GatewayTermAsk(NamedTuple):
     """A new granter asks a former one to stop granting.
@@ -444,7 +469,8 @@
 
 
 Message = (
-    GatewayTermAsk
+    GatewayMoving
+    | GatewayTermAsk
     | GatewayTermEnded
     | GatewayLoad
     | GatewayRecord
