--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 DEPLOYMENT ?= pecera
 SEED ?= 1
 STEPS ?= 5000
-SOURCES := src tests standins demo benchmarks
+RUNS ?= 1
+SOURCES := src tests standins demo benchmarks soak
 
-.PHONY: test lint format demo bench soak clean
+.PHONY: test lint format demo bench soak soak-faults clean
 
 .venv/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -34,5 +35,8 @@
 soak: .venv/.installed
 	$(BIN)/python -m benchmarks.soak --seed $(SEED) --steps $(STEPS)
 
+soak-faults: .venv/.installed
+	$(BIN)/python -m soak --seed $(SEED) --runs $(RUNS)
+
 clean:
 	rm -rf .venv build
--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -185,10 +185,21 @@
                 continue
             for first, last, _, left_ms in json.loads(reply.body):
                 for key in holders:
-                    if first <= key <= last and left_ms > 0:
+                    is_held = first <= key <= last and left_ms > 0
+                    if is_held and name not in holders[key]:
                         holders[key].append(name)
         return holders
 
+    def runs_printed(self) -> dict[str, list[float]]:
+        """Returns the times at which each request ran, killed instances included."""
+        times: dict[str, list[float]] = {}
+        for process in self.instances.values():
+            for line in process.output().splitlines():
+                words = line.split()
+                if len(words) == 3 and words[0] == "run":
+                    times.setdefault(words[1], []).append(float(words[2]))
+        return times
+
     def events(self, event: str) -> list[dict[str, Any]]:
         """Returns the log lines of all daemons about one kind of event."""
         found = []
@@ -228,6 +239,7 @@
                 arguments = [
                     *("--name", name, "--service", kind.service),
                     *("--address", address, "--zone", ZONES[number % len(ZONES)]),
+                    *("--advertise", self._route("gateways", name, address)),
                     *("--store", self._route(name, "store", self.store_address)),
                 ]
                 if kind.is_keyed:
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of gateways as processes, with faults injected from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,41 @@
+"""Runs the soak: `python -m soak --seed 1 --runs 1`."""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import sys
+
+from .run import Run
+
+
+def main() -> int:
+    """Runs seeds one after the other; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--instances", type=int, default=4)
+    arguments = parser.parse_args()
+    status = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.runs):
+        run = Run(seed, arguments.seconds, arguments.gateways, arguments.instances)
+        outcome = run.play()
+        print(
+            f"seed {seed}: {outcome.served} of {outcome.requests} served, "
+            f"{len(outcome.faults)} faults, {len(outcome.findings)} findings",
+            flush=True,
+        )
+        if not outcome.findings:
+            shutil.rmtree(run.directory, ignore_errors=True)
+            continue
+        status = 1
+        print(f"  output: {run.directory}; faults: {', '.join(outcome.faults)}")
+        for finding in outcome.findings[:20]:
+            print(f"  {finding}")
+    return status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,126 @@
+"""Loopback proxies that delay, reset, silence or cut connections."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from typing import NamedTuple
+
+CHUNK_BYTES = 1 << 16
+LOOK_S = 0.05
+
+
+class Trouble(NamedTuple):
+    """What a link does to its bytes.
+
+    Attributes:
+        delay_ms: Time by which each chunk is held up.
+        silent: `both`, `forth`, `back` or empty: directions in which bytes vanish.
+        is_refusing: Whether connections are closed as soon as they come.
+    """
+
+    delay_ms: float = 0.0
+    silent: str = ""
+    is_refusing: bool = False
+
+
+CALM = Trouble()
+
+
+class Link:
+    """One proxied address."""
+
+    def __init__(self, name: str, target: str) -> None:
+        self.name = name
+        self.target = target
+        self.trouble = CALM
+        self.writers: set[asyncio.StreamWriter] = set()
+
+
+class Proxies:
+    """All links, in an event loop of a thread of their own."""
+
+    def __init__(self) -> None:
+        self.links: dict[str, Link] = {}
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def add(self, name: str, target: str) -> str:
+        """Adds a link to a target; returns the address to use."""
+        link = self.links[name] = Link(name, target)
+        return asyncio.run_coroutine_threadsafe(self._listen(link), self._loop).result()
+
+    def reset(self, name: str) -> None:
+        """Resets all connections of a link."""
+        self._loop.call_soon_threadsafe(self._reset, self.links[name])
+
+    def stop(self) -> None:
+        """Ends the loop."""
+        asyncio.run_coroutine_threadsafe(self._end_tasks(), self._loop).result()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    @staticmethod
+    async def _end_tasks() -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    @staticmethod
+    def _reset(link: Link) -> None:
+        for writer in list(link.writers):
+            writer.transport.abort()
+
+    async def _listen(self, link: Link) -> str:
+        server = await asyncio.start_server(
+            lambda reader, writer: self._accept(link, reader, writer), "127.0.0.1", 0
+        )
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def _accept(
+        self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        link.writers.add(writer)
+        try:
+            if link.trouble.is_refusing:
+                return
+            host, _, port = link.target.rpartition(":")
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            link.writers.add(far_writer)
+            await asyncio.gather(
+                self._pump(link, "forth", reader, far_writer),
+                self._pump(link, "back", far_reader, writer),
+            )
+        except (OSError, asyncio.CancelledError):
+            pass  # One end is gone, or the run has ended; both are closed below.
+        finally:
+            writer.transport.abort()
+            link.writers.discard(writer)
+
+    async def _pump(
+        self,
+        link: Link,
+        direction: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                trouble = link.trouble
+                if trouble.delay_ms:
+                    await asyncio.sleep(trouble.delay_ms / 1000)
+                if trouble.silent in ("both", direction):
+                    continue
+                writer.write(data)
+                await writer.drain()
+        finally:
+            if writer.can_write_eof():
+                try:
+                    writer.write_eof()
+                except OSError:
+                    pass  # It was reset meanwhile.
+            link.writers.discard(writer)
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -63,6 +63,9 @@
         is_final: Whether the answer is the best that can be had.
         is_arrival: Whether the instance was sent the request.
         is_unheld: Whether the owner does not hold the key.
+        waited_ms: Time until it was placed.
+        took_ms: Time from sending to its end.
+        occupancy: Requests believed to be at the instance when it was placed.
     """
 
     instance: str
@@ -72,6 +75,19 @@
     is_final: bool = False
     is_arrival: bool = True
     is_unheld: bool = False
+    waited_ms: float = 0.0
+    took_ms: float = 0.0
+    occupancy: float = 0.0
+
+    def inputs(self) -> dict[str, object]:
+        """Returns what the log says of the try."""
+        return {
+            "instance": self.instance,
+            "outcome": self.outcome,
+            "waited_ms": round(self.waited_ms, 1),
+            "took_ms": round(self.took_ms, 1),
+            "occupancy": round(self.occupancy, 1),
+        }
 
 
 class _Job:
@@ -91,6 +107,8 @@
         self.is_return = False
         self.attempts: list[Attempt] = []
         self.spare: Answer | None = None
+        self.refusal = ""
+        self.backlog_ms = 0.0
 
     @property
     def may_have_run(self) -> bool:
@@ -201,7 +219,12 @@
             ticket = self._place(job, avoided)
             if ticket.instance is None:
                 return self._give_up(job, ticket)
-            attempt = self._attempt(job, ticket)
+            sent_ms = now_ms()
+            attempt = self._attempt(job, ticket)._replace(
+                waited_ms=ticket.placed_ms - ticket.submitted_ms,
+                took_ms=now_ms() - sent_ms,
+                occupancy=ticket.occupancy,
+            )
             job.attempts.append(attempt)
             self._metrics.count("attempts", job.service, attempt.outcome)
             if attempt.is_final and attempt.answer is not None:
@@ -382,6 +405,8 @@
             is_late = now_ms() >= job.end_ms
             code = caller_codes.ANSWER_LATE if is_late else codes.OUTCOME_UNKNOWN
             return Problem(code, fields.UNKNOWN)
+        job.refusal = ticket.refusal
+        job.backlog_ms = ticket.backlog_ms
         wait_ms = self._site.scheduler.retry_after_ms(ticket, now_ms())
         return _refuse(_refusal_code(job, ticket), wait_ms)
 
@@ -395,14 +420,10 @@
             code=problem.code.name,
             host=request.headers.get("host", ""),
             path=request.path,
-            config=self._config_version(),
+            **self._site.versions(now_ms())._asdict(),
         )
         return problem
 
-    def _config_version(self) -> int:
-        table = self._site.table
-        return table.config.version if table else 0
-
     def _note(self, job: _Job, reply: Reply) -> None:
         """Counts an answer and writes the line from which it can be explained."""
         elapsed_ms = now_ms() - job.start_ms
@@ -419,12 +440,14 @@
             key_hash=job.key_hash,
             status=status,
             code=reply.code.name if is_problem else "",
-            retry_after_ms=reply.retry_after_ms if is_problem else None,
+            retry_after_ms=round(reply.retry_after_ms or 0) if is_problem else 0,
             took_ms=round(elapsed_ms, 1),
             time_ms=round(job.end_ms - job.start_ms),
             is_return=job.is_return,
-            attempts=[(item.instance, item.outcome) for item in job.attempts],
-            config=self._config_version(),
+            why=job.refusal,
+            backlog_ms=round(job.backlog_ms, 1),
+            attempts=[item.inputs() for item in job.attempts],
+            **self._site.versions(now_ms())._asdict(),
         )
 
 
--- a/src/skylarktrail/gateway/site.py
+++ b/src/skylarktrail/gateway/site.py
@@ -23,6 +23,22 @@
 UNHELD_MAX = 4096
 
 
+class SiteVersions(NamedTuple):
+    """What a decision was based on, for the log.
+
+    Attributes:
+        config: Version of the configuration.
+        listing: Position of the instances' entries.
+        listing_age_ms: Time since they were read or told.
+        term: Term of the granter whose owners are known.
+    """
+
+    config: int
+    listing: int
+    listing_age_ms: int
+    term: int
+
+
 class _Span(NamedTuple):
     """Hashes that move away from an owner, and until when this is believed."""
 
@@ -65,6 +81,7 @@
         self._settling: dict[tuple[str, OwnedRange], float] = {}
         self._now_ms = 0.0
         self._listing_position = -1
+        self._listing_ms = 0.0
         self._key_counts: dict[tuple[str, int], int] = {}
         self.told_position = -1
         self.scheduler = Scheduler(self.fleet, self._view(), random.random)
@@ -75,6 +92,7 @@
             if listing.position < self._listing_position:
                 return []
             self._listing_position = listing.position
+            self._listing_ms = now_ms
             changes = self.fleet.merge(listing.entries, now_ms)
             self._poll(now_ms)
             return changes
@@ -201,6 +219,16 @@
         with self.lock:
             return self._budget(service).take(now_ms)
 
+    def versions(self, now_ms: float) -> SiteVersions:
+        """Returns what decisions are based on at this moment."""
+        with self.lock:
+            return SiteVersions(
+                self.table.config.version if self.table else 0,
+                self._listing_position,
+                round(now_ms - self._listing_ms),
+                self.shared.granter.term,
+            )
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Takes other bounds."""
         with self.lock:
--- a/standins/platform/instance.py
+++ b/standins/platform/instance.py
@@ -139,7 +139,7 @@
     def _entry(self) -> dict[str, Any]:
         value = {
             "backend": self._arguments.service,
-            "address": self._arguments.address,
+            "address": self._arguments.advertise or self._arguments.address,
             "zone": self._arguments.zone,
             "configVersion": "v1",
             "slots": self._arguments.slots,
@@ -195,6 +195,7 @@
             self._running += 1
             self._runs[name] = self._runs.get(name, 0) + 1
             self._times.append(now_ms())
+            print(f"run {name} {time.time():.3f}", flush=True)
         time.sleep(self.controls["work_ms"] / 1000)
         with self._lock:
             self._running -= 1
@@ -229,6 +230,7 @@
     parser.add_argument("--name", required=True)
     parser.add_argument("--service", required=True)
     parser.add_argument("--address", required=True, help="host:port")
+    parser.add_argument("--advertise", help="host:port told to the store")
     parser.add_argument("--store", required=True, help="host:port")
     parser.add_argument("--zone", required=True)
     parser.add_argument("--slots", type=int, default=3)
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -88,7 +88,7 @@
         for item in site.events("request_answered")
         if item["request"] == reply.request_id
     ][0]
-    assert line["key_hash"] == 77 and line["attempts"][0][1] == "ANSWERED"
+    assert line["key_hash"] == 77 and line["attempts"][0]["outcome"] == "ANSWERED"
 
 
 def test_a_zone_that_is_taken_out_gets_no_work(site):
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,53 @@
+"""A short seeded run of the soak, and proof that its checks find what they look for."""
+
+from __future__ import annotations
+
+import pytest
+
+from demo.gateway_site import KINDS, Reply
+from soak.checks import Seen, check_owners, check_reply, check_runs
+from soak.run import Run
+
+STOCK, BOOKING = KINDS
+
+# Seeds that once failed, each with its cause.
+FAILED_SEEDS: dict[int, str] = {}
+
+
+def seen(kind=BOOKING, status=200, body="r1 by carga-1", is_signed=True):
+    return Seen(kind, Reply("r1", status, body, is_signed, 1.0))
+
+
+def test_a_whole_and_own_answer_is_no_finding():
+    assert check_reply(seen()) == ""
+    assert check_runs([seen()], {"r1": [1.0]}) == []
+
+
+@pytest.mark.parametrize(
+    "found", [seen(is_signed=False), seen(body="r2 by carga-1"), seen(body="")]
+)
+def test_answers_that_are_not_the_callers_are_found(found):
+    assert check_reply(found)
+
+
+@pytest.mark.parametrize(
+    ("found", "times"),
+    [(seen(), [1.0, 2.0]), (seen(status=503), [1.0]), (seen(), [])],
+)
+def test_wrong_runs_are_found(found, times):
+    assert check_runs([found], {"r1": times})
+
+
+def test_an_idempotent_request_may_run_twice():
+    assert check_runs([seen(STOCK)], {"r1": [1.0, 2.0]}) == []
+
+
+def test_two_owners_are_found():
+    assert check_owners({1: ["a"], 2: ["a", "b"]}) == ["key 2 is held by ['a', 'b']"]
+
+
+@pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
+def test_short_run(seed):
+    outcome = Run(seed, seconds=6.0, gateways=3, instances=3).play()
+    assert outcome.findings == []
+    assert outcome.served > 0.3 * outcome.requests
