--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -97,6 +97,7 @@
     """A grant or release has ended."""
 
     service: str
+    order: GrantCall | ReleaseCall
     result: CallResult
 
 
@@ -453,8 +454,8 @@
 
         def call() -> CallEnded:
             if self._ended.term > term:
-                return CallEnded(service, CallResult(action.call, "unsent"))
-            return CallEnded(service, send(action))
+                return CallEnded(service, action, CallResult(action.call, "unsent"))
+            return CallEnded(service, action, send(action))
 
         self._submit(self._calls, call)
 
@@ -488,7 +489,17 @@
         if outcome == "fenced":
             self._fenced_ms = now_ms()
         if outcome != "done":
-            self._log.write("lease_call_failed", service=ended.service, outcome=outcome)
+            order = ended.order
+            self._log.write(
+                "lease_call_failed",
+                service=ended.service,
+                outcome=outcome,
+                kind=type(order).__name__,
+                instance=order.instance,
+                first=order.first,
+                last=order.last,
+                fence=order.fence,
+            )
         if granter.has_free() and now_ms() >= self._recorded_ms + RECORD_MS:
             self._step()
 
