--- a/src/skylarktrail/config/reference.py
+++ b/src/skylarktrail/config/reference.py
@@ -13,8 +13,8 @@
 
 Both are strict JSON: no comments, no member named twice. `skylarkctl check FILE` names
 every fault of an operator file, `skylarkctl check --settings FILE` those of a daemon's
-settings; `skylarkctl schema operator-file` and `skylarkctl schema settings` print the
-schemas. Rules that a schema cannot say have the codes 1100 to 1203 in
+settings; `skylarkctl schema NAME` prints the schema `operator-file`, `settings` or
+`gateway-settings`. Rules that a schema cannot say have the codes 1100 to 1203 in
 [errors.md](errors.md).
 
 - A whole number is written without a fraction: 256, not 256.0.
@@ -32,6 +32,11 @@
         "Read once, at the start, from the file that `--settings` names. The daemon "
         "does not start with a fault and prints all of them.",
     ),
+    "gateway_settings": (
+        "Settings of a gateway",
+        'The file has `"kind": "gateway"`. Bounds are read again when the file '
+        "changes or on SIGHUP; other fields at the start.",
+    ),
     "operator_file": (
         "Operator file",
         "Published as a whole with `skylarkctl publish`; see "
@@ -42,6 +47,8 @@
 RULE = "|---|---|---|---|---|"
 UNITS = {
     "_ms": "ms",
+    "_window_s": "s",
+    "grace_s": "s",
     "_bytes": "bytes",
     "_percent": "%",
     "_segment": "segment",
--- a/src/skylarktrail/ctl/commands/check.py
+++ b/src/skylarktrail/ctl/commands/check.py
@@ -5,6 +5,7 @@
 from argparse import ArgumentParser, Namespace
 from typing import Any, Callable
 
+from ...config.gateway_settings import is_gateway, parse_gateway_settings
 from ...config.operator_file import check_operator_file
 from ...config.settings import parse_settings
 from ...errors.code import Fault
@@ -40,5 +41,8 @@
 
 
 def _check_settings(plain: Any) -> list[Fault]:
+    if is_gateway(plain):
+        checked = parse_gateway_settings(plain)
+        return checked.err_value if checked.is_err() else []
     outcome = parse_settings(plain)
     return outcome.err_value if outcome.is_err() else []
--- a/src/skylarktrail/ctl/commands/schema.py
+++ b/src/skylarktrail/ctl/commands/schema.py
@@ -9,7 +9,11 @@
 from ..exit_codes import ExitCode
 from ..registry import Report, command
 
-SCHEMAS = {"operator-file": "operator_file", "settings": "settings"}
+SCHEMAS = {
+    "gateway-settings": "gateway_settings",
+    "operator-file": "operator_file",
+    "settings": "settings",
+}
 
 
 def _add_arguments(parser: ArgumentParser) -> None:
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -336,6 +336,6 @@
     assert (status, plain["faults"][0]["code"]) == (CODES["faults"], 8003)
 
 
-@pytest.mark.parametrize("name", ["operator-file", "settings"])
+@pytest.mark.parametrize("name", ["operator-file", "settings", "gateway-settings"])
 def test_schemas_are_printed(run_json, name):
     assert run_json("schema", name)[1]["type"] == "object"
