--- a/src/skylarktrail/core/gateway/ranges.py
+++ b/src/skylarktrail/core/gateway/ranges.py
@@ -55,6 +55,34 @@
     return joined
 
 
+def changed_ranges(before: OwnerTable, after: OwnerTable) -> list[OwnedRange]:
+    """Returns what has to be laid over the first table to get the second.
+
+    Hashes that lose their owner are ranges with an empty owner.
+    """
+    known = set(before.ranges)
+    changed = [item for item in after.ranges if item not in known]
+    gaps = find_gaps((item.first, item.last) for item in after.ranges)
+    return changed + [OwnedRange(first, last, "", 0) for first, last in gaps]
+
+
+def lay_over(before: OwnerTable, changed: Iterable[OwnedRange]) -> OwnerTable:
+    """Returns the table with some ranges changed."""
+    changed = sorted(changed)
+    kept = []
+    for item in before.ranges:
+        first = item.first
+        for other in changed:
+            if other.last < first or other.first > item.last:
+                continue
+            if other.first > first:
+                kept.append(item._replace(first=first, last=other.first - 1))
+            first = other.last + 1
+        if first <= item.last:
+            kept.append(item._replace(first=first))
+    return OwnerTable([*kept, *(item for item in changed if item.owner)])
+
+
 def find_gaps(ranges: Iterable[tuple[int, int]]) -> list[tuple[int, int]]:
     """Returns the hashes that no range covers, as first and last of each gap."""
     gaps = []
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -26,8 +26,7 @@
 
 QUEUE_SLOTS = 1.0  # Requests that may wait at an instance, relative to its slots.
 QUEUE_FALL = 0.5  # How much of that each step of priority costs.
-OWN_SHARE = 4.0  # Own requests at an instance, times its slots over the daemons.
-OWN_FLOOR = 3  # Own requests that are always allowed at one instance.
+OWN_TOTAL = 24.0  # Requests that all daemons together hand to an instance unseen.
 OTHER_ZONE_RATIO = 1.12  # Bytes between zones are dear; much waiting is dearer.
 NEW_CONNECTION_RATIO = 1.1  # A new connection takes time and may hold a slot.
 CHOICE_JITTER = 0.1  # Keeps daemons from all choosing the same best instance.
@@ -324,7 +323,7 @@
         Less urgent requests leave a part of the queue, not of the slots, to others.
         """
         slots = max(1, instance.entry.slots)
-        own_limit = max(OWN_FLOOR, OWN_SHARE * slots / max(1, len(self.view.daemons)))
+        own_limit = max(1.0, OWN_TOTAL / max(1, len(self.view.daemons)))
         if instance.in_flight >= own_limit:
             return False
         queue = QUEUE_SLOTS / (1 + QUEUE_FALL * max(0, priority))
--- a/src/skylarktrail/daemon/controller.py
+++ b/src/skylarktrail/daemon/controller.py
@@ -48,7 +48,6 @@
     SnapshotReceived,
     SnapshotWanted,
     StatusWanted,
-    Tick,
     VmsRead,
 )
 from .metrics import Metrics
@@ -61,6 +60,7 @@
     summarize_servers,
     summarize_zones,
 )
+from .ticker import Tick
 
 HEARD_MS = 2_000
 LOADS_PERIOD_MS = 5_000
--- a/src/skylarktrail/daemon/messages.py
+++ b/src/skylarktrail/daemon/messages.py
@@ -14,10 +14,6 @@
     """Asks an actor to do its next round."""
 
 
-class Tick(NamedTuple):
-    """Time has passed."""
-
-
 class ReadFrom(NamedTuple):
     """Sets the offset of the next read of the log."""
 
--- a/src/skylarktrail/daemon/peering.py
+++ b/src/skylarktrail/daemon/peering.py
@@ -30,8 +30,8 @@
     RosterChanged,
     SnapshotReceived,
     SnapshotWanted,
-    Tick,
 )
+from .ticker import Tick
 
 SNAPSHOT_TIMEOUT_MS = 2_000
 AGES_TIMEOUT_MS = 1_000
--- a/src/skylarktrail/daemon/ticker.py
+++ b/src/skylarktrail/daemon/ticker.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import threading
+from typing import NamedTuple
 
 import pykka
 
-from .messages import Tick
+
+class Tick(NamedTuple):
+    """Time has passed."""
 
 
 class Ticker:
--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -23,7 +23,7 @@
 from ..core.gateway.key_load import KeyLoad
 from ..core.gateway.model import ServiceSpec
 from ..core.gateway.planner import Move
-from ..core.gateway.ranges import OwnerTable
+from ..core.gateway.ranges import OwnedRange, OwnerTable
 from ..core.gateway.shared import (
     GRANTER_KEY,
     OWNERS_PREFIX,
@@ -32,7 +32,7 @@
     encode_owners,
 )
 from ..core.gateway.speeds import Speeds
-from ..daemon.messages import Tick
+from ..daemon.ticker import Tick
 from ..errors import platform as codes
 from ..errors.code import Fault
 from ..peer.messages import GatewayLoad
@@ -127,7 +127,10 @@
 class _Write:
     """A write under way, until it is known to have landed or not."""
 
-    def __init__(self, key: str, value: bytes, service: str) -> None:
+    def __init__(
+        self, key: str, value: bytes, service: str, ranges: Sequence[OwnedRange] = ()
+    ) -> None:
+        self.ranges = ranges
         self.key = key
         self.value = value
         self.service = service
@@ -147,7 +150,7 @@
         timings: Durations of leases.
         log: Gets a line for each decision.
         metrics: Counts.
-        on_written: Told key, value and position of each record written.
+        on_written: Told service, owners and position of each record written.
         hears_granter: Tells whether the present granter is at work.
         ask_end: Asks a former granter to stop, and calls back when it has.
         ended: Highest term whose granter has asked this daemon to stop.
@@ -165,7 +168,7 @@
         timings: Timings,
         log: EventLog,
         metrics: GatewayMetrics,
-        on_written: Callable[[str, bytes, int], None],
+        on_written: Callable[[str, Sequence[OwnedRange], int], None],
         hears_granter: Callable[[], bool],
         ask_end: Callable[[str, int, Callable[[], None]], None],
         ended: EndedTerm,
@@ -350,7 +353,8 @@
         if result.is_ok():
             self._metrics.count("store_calls", "share", "done")
             self._position = max(self._position, result.unwrap())
-            self._on_written(write.key, write.value, write.at)
+            if write.ranges:
+                self._on_written(write.service, write.ranges, write.at)
             self._end_write(write, True)
             return
         code = result.unwrap_err().code
@@ -445,7 +449,8 @@
         if isinstance(action, RecordWanted):
             self._recorded_ms = now_ms()
             value = encode_owners(action.ranges)
-            self._writes.append(_Write(OWNERS_PREFIX + service, value, service))
+            write = _Write(OWNERS_PREFIX + service, value, service, action.ranges)
+            self._writes.append(write)
             self._send_write(now_ms())
             return
         is_grant = isinstance(action, GrantCall)
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -10,6 +10,7 @@
 from ..core.gateway.fleet import Fleet
 from ..core.gateway.model import InstanceEntry
 from ..core.gateway.planner import Move
+from ..core.gateway.ranges import OwnedRange
 from ..errors.code import Fault
 from ..peer.hub import Reply
 from ..peer.links import PeerLinks
@@ -17,17 +18,18 @@
     GatewayListing,
     GatewayLoad,
     GatewayMoving,
-    GatewayRecord,
+    GatewayOwners,
     GatewayTermAsk,
     GatewayTermEnded,
     Message,
     MovingRange,
     ToldInstance,
+    ToldRange,
 )
 from .clock import now_ms
 from .event_log import EventLog
 from .site import Site
-from .site_store import Listing, SharedUpdate
+from .site_store import Listing
 
 HEARTBEAT_MS = 500
 END_TIMEOUT_MS = 3000
@@ -108,7 +110,7 @@
         address: `host:port` where other daemons connect.
         log: Gets lines about links.
         on_load: Takes a report of load while this daemon is the granter.
-        on_shared: Takes a shared record that the granter has written.
+        on_owners: Takes what a record of owners has changed, and its position.
         on_positions: Takes the granter's positions in shared and operators' records.
         on_term: Stops grants of terms below one; called before this is answered.
     """
@@ -120,14 +122,14 @@
         address: str,
         log: EventLog,
         on_load: Callable[[GatewayLoad], None],
-        on_shared: Callable[[SharedUpdate, int], None],
+        on_owners: Callable[[str, Sequence[OwnedRange], int], None],
         on_positions: Callable[[int, int], None],
         on_term: Callable[[int], None],
     ) -> None:
         self._site = site
         self._log = log
         self._on_load = on_load
-        self._on_shared = on_shared
+        self._on_owners = on_owners
         self._on_positions = on_positions
         self._on_term = on_term
         self._feed = ListingFeed()
@@ -203,10 +205,14 @@
         else:
             self._links.send(granter, report)
 
-    def tell_record(self, key: str, value: bytes, position: int) -> None:
-        """Sends a record that this daemon has written as granter to all others."""
+    def tell_owners(
+        self, service: str, changed: Sequence[OwnedRange], position: int
+    ) -> None:
+        """Sends what a record of owners has changed to all others."""
+        ranges = tuple(ToldRange(*item) for item in changed)
+        message = GatewayOwners(service, ranges, position)
         for name in self._peers:
-            self._links.send(name, GatewayRecord(key, value, position))
+            self._links.send(name, message)
 
     def tell_moving(self, service: str, moves: Sequence[Move]) -> None:
         """Tells all that hashes are about to move, so that their requests wait."""
@@ -230,11 +236,9 @@
         elif isinstance(message, GatewayLoad):
             self._feed.note_reached(daemon, message.listing)
             self._on_load(message)
-        elif isinstance(message, GatewayRecord):
-            update = SharedUpdate(
-                [(message.key, message.value)], False, message.position + 1
-            )
-            self._on_shared(update, message.position)
+        elif isinstance(message, GatewayOwners):
+            changed = [OwnedRange(*item) for item in message.changed]
+            self._on_owners(message.service, changed, message.position)
         elif isinstance(message, GatewayMoving):
             self._site.note_moving(message, now_ms())
         elif isinstance(message, GatewayListing):
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from typing import Sequence
 
 from result import Err, Ok, Result
 from uuid6 import uuid7
@@ -11,6 +12,7 @@
 
 from ..config.gateway_settings import Bounds, GatewaySettings
 from ..config.settings import Limits
+from ..core.gateway.ranges import OwnedRange, OwnerTable, changed_ranges
 from ..core.gateway.shared import Member
 from ..daemon.caller_app import CallerApp, make_caller_server
 from ..daemon.ticker import Ticker
@@ -28,7 +30,7 @@
 from .ready_app import ReadyApp
 from .router import GatewayRouter
 from .site import Site
-from .site_store import SharedUpdate, SiteStore
+from .site_store import SiteStore
 from .watchers import (
     CandidacyWatcher,
     InstanceWatcher,
@@ -89,7 +91,7 @@
             settings.peer_address,
             self._log,
             self._take_load,
-            self._take_told,
+            self._take_owners,
             self._take_positions,
             self._end_term,
         )
@@ -227,14 +229,19 @@
         self._ticker = Ticker([self._granter], TICK_MS)
         self._ticker.start()
 
-    def _tell_written(self, key: str, value: bytes, position: int) -> None:
-        """Tells this daemon and all others of a record as soon as it is written."""
-        update = SharedUpdate([(key, value)], False, position + 1)
-        self._shared.take_told(update, position)
-        self._messenger.tell_record(key, value, position)
+    def _tell_written(
+        self, service: str, ranges: Sequence[OwnedRange], position: int
+    ) -> None:
+        """Tells this daemon and all others of owners as soon as they are recorded."""
+        before = self._site.shared.owners.get(service, OwnerTable())
+        changed = changed_ranges(before, OwnerTable(ranges))
+        self._shared.take_owners(service, changed, position)
+        self._messenger.tell_owners(service, changed, position)
 
-    def _take_told(self, update: SharedUpdate, position: int) -> None:
-        self._shared.take_told(update, position)
+    def _take_owners(
+        self, service: str, changed: Sequence[OwnedRange], position: int
+    ) -> None:
+        self._shared.take_owners(service, changed, position)
 
     def _take_positions(self, shared: int, operators: int) -> None:
         self._shared.take_position(shared)
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import threading
-from typing import Any, Callable
+from typing import Any, Callable, Sequence
 
 from result import Result
 
-from ..core.gateway.shared import MEMBER_PREFIX, Member, encode_member
+from ..core.gateway.ranges import OwnedRange, OwnerTable, lay_over
+from ..core.gateway.shared import (
+    MEMBER_PREFIX,
+    OWNERS_PREFIX,
+    Member,
+    encode_member,
+    encode_owners,
+)
 from ..errors import platform as codes
 from ..errors.code import Fault
 from .clock import now_ms
@@ -27,7 +34,7 @@
 WAIT_MS = 2000
 GRANTER_WAIT_MS = 1000  # The granter confirms its term this often.
 FAILED_MS = 250.0  # Pause after a failed call; the store counts refused calls too.
-FAILED_MAX_MS = 1000.0
+FAILED_MAX_MS = 1500.0  # With the time for an answer below the 3 s named above.
 STAND_MS = 600.0
 STAND_TTL_MS = 1500  # A lost candidate is replaced after this.
 LOAD_REPORT_MS = 500.0
@@ -228,13 +235,14 @@
         if self._position is None or position > self._position:
             self._news.set()
 
-    def take_told(self, update: SharedUpdate, at: int) -> None:
-        """Takes a record that the granter tells; reads if one before it is missing."""
+    def take_owners(self, service: str, changed: Sequence[OwnedRange], at: int) -> None:
+        """Takes a change that the granter tells; reads if one before it is missing."""
         with self._lock:
             if self._position == at:
-                self._position = update.position
-                self._messenger.note_positions(update.position, None)
-                self._site.take_shared(update, now_ms())
+                before = self._site.shared.owners.get(service, OwnerTable())
+                value = encode_owners(lay_over(before, changed).ranges)
+                record = (OWNERS_PREFIX + service, value)
+                self._take(SharedUpdate([record], False, at + 1))
                 return
             is_known = self._position is not None and self._position > at
         if not is_known:
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -359,18 +359,34 @@
     listing: int
 
 
-@message("gateway_record")
-class GatewayRecord(NamedTuple):
-    """A shared record that the granter has written.
+class ToldRange(NamedTuple):
+    """Hashes and their owner.
 
     Attributes:
-        key: Its key.
-        value: Its value.
-        position: Where it stands in the log.
+        first: First hash.
+        last: Last hash, inclusive.
+        owner: Identifier of the instance; empty for none.
+        born_ms: Start of the life that owns them.
     """
 
-    key: str
-    value: bytes
+    first: int
+    last: int
+    owner: str
+    born_ms: int
+
+
+@message("gateway_owners")
+class GatewayOwners(NamedTuple):
+    """What a record of owners that the granter has written changes.
+
+    Attributes:
+        service: Name of the service.
+        changed: Ranges to lay over those before.
+        position: Where the record stands in the log.
+    """
+
+    service: str
+    changed: tuple[ToldRange, ...]
     position: int
 
 
@@ -473,7 +489,7 @@
     | GatewayTermAsk
     | GatewayTermEnded
     | GatewayLoad
-    | GatewayRecord
+    | GatewayOwners
     | GatewayListing
     | Hello
     | Heartbeat
--- a/tests/core/gateway/test_ranges.py
+++ b/tests/core/gateway/test_ranges.py
@@ -11,8 +11,10 @@
 from skylarktrail.core.gateway.ranges import (
     OwnedRange,
     OwnerTable,
+    changed_ranges,
     coalesce,
     find_gaps,
+    lay_over,
 )
 from skylarktrail.core.gateway.shared import (
     GRANTER_KEY,
@@ -164,3 +166,18 @@
     assert state.owners["stock"].ranges == ranges
     state.apply([(MEMBER_PREFIX + "d2", b"")], False)
     assert state.members == {"d1": Member("p1", "10.0.0.1:1")}
+
+
+tables = st.lists(st.sampled_from(["", "a", "b", "c"]), min_size=1, max_size=12).map(
+    lambda owners: OwnerTable(
+        OwnedRange(n * 5000, n * 5000 + 4999, owner, 1)
+        for n, owner in enumerate(owners)
+        if owner
+    )
+)
+
+
+@given(tables, tables)
+def test_changes_laid_over_a_table_give_the_other(before, after):
+    result = lay_over(before, changed_ranges(before, after))
+    assert result.ranges == after.ranges
