Take a reused address as the end of an owner; give a hot key the fastest owner

And 600 of 745 refusals at 12 to 20 s were for one hash, which got more than its owner's three slots can do.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -96,8 +96,9 @@
 
     Attributes:
         call: Number of the call.
-        outcome: `done`; `fenced`; `refused`, where no process listens; `unsent`,
-            where no connection came about; `silent`, where it may take effect.
+        outcome: `done`; `fenced`; `refused`, where nobody listens or another process
+            does; `unsent`, where no connection came about; `silent`, where it may
+            take effect.
         handover: State handed over by the releasing instance.
     """
 
@@ -187,6 +188,7 @@
         end_ms = rights_end_ms + self._longest_ms(timings.lease_ms)
         self._ranges = [_Range(item, "", end_ms) for item in recorded.ranges]
         self._owners: dict[str, Owner] = {}
+        self._addresses: Mapping[str, str] = {}
         self._is_recording = False
         self._given: list[_Range] = []
 
@@ -226,13 +228,20 @@
         )
         return HASHES - held
 
-    def step(self, owners: Mapping[str, Owner], now_ms: float) -> list[Action]:
+    def step(
+        self,
+        owners: Mapping[str, Owner],
+        now_ms: float,
+        addresses: Mapping[str, str] | None = None,
+    ) -> list[Action]:
         """Returns what is to be done now.
 
         Args:
             owners: All instances of the service that are listed.
+            addresses: Instance at each address, of all services that are listed.
         """
         self._owners = dict(owners)
+        self._addresses = addresses or {}
         if self._is_recording:
             return self._renewals(now_ms)
         self._free_ended(now_ms)
@@ -391,6 +400,11 @@
             actions.append(self._grant(item, address, lease_ms))
         return actions
 
+    def _has_ended(self, item: _Range) -> bool:
+        """Tells whether the process of an owner that is not listed has ended."""
+        at_address = self._addresses.get(item.address, item.owned.owner)
+        return at_address != item.owned.owner or item.refusals >= REFUSED_PROOF
+
     def _is_other_life(self, item: _Range) -> bool:
         owner = self._owners.get(item.owned.owner)
         return owner is not None and owner.born_ms != item.owned.born_ms
@@ -448,7 +462,7 @@
         for item in self._ranges:
             owner = self._owners.get(item.owned.owner)
             is_other_life = self._is_other_life(item)
-            is_ended = owner is None and item.refusals >= REFUSED_PROOF
+            is_ended = owner is None and self._has_ended(item)
             is_quiet = item.is_leaving and not item.call
             end_ms = max(item.lease_end_ms, item.inherited_end_ms)
             is_lapsed = is_quiet and now_ms >= end_ms
--- a/src/skylarktrail/core/gateway/planner.py
+++ b/src/skylarktrail/core/gateway/planner.py
@@ -10,6 +10,8 @@
 START_RATIO = 1.3  # Moves begin above this part of an owner's fair load.
 DEVIATIONS = 2.5  # An excess has to be more than this many standard deviations.
 STOP_RATIO = 1.1  # Moves go on until no owner is above this.
+HOT_RATIO = 1.2  # A single hash above this part of any fair load is hot.
+FASTER_RATIO = 1.3  # A hot hash moves to an owner this much faster.
 IDLE_RATIO = 0.35  # An instance below this part of its fair load gets more.
 MAX_MOVES = 12  # Each move keeps its keys waiting for the work that runs on them.
 MOVES_RATIO = 0.4  # Moves for each instance, where this is more.
@@ -71,9 +73,29 @@
             return []
         moves = self._place_orphans()
         if self._is_uneven():
+            moves += self._place_hot_hashes()
             moves += self._even_out()
         return moves
 
+    def _place_hot_hashes(self) -> list[Move]:
+        """Moves a hash that alone overloads its owner to a much faster one.
+
+        Load pattern: one key gets more than an instance can do. It cannot be cut, so it
+        gets the fastest owner, from which other hashes then move away.
+        """
+        fastest = max(self._fair, key=self._fair.__getitem__)
+        limit = HOT_RATIO * self._fair[fastest]
+        for name, items in self._held.items():
+            if self._fair[fastest] < FASTER_RATIO * self._fair[name]:
+                continue
+            for item in items:
+                load = self._curve.between(item.first, item.last)
+                if item.first == item.last and load > limit:
+                    move = Move(item.first, item.last, fastest)
+                    self._apply(name, item, move)
+                    return [move]
+        return []
+
     def _is_uneven(self) -> bool:
         """Tells whether the load differs by more than chance explains."""
         if min(self._ratio(name) for name in self._held) < IDLE_RATIO:
--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -394,9 +394,12 @@
         owners = self._owners(spec.name, at_ms)
         if not owners:
             return
-        actions = granter.step(owners, at_ms)
+        with self._site.lock:
+            instances = self._site.fleet.instances
+            addresses = {i.entry.address: name for name, i in instances.items()}
+        actions = granter.step(owners, at_ms, addresses)
         self._plan(spec.name, granter, at_ms)
-        actions += granter.step(owners, at_ms)
+        actions += granter.step(owners, at_ms, addresses)
         for action in actions:
             self._do(spec.name, action)
 
--- a/src/skylarktrail/platform/orders.py
+++ b/src/skylarktrail/platform/orders.py
@@ -15,7 +15,8 @@
 POOLS = 256
 DONE, FENCED, REFUSED = "done", "fenced", "refused"
 UNSENT, SILENT = "unsent", "silent"
-OUTCOMES = {200: DONE, 409: FENCED, 400: FENCED, 421: REFUSED}
+# Whoever does not know the call, or is not the instance named, has taken its address.
+OUTCOMES = {200: DONE, 409: FENCED, 400: REFUSED, 404: REFUSED, 421: REFUSED}
 
 
 class InstanceOrders:
--- a/tests/core/gateway/test_granter.py
+++ b/tests/core/gateway/test_granter.py
@@ -76,6 +76,16 @@
     assert world.unheld() == 0
 
 
+def test_an_address_taken_by_another_instance_proves_that_its_owner_has_ended(world):
+    seat = world.seats[-1]
+    world.servers["s1"].is_up = False
+    world.servers["s1"].is_listed = False
+    owners = world.owners_seen_by(seat)
+    seat.granter.step(owners, world.now_ms, {"s1": "of another service"})
+    world.advance(300)
+    assert world.unheld() == 0
+
+
 class GranterMachine(RuleBasedStateMachine):
     """Servers and granters under faults in any order."""
 
--- a/tests/core/gateway/test_ranges.py
+++ b/tests/core/gateway/test_ranges.py
@@ -93,6 +93,23 @@
     assert max(after.values()) < 1.5 / len(NAMES)
 
 
+def test_a_key_that_overloads_any_owner_goes_to_the_fastest():
+    """Load pattern: 40% of the requests are for one key."""
+    load = KeyLoad()
+    load.add({30_000: 400}, 0.0)
+    load.add({number * 109: 1 for number in range(600)}, 0.0)
+    item = equal_holdings()[5]
+    holdings = [
+        Holding(item.first, 29_999, "i-5"),
+        Holding(30_000, 30_000, "i-5"),
+        Holding(30_001, item.last, "i-5"),
+    ]
+    others = [item for item in equal_holdings() if item.owner != "i-5"]
+    capacities = dict.fromkeys(NAMES, 1.0) | {"i-9": 1.5}
+    moves = plan_moves(holdings + others, capacities, load.curve(0.0))
+    assert Holding(30_000, 30_000, "i-9") in [Holding(*move) for move in moves]
+
+
 def test_chance_alone_moves_nothing():
     load = KeyLoad()
     load.add({number * 655: 1 for number in range(100)}, 0.0)
--- a/tests/core/gateway/world.py
+++ b/tests/core/gateway/world.py
@@ -156,7 +156,7 @@
                 return
         if self.now_ms - seat.confirmed_ms > TIMINGS.authority_ms:
             return
-        owners = self._owners(seat)
+        owners = self.owners_seen_by(seat)
         if not owners:
             return
         actions = seat.granter.step(owners, self.now_ms)
@@ -168,7 +168,8 @@
         for action in actions:
             self._do(seat, action)
 
-    def _owners(self, seat: Seat) -> dict[str, Owner]:
+    def owners_seen_by(self, seat: Seat) -> dict[str, Owner]:
+        """Returns the listed servers as a granter sees them."""
         return {
             server.name: Owner(
                 server.name,
