--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -23,8 +23,6 @@
     GatewayTermEnded,
     Message,
     MovingRange,
-    ToldInstance,
-    ToldRange,
 )
 from .clock import now_ms
 from .event_log import EventLog
@@ -40,7 +38,7 @@
     """The granter's side: tells each daemon what has changed since its last update."""
 
     def __init__(self) -> None:
-        self._told: dict[str, ToldInstance] = {}
+        self._told: dict[str, InstanceEntry] = {}
         self._position = -1
         self.shared = -1
         self.operators = -1
@@ -48,7 +46,7 @@
 
     def update(self, fleet: Fleet, position: int) -> GatewayListing:
         """Takes the entries after a read; returns the change."""
-        now = {name: _to_told(i.entry) for name, i in fleet.instances.items()}
+        now = {name: i.entry for name, i in fleet.instances.items()}
         changed = [
             entry
             for name, entry in now.items()
@@ -67,7 +65,7 @@
         return self._make(-1, tuple(self._told.values()), ())
 
     def _make(
-        self, base: int, entries: tuple[ToldInstance, ...], gone: tuple[str, ...]
+        self, base: int, entries: tuple[InstanceEntry, ...], gone: tuple[str, ...]
     ) -> GatewayListing:
         return GatewayListing(
             base, self._position, self.shared, self.operators, entries, gone
@@ -93,14 +91,10 @@
             self._reached.pop(daemon, None)
 
 
-def _is_changed(before: ToldInstance, after: ToldInstance) -> bool:
+def _is_changed(before: InstanceEntry, after: InstanceEntry) -> bool:
     return before._replace(sequence=0) != after._replace(sequence=0)
 
 
-def _to_told(entry: InstanceEntry) -> ToldInstance:
-    return ToldInstance(*entry)
-
-
 class Messenger:
     """This daemon's links to the others.
 
@@ -209,8 +203,7 @@
         self, service: str, changed: Sequence[OwnedRange], position: int
     ) -> None:
         """Sends what a record of owners has changed to all others."""
-        ranges = tuple(ToldRange(*item) for item in changed)
-        message = GatewayOwners(service, ranges, position)
+        message = GatewayOwners(service, tuple(changed), position)
         for name in self._peers:
             self._links.send(name, message)
 
@@ -237,8 +230,7 @@
             self._feed.note_reached(daemon, message.listing)
             self._on_load(message)
         elif isinstance(message, GatewayOwners):
-            changed = [OwnedRange(*item) for item in message.changed]
-            self._on_owners(message.service, changed, message.position)
+            self._on_owners(message.service, message.changed, message.position)
         elif isinstance(message, GatewayMoving):
             self._site.note_moving(message, now_ms())
         elif isinstance(message, GatewayListing):
@@ -254,8 +246,8 @@
             return
         if message.base < 0:
             self._entries = {}
-        for told in message.entries:
-            self._entries[told.instance] = InstanceEntry(*told)
+        for entry in message.entries:
+            self._entries[entry.instance] = entry
         for name in message.gone:
             self._entries.pop(name, None)
         self._told_by = daemon
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -131,24 +131,15 @@
         return GRANTER_LISTING_MS - (now_ms() - started_ms)
 
 
-class OperatorWatcher:
-    """Reads the configuration and the zones that are out.
-
-    A daemon that hears the granter reads when that has read something new.
-    """
+class LogReader:
+    """Reads a log of the store; when the granter is heard, only if it has news."""
 
     def __init__(
-        self,
-        store: SiteStore,
-        site: Site,
-        watch: StoreWatch,
-        log: EventLog,
-        messenger: Messenger,
+        self, store: SiteStore, site: Site, watch: StoreWatch, messenger: Messenger
     ) -> None:
         self._store = store
         self._site = site
         self._watch = watch
-        self._log = log
         self._messenger = messenger
         self._position: int | None = None
         self._news = threading.Event()
@@ -167,13 +158,38 @@
             self._news.set()
 
     def _read(self, wait_ms: int) -> float:
-        self._news.clear()
-        read = self._store.read_operators(self._position, wait_ms)
+        """Reads once, waiting for news; returns the pause until the next read."""
+        raise NotImplementedError
+
+    def _check(self, read: Result[Any, Fault]) -> float | None:
+        """Returns the pause after a failed read, else None."""
         pause_ms = self._watch.check(read)
         if pause_ms is not None:
+            self._news.set()
             if read.unwrap_err().code is codes.STORE_TRIMMED:
                 self._position = None
-            self._news.set()
+        return pause_ms
+
+
+class OperatorWatcher(LogReader):
+    """Reads the configuration and the zones that are out."""
+
+    def __init__(
+        self,
+        store: SiteStore,
+        site: Site,
+        watch: StoreWatch,
+        log: EventLog,
+        messenger: Messenger,
+    ) -> None:
+        super().__init__(store, site, watch, messenger)
+        self._log = log
+
+    def _read(self, wait_ms: int) -> float:
+        self._news.clear()
+        read = self._store.read_operators(self._position, wait_ms)
+        pause_ms = self._check(read)
+        if pause_ms is not None:
             return pause_ms
         update = read.unwrap()
         is_news = self._position != update.position
@@ -190,7 +206,7 @@
         return 0.0
 
 
-class SharedWatcher:
+class SharedWatcher(LogReader):
     """Reads the daemons' shared records and adds this daemon to the members.
 
     Args:
@@ -208,32 +224,18 @@
         is_granter: Callable[[], bool],
         messenger: Messenger,
     ) -> None:
-        self._store = store
-        self._site = site
-        self._messenger = messenger
+        super().__init__(store, site, watch, messenger)
         self._me = me
-        self._watch = watch
         self._on_read = on_read
         self._is_granter = is_granter
-        self._position: int | None = None
         self._lock = threading.Lock()
-        self._news = threading.Event()
 
     def round(self) -> float:
-        """Reads once; returns the pause until the next read."""
+        """Reads once; the granter does so each second to confirm its term."""
         if self._is_granter():
             self._news.wait(GRANTER_WAIT_MS / 1000)
             return self._read(0)
-        if self._position is not None and self._messenger.hears_granter():
-            if not self._news.wait(TOLD_WAIT_MS / 1000):
-                return 0.0
-            return self._read(0)
-        return self._read(0 if self._watch.is_lost else WAIT_MS)
-
-    def take_position(self, position: int) -> None:
-        """Takes how far the granter has read."""
-        if self._position is None or position > self._position:
-            self._news.set()
+        return super().round()
 
     def take_owners(self, service: str, changed: Sequence[OwnedRange], at: int) -> None:
         """Takes a change that the granter tells; reads if one before it is missing."""
@@ -253,10 +255,8 @@
         started_ms = now_ms()
         position = self._position
         read = self._store.read_shared(position, wait_ms)
-        pause_ms = self._watch.check(read)
+        pause_ms = self._check(read)
         if pause_ms is not None:
-            if read.unwrap_err().code is codes.STORE_TRIMMED:
-                self._position = None
             return pause_ms
         update = read.unwrap()
         with self._lock:
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -4,6 +4,9 @@
 
 from typing import Any, Callable, NamedTuple, TypeVar
 
+from ..core.gateway.model import InstanceEntry
+from ..core.gateway.ranges import OwnedRange
+
 M = TypeVar("M", bound=type)
 MESSAGE_TYPES: dict[str, type] = {}
 
@@ -359,22 +362,6 @@
     listing: int
 
 
-class ToldRange(NamedTuple):
-    """Hashes and their owner.
-
-    Attributes:
-        first: First hash.
-        last: Last hash, inclusive.
-        owner: Identifier of the instance; empty for none.
-        born_ms: Start of the life that owns them.
-    """
-
-    first: int
-    last: int
-    owner: str
-    born_ms: int
-
-
 @message("gateway_owners")
 class GatewayOwners(NamedTuple):
     """What a record of owners that the granter has written changes.
@@ -386,7 +373,7 @@
     """
 
     service: str
-    changed: tuple[ToldRange, ...]
+    changed: tuple[OwnedRange, ...]
     position: int
 
 
@@ -437,32 +424,6 @@
     term: int
 
 
-class ToldInstance(NamedTuple):
-    """An instance's entry as the granter has read it.
-
-    Attributes:
-        instance: Identifier of the instance.
-        service: Service that it belongs to.
-        address: `host:port`.
-        zone: Its availability zone.
-        slots: Requests that it works on at once.
-        is_draining: Whether it is about to leave.
-        cold_ms: How much longer it is cold.
-        born_ms: Wall-clock time of its start.
-        sequence: Number of the heartbeat.
-    """
-
-    instance: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    is_draining: bool
-    cold_ms: float
-    born_ms: int
-    sequence: int
-
-
 @message("gateway_listing")
 class GatewayListing(NamedTuple):
     """What has changed in the instances' entries.
@@ -480,7 +441,7 @@
     position: int
     shared: int
     operators: int
-    entries: tuple[ToldInstance, ...]
+    entries: tuple[InstanceEntry, ...]
     gone: tuple[str, ...]
 
 
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -8,6 +8,8 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from skylarktrail.core.gateway.model import InstanceEntry
+from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.errors import peer as codes
 from skylarktrail.peer import messages
 from skylarktrail.peer.codec import MAX_MESSAGE_BYTES, VERSION, decode, encode
@@ -34,6 +36,23 @@
     messages.Snapshot({"members": {"d1": ["i1", "heredia"]}}),
     messages.AgesAsk(),
     messages.Ages(True, (messages.ToldAge("carga-1", -1.0),)),
+    messages.GatewayLoad(
+        (messages.KeyCount("catalogo", 65535, 3),),
+        (messages.SpeedSample("i-1", 4, 3.5, 1),),
+        -1,
+    ),
+    messages.GatewayOwners("catalogo", (OwnedRange(0, 99, "i-1", 1 << 41),), 7),
+    messages.GatewayListing(
+        -1,
+        9,
+        8,
+        7,
+        (InstanceEntry("i-1", "s", "10.0.0.1:80", "z", 3, False, 1.5, 1 << 41, 4),),
+        ("i-2",),
+    ),
+    messages.GatewayMoving("catalogo", (messages.MovingRange(3, 4),)),
+    messages.GatewayTermAsk(5),
+    messages.GatewayTermEnded(5),
 ]
 
 
