--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SEED ?= 1
 STEPS ?= 5000
 RUNS ?= 1
+PYTEST_ARGS ?=
 SOURCES := src tests standins demo benchmarks soak
 
 .PHONY: test lint format demo bench soak soak-faults clean
@@ -15,7 +16,7 @@
 	touch $@
 
 test: .venv/.installed
-	$(BIN)/pytest
+	$(BIN)/pytest $(PYTEST_ARGS)
 
 lint: .venv/.installed
 	$(BIN)/black --check --quiet $(SOURCES)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 CHUNK_BYTES = 1 << 16
-LOOK_S = 0.05
 
 
 class Trouble(NamedTuple):
--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -13,7 +13,6 @@
 from typing import Mapping, NamedTuple
 
 from .key_load import LoadCurve
-from .model import HASHES
 from .planner import Holding, Move, plan_moves
 from .ranges import OwnedRange, OwnerTable, coalesce, find_gaps
 
@@ -219,15 +218,6 @@
         """Tells whether ranges wait to be recorded under a new owner."""
         return any(item.is_free for item in self._ranges)
 
-    def unheld(self) -> int:
-        """Returns how many hashes no instance holds as far as is known."""
-        held = sum(
-            item.owned.last - item.owned.first + 1
-            for item in self._ranges
-            if item.is_held and not item.is_leaving
-        )
-        return HASHES - held
-
     def step(
         self,
         owners: Mapping[str, Owner],
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -62,7 +62,6 @@
         answer: The answer, if it may be passed on.
         is_final: Whether the answer is the best that can be had.
         is_arrival: Whether the instance was sent the request.
-        is_unheld: Whether the owner does not hold the key.
         waited_ms: Time until it was placed.
         took_ms: Time from sending to its end.
         occupancy: Requests believed to be at the instance when it was placed.
@@ -74,7 +73,6 @@
     answer: Answer | None = None
     is_final: bool = False
     is_arrival: bool = True
-    is_unheld: bool = False
     waited_ms: float = 0.0
     took_ms: float = 0.0
     occupancy: float = 0.0
@@ -382,7 +380,7 @@
             instance.suspend(now_ms())
             return Attempt(name, "OTHER_INSTANCE", False)
         self._site.note_unheld(job.service, job.key_hash, now_ms())
-        return Attempt(name, "UNHELD", False, is_unheld=True)
+        return Attempt(name, "UNHELD", False)
 
     def _may_repeat(self, job: _Job, attempt: Attempt) -> bool:
         if attempt.outcome == codes.ATTEMPT_CUT.name or job.request.has_left():
