--- a/tests/core/test_ownership_budget.py
+++ b/tests/core/test_ownership_budget.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from benchmarks.ownership_world import FakeServer, World
+from benchmarks.ownership_world import SERVICE, FakeServer, World
 from skylarktrail.core.ownership import Timings
+from skylarktrail.core.records import Split
 
 BUDGET_MS = 5000
 PLANNED_MOVE_MS = 300
@@ -137,3 +138,24 @@
     records = len(world.log.records)
     assert watch(world) <= PLANNED_MOVE_MS
     assert len(world.log.records) > records
+
+
+def find_split(world: World) -> Split | None:
+    """Returns a split that a granter wants recorded."""
+    for daemon in world.daemons.values():
+        for queued in daemon.queue:
+            if isinstance(queued.envelope.body, Split):
+                return queued.envelope.body
+    return None
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_loss_of_a_server_whose_slice_is_being_split_while_the_log_is_down(seed):
+    world = begin(seed, Timings().balance_ms)
+    while (split := find_split(world)) is None:
+        world.advance(1)
+        assert world.now_ms < 120_000
+    world.stop_log(0, 10**6)
+    server = world.servers[world.log.state.tables[SERVICE].find(split.start).server]
+    world.freeze(int(server.name[1:]), 10**6)
+    assert watch(world, (server,)) <= BUDGET_MS
