Tell shared records over the links, pace reads at a start, start threads as needed

The granter now passes on what others have written, and a daemon that hears no granter reads at most each 400 ms after news, but for the candidate. Threads are now started as requests need them. Tests: records told are not read again, a gap is read, a candidate is not paced.

--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -28,6 +28,7 @@
 from .metrics import OTHER
 from .problem import Problem
 from .routes import CallerRequest
+from .thread_pool import GrowingDispatcher
 
 REASONS = {200: "OK", 201: "Created", 202: "Accepted", 204: "No Content"}
 CONTENT_LENGTH = "CONTENT_LENGTH"
@@ -259,13 +260,14 @@
     Bodies stay in memory, as the VMs have no disks.
 
     Args:
+        threads: Most requests that are worked on at once.
         lookahead_requests: Requests that are read ahead on a connection; with one or
             more a caller that leaves is noticed while its request is worked on.
     """
     server = create_server(
         app,
         listen=address,
-        threads=threads,
+        _dispatcher=GrowingDispatcher(threads),
         ident=None,
         max_request_body_size=limits.body_bytes + 1,
         inbuf_overflow=MEMORY_BUFFER_BYTES,
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -19,10 +19,12 @@
     GatewayLoad,
     GatewayMoving,
     GatewayOwners,
+    GatewayRecords,
     GatewayTermAsk,
     GatewayTermEnded,
     Message,
     MovingRange,
+    SharedRecord,
 )
 from .clock import now_ms
 from .event_log import EventLog
@@ -105,6 +107,7 @@
         log: Gets lines about links.
         on_load: Takes a report of load while this daemon is the granter.
         on_owners: Takes what a record of owners has changed, and its position.
+        on_records: Takes shared records that the granter has read.
         on_positions: Takes the granter's positions in shared and operators' records.
         on_term: Stops grants of terms below one; called before this is answered.
     """
@@ -117,6 +120,7 @@
         log: EventLog,
         on_load: Callable[[GatewayLoad], None],
         on_owners: Callable[[str, Sequence[OwnedRange], int], None],
+        on_records: Callable[[GatewayRecords], None],
         on_positions: Callable[[int, int], None],
         on_term: Callable[[int], None],
     ) -> None:
@@ -124,6 +128,7 @@
         self._log = log
         self._on_load = on_load
         self._on_owners = on_owners
+        self._on_records = on_records
         self._on_positions = on_positions
         self._on_term = on_term
         self._feed = ListingFeed()
@@ -207,6 +212,15 @@
         for name in self._peers:
             self._links.send(name, message)
 
+    def tell_records(
+        self, base: int, position: int, records: Sequence[tuple[str, bytes]]
+    ) -> None:
+        """Sends shared records that others have written, as the granter reads them."""
+        told = tuple(SharedRecord(key, value) for key, value in records)
+        message = GatewayRecords(base, position, told)
+        for name in self._peers:
+            self._links.send(name, message)
+
     def tell_moving(self, service: str, moves: Sequence[Move]) -> None:
         """Tells all that hashes are about to move, so that their requests wait."""
         ranges = tuple(MovingRange(move.first, move.last) for move in moves)
@@ -231,6 +245,9 @@
             self._on_load(message)
         elif isinstance(message, GatewayOwners):
             self._on_owners(message.service, message.changed, message.position)
+        elif isinstance(message, GatewayRecords):
+            if daemon == self._site.shared.granter.daemon:
+                self._on_records(message)
         elif isinstance(message, GatewayMoving):
             self._site.note_moving(message, now_ms())
         elif isinstance(message, GatewayListing):
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -92,6 +92,7 @@
             self._log,
             self._take_load,
             self._take_owners,
+            lambda message: self._shared.take_records(message),
             self._take_positions,
             self._end_term,
         )
@@ -207,6 +208,7 @@
             self._watch("shared"),
             lambda position, at_ms: tell(SharedRead(position, at_ms)),
             self._is_granter,
+            lambda: self._candidacy.is_candidate,
             self._messenger,
         )
         self._candidacy = CandidacyWatcher(
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -17,6 +17,7 @@
 )
 from ..errors import platform as codes
 from ..errors.code import Fault
+from ..peer.messages import GatewayRecords
 from .clock import now_ms
 from .connections import Connections
 from .event_log import EventLog
@@ -32,6 +33,8 @@
 # A read that hangs on a silent connection ends within the 3 s for which a site excuses
 # a disruption: this wait and the store's time for an answer.
 WAIT_MS = 2000
+# All daemons join as a site starts, and each record would wake every reader.
+NEWS_PAUSE_MS = 400.0
 GRANTER_WAIT_MS = 1000  # The granter confirms its term this often.
 FAILED_MS = 250.0  # Pause after a failed call; the store counts refused calls too.
 FAILED_MAX_MS = 1500.0  # With the time for an answer below the 3 s named above.
@@ -212,6 +215,7 @@
     Args:
         on_read: Told the position reached and when the read began.
         is_granter: Tells whether this daemon is the granter.
+        is_candidate: Tells whether it is to become the granter.
     """
 
     def __init__(
@@ -222,12 +226,14 @@
         watch: StoreWatch,
         on_read: Callable[[int, float], None],
         is_granter: Callable[[], bool],
+        is_candidate: Callable[[], bool],
         messenger: Messenger,
     ) -> None:
         super().__init__(store, site, watch, messenger)
         self._me = me
         self._on_read = on_read
         self._is_granter = is_granter
+        self._is_candidate = is_candidate
         self._lock = threading.Lock()
 
     def round(self) -> float:
@@ -250,6 +256,15 @@
         if not is_known:
             self._news.set()
 
+    def take_records(self, message: GatewayRecords) -> None:
+        """Takes records that the granter has read; reads if one before is missing."""
+        with self._lock:
+            if self._position == message.base:
+                records = [(item.key, item.value) for item in message.records]
+                self._take(SharedUpdate(records, False, message.position))
+                return
+        self.take_position(message.position)
+
     def _read(self, wait_ms: int) -> float:
         self._news.clear()
         started_ms = now_ms()
@@ -264,7 +279,16 @@
                 self._take(update)
         self._on_read(update.position, started_ms)
         self._join()
-        return 0.0
+        if self._is_granter():
+            self._tell(position, update)
+            return 0.0
+        is_paced = bool(update.records) and not self._is_candidate()
+        return NEWS_PAUSE_MS if is_paced else 0.0
+
+    def _tell(self, position: int | None, update: SharedUpdate) -> None:
+        """Passes records that others have written on to all daemons."""
+        if position is not None and update.records:
+            self._messenger.tell_records(position, update.position, update.records)
 
     def _take(self, update: SharedUpdate) -> None:
         self._position = update.position
@@ -300,16 +324,19 @@
         self._watch = watch
         self._on_candidate = on_candidate
         self._is_withdrawn = False
+        self.is_candidate = False
 
     def round(self) -> float:
         """Renews the candidacy; returns the pause until the next renewal."""
         if self._is_withdrawn or not (self._has_keyed_service() and self._may_stand()):
+            self.is_candidate = False
             return STAND_MS
         stood = self._store.stand(self._site.daemon, STAND_TTL_MS)
         pause_ms = self._watch.check(stood)
         if pause_ms is not None:
             return pause_ms
-        self._on_candidate(stood.unwrap())
+        self.is_candidate = stood.unwrap()
+        self._on_candidate(self.is_candidate)
         return STAND_MS
 
     def withdraw(self) -> None:
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -377,6 +377,33 @@
     position: int
 
 
+class SharedRecord(NamedTuple):
+    """A record that the daemons share.
+
+    Attributes:
+        key: Its key.
+        value: Its value; empty for a key that is dropped.
+    """
+
+    key: str
+    value: bytes
+
+
+@message("gateway_records")
+class GatewayRecords(NamedTuple):
+    """Shared records that the granter has read, so that the others need not.
+
+    Attributes:
+        base: Position from which it has read.
+        position: Position that it has reached.
+        records: The records between the two.
+    """
+
+    base: int
+    position: int
+    records: tuple[SharedRecord, ...]
+
+
 class MovingRange(NamedTuple):
     """Hashes that are about to get another owner.
 
@@ -451,6 +478,7 @@
     | GatewayTermEnded
     | GatewayLoad
     | GatewayOwners
+    | GatewayRecords
     | GatewayListing
     | Hello
     | Heartbeat
--- /dev/null
+++ b/tests/daemon/test_thread_pool.py
@@ -0,0 +1,68 @@
+"""Tests of the threads for callers' requests."""
+
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from skylarktrail.daemon.thread_pool import FIRST_THREADS, GrowingDispatcher
+
+LIMIT = 40
+WAIT_S = 5.0
+
+
+class Task:
+    """A request that takes until it is let go."""
+
+    def __init__(self, started: threading.Semaphore, end: threading.Event) -> None:
+        self._started = started
+        self._end = end
+
+    def service(self) -> None:
+        """Says that it runs and waits."""
+        self._started.release()
+        self._end.wait(WAIT_S)
+
+    def cancel(self) -> None:
+        """Is called for what is queued at the end."""
+
+
+@pytest.fixture
+def pool():
+    pool = GrowingDispatcher(LIMIT)
+    yield pool
+    pool.shutdown(timeout=WAIT_S)
+
+
+def run_tasks(pool, count):
+    """Runs tasks at once; returns how many got a thread."""
+    started, end = threading.Semaphore(0), threading.Event()
+    for _ in range(count):
+        pool.add_task(Task(started, end))
+    running = 0
+    while running < count and started.acquire(timeout=0.5):
+        running += 1
+    end.set()
+    return running
+
+
+def test_an_idle_daemon_has_few_threads(pool):
+    assert len(pool.threads) == FIRST_THREADS
+
+
+def test_a_burst_gets_a_thread_for_each_request(pool):
+    """Load pattern: many callers come at once."""
+    assert run_tasks(pool, 30) == 30
+
+
+def test_no_more_threads_than_the_limit(pool):
+    assert run_tasks(pool, LIMIT + 10) == LIMIT
+    assert len(pool.threads) == LIMIT
+
+
+def test_threads_are_used_again(pool):
+    run_tasks(pool, 12)
+    before = len(pool.threads)
+    run_tasks(pool, 12)
+    assert len(pool.threads) <= before + FIRST_THREADS
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -9,13 +9,21 @@
 
 from skylarktrail.config.gateway_settings import Bounds
 from skylarktrail.core.gateway.model import SiteConfig
+from skylarktrail.core.gateway.shared import Member, encode_member
 from skylarktrail.errors import platform as codes
 from skylarktrail.errors.code import Fault
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site import Site
-from skylarktrail.gateway.site_store import OperatorUpdate
-from skylarktrail.gateway.watchers import FAILED_MAX_MS, OperatorWatcher, StoreWatch
+from skylarktrail.gateway.site_store import OperatorUpdate, SharedUpdate
+from skylarktrail.gateway.watchers import (
+    FAILED_MAX_MS,
+    NEWS_PAUSE_MS,
+    OperatorWatcher,
+    SharedWatcher,
+    StoreWatch,
+)
+from skylarktrail.peer.messages import GatewayRecords, SharedRecord
 
 SILENT = Err(Fault(codes.STORE_SILENT))
 TRIMMED = Err(Fault(codes.STORE_TRIMMED))
@@ -33,6 +41,12 @@
         self.asked.append((position, wait_ms))
         return self.answers.pop(0)
 
+    read_shared = read_operators
+
+    def share(self, key, value, position):
+        """Takes a record."""
+        return Ok(0)
+
 
 @pytest.fixture
 def site():
@@ -49,6 +63,7 @@
 
     def __init__(self, is_heard=False) -> None:
         self.is_heard = is_heard
+        self.told = []
 
     def hears_granter(self):
         """Tells whether the granter is heard."""
@@ -60,6 +75,10 @@
     def tell_positions(self):
         """Sends positions."""
 
+    def tell_records(self, base, position, records):
+        """Keeps what is told to the others."""
+        self.told.append((base, position, records))
+
 
 def update(version, position, zones=None):
     return Ok(OperatorUpdate(SiteConfig(version, (), {}), zones or {}, False, position))
@@ -114,3 +133,66 @@
     reader.round()
     assert store.asked[1] == (7, 0)
     assert site.table.config.version == 6
+
+
+ME = Member("p1", "10.0.0.1:7200")
+OTHER = Member("p2", "10.0.0.2:7200")
+JOINED = ("member/d2", encode_member(OTHER))
+
+
+def shared(position, *records, is_whole=False):
+    return Ok(SharedUpdate(list(records), is_whole, position))
+
+
+def shared_watcher(store, site, log, messenger, role=""):
+    return SharedWatcher(
+        store,
+        site,
+        ME,
+        StoreWatch("shared", log, GatewayMetrics()),
+        lambda position, at_ms: None,
+        lambda: role == "granter",
+        lambda: role == "candidate",
+        messenger,
+    )
+
+
+def test_records_that_the_granter_has_read_are_not_read_again(site, log):
+    store = ScriptedStore(shared(7, is_whole=True))
+    reader = shared_watcher(store, site, log, Messenger(is_heard=True))
+    reader.round()
+    reader.take_records(GatewayRecords(7, 8, (SharedRecord(*JOINED),)))
+    reader.take_position(8)
+    reader.round()
+    assert len(store.asked) == 1
+    assert site.shared.members == {"d2": OTHER}
+
+
+def test_a_daemon_that_lacks_records_before_those_told_reads(site, log):
+    store = ScriptedStore(shared(7, is_whole=True), shared(9, JOINED))
+    reader = shared_watcher(store, site, log, Messenger(is_heard=True))
+    reader.round()
+    reader.take_records(GatewayRecords(8, 9, ()))
+    reader.round()
+    assert store.asked[1] == (7, 0)
+    assert site.shared.members == {"d2": OTHER}
+
+
+def test_the_granter_passes_on_what_others_have_written(site, log):
+    store = ScriptedStore(shared(7, is_whole=True), shared(8, JOINED), shared(8))
+    messenger = Messenger()
+    reader = shared_watcher(store, site, log, messenger, "granter")
+    reader.take_position(7)
+    for _ in range(3):
+        reader.round()
+    assert messenger.told == [(7, 8, [JOINED])]
+
+
+@pytest.mark.parametrize(
+    ("role", "pauses_ms"), [("", [NEWS_PAUSE_MS, 0.0]), ("candidate", [0.0, 0.0])]
+)
+def test_news_wakes_only_a_candidate_at_once(site, log, role, pauses_ms):
+    """Load pattern: all daemons join at the same moment, each wakes all others."""
+    store = ScriptedStore(shared(7, JOINED, is_whole=True), shared(7))
+    reader = shared_watcher(store, site, log, Messenger(), role)
+    assert [reader.round() for _ in range(2)] == pauses_ms
