--- a/src/skylarktrail/config/gateway_settings.py
+++ b/src/skylarktrail/config/gateway_settings.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from ..core.gateway.granter import Timings
+from ..core.gateway.lease_calls import Timings
 from ..errors import settings as codes
 from ..errors.code import Fault
 from .schema import find_schema_faults
--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -10,9 +10,19 @@
 from __future__ import annotations
 
 import math
-from typing import Mapping, NamedTuple
+from typing import Mapping
 
 from .key_load import LoadCurve
+from .lease_calls import (
+    Action,
+    CallResult,
+    GrantCall,
+    Owner,
+    RecordWanted,
+    ReleaseCall,
+    Timings,
+)
+from .leased_range import LeasedRange
 from .planner import Holding, Move, plan_moves
 from .ranges import OwnedRange, OwnerTable, coalesce, find_gaps
 
@@ -25,143 +35,6 @@
 REFUSED_PROOF = 2  # Refused connections that prove an unlisted process ended.
 
 
-class Timings(NamedTuple):
-    """Durations of leases.
-
-    Attributes:
-        lease_ms: Length of a lease.
-        renew_ms: Time between renewals.
-        authority_ms: How long a granter that cannot reach the store goes on.
-    """
-
-    lease_ms: float = 4000.0
-    renew_ms: float = 1000.0
-    authority_ms: float = 8000.0
-
-
-class Owner(NamedTuple):
-    """What the granter knows of an instance.
-
-    Attributes:
-        instance: Its identifier.
-        address: `host:port`.
-        born_ms: Start of its life.
-        is_usable: Whether it may get keys.
-        capacity: Its speed relative to the others.
-    """
-
-    instance: str
-    address: str
-    born_ms: int
-    is_usable: bool
-    capacity: float = 1.0
-
-
-class GrantCall(NamedTuple):
-    """A grant or renewal to send."""
-
-    call: int
-    instance: str
-    address: str
-    first: int
-    last: int
-    fence: int
-    lease_ms: float
-    handover: str
-
-
-class ReleaseCall(NamedTuple):
-    """A release to send."""
-
-    call: int
-    instance: str
-    address: str
-    first: int
-    last: int
-    fence: int
-
-
-class RecordWanted(NamedTuple):
-    """Owners to record before they are granted."""
-
-    ranges: tuple[OwnedRange, ...]
-
-
-Action = GrantCall | ReleaseCall | RecordWanted
-
-
-class CallResult(NamedTuple):
-    """How a grant or release ended.
-
-    Attributes:
-        call: Number of the call.
-        outcome: `done`; `fenced`; `refused`, where nobody listens or another process
-            does; `unsent`, where no connection came about; `silent`, where it may
-            take effect.
-        handover: State handed over by the releasing instance.
-    """
-
-    call: int
-    outcome: str
-    handover: str = ""
-
-
-class _Range:
-    """Hashes, their owner and what is known of the owner's lease."""
-
-    def __init__(
-        self, owned: OwnedRange, address: str, inherited_end_ms: float
-    ) -> None:
-        self.owned = owned
-        self.address = address
-        self.inherited_end_ms = inherited_end_ms
-        self.fence = 0
-        self.is_held = False
-        self.is_leaving = False
-        self.is_free = False
-        self.unanswered_until_ms = -math.inf
-        self.lease_end_ms = -math.inf
-        self.next_call_ms = 0.0
-        self.call = 0
-        self.refusals = 0
-        self.handover = ""
-        self.target = ""
-        self.target_born_ms = 0
-
-    def reset(self) -> None:
-        """Begins anew with the owner that was recorded."""
-        self.fence = 0
-        self.is_held = self.is_leaving = self.is_free = False
-        self.unanswered_until_ms = self.lease_end_ms = -math.inf
-        self.inherited_end_ms = -math.inf
-        self.next_call_ms = 0.0
-        self.refusals = 0
-        self.target = ""
-
-    def needs_fencing(self, now_ms: float) -> bool:
-        """Tells whether an earlier grant may still take effect after a release."""
-        return not self.is_held or now_ms < self.unanswered_until_ms
-
-    def part(self, first: int, last: int) -> _Range:
-        """Returns a copy for some of its hashes."""
-        copy = _Range(
-            self.owned._replace(first=first, last=last),
-            self.address,
-            self.inherited_end_ms,
-        )
-        names = ("fence", "is_held", "is_leaving", "is_free", "unanswered_until_ms")
-        for name in (
-            *names,
-            "next_call_ms",
-            "handover",
-            "target",
-            "refusals",
-            "lease_end_ms",
-        ):
-            setattr(copy, name, getattr(self, name))
-        return copy
-
-
 class Granter:
     """Ranges of one service, under one term of this daemon.
 
@@ -183,13 +56,13 @@
         self._term = term
         self._counter = 0
         self._calls = 0
-        self._pending: dict[int, tuple[list[_Range], float, str]] = {}
+        self._pending: dict[int, tuple[list[LeasedRange], float, str]] = {}
         end_ms = rights_end_ms + self._longest_ms(timings.lease_ms)
-        self._ranges = [_Range(item, "", end_ms) for item in recorded.ranges]
+        self._ranges = [LeasedRange(item, "", end_ms) for item in recorded.ranges]
         self._owners: dict[str, Owner] = {}
         self._addresses: Mapping[str, str] = {}
         self._is_recording = False
-        self._given: list[_Range] = []
+        self._given: list[LeasedRange] = []
 
     @staticmethod
     def _longest_ms(lease_ms: float) -> float:
@@ -301,7 +174,7 @@
         Each range costs a renewal, so their number has to stay small.
         """
         self._ranges.sort(key=lambda item: item.owned.first)
-        joined: list[_Range] = []
+        joined: list[LeasedRange] = []
         for item in self._ranges:
             previous = joined[-1] if joined else None
             if previous and self._may_join(previous, item, now_ms):
@@ -319,8 +192,8 @@
         return merged
 
     @staticmethod
-    def _may_join(left: _Range, right: _Range, now_ms: float) -> bool:
-        def is_calm(item: _Range) -> bool:
+    def _may_join(left: LeasedRange, right: LeasedRange, now_ms: float) -> bool:
+        def is_calm(item: LeasedRange) -> bool:
             is_moving = item.is_leaving or item.is_free or item.target or item.call
             return not is_moving and not item.needs_fencing(now_ms)
 
@@ -330,7 +203,7 @@
 
     def _take_grant(
         self,
-        item: _Range,
+        item: LeasedRange,
         result: CallResult,
         lease_ms: float,
         is_fencing: bool,
@@ -357,7 +230,9 @@
             item.unanswered_until_ms = longest_ms
             item.lease_end_ms = max(item.lease_end_ms, longest_ms)
 
-    def _take_release(self, item: _Range, result: CallResult, now_ms: float) -> None:
+    def _take_release(
+        self, item: LeasedRange, result: CallResult, now_ms: float
+    ) -> None:
         if result.outcome == "done":
             item.is_free = True
             item.handover = result.handover
@@ -390,21 +265,21 @@
             actions.append(self._grant(item, address, lease_ms))
         return actions
 
-    def _has_ended(self, item: _Range) -> bool:
+    def _has_ended(self, item: LeasedRange) -> bool:
         """Tells whether the process of an owner that is not listed has ended."""
         at_address = self._addresses.get(item.address, item.owned.owner)
         return at_address != item.owned.owner or item.refusals >= REFUSED_PROOF
 
-    def _is_other_life(self, item: _Range) -> bool:
+    def _is_other_life(self, item: LeasedRange) -> bool:
         owner = self._owners.get(item.owned.owner)
         return owner is not None and owner.born_ms != item.owned.born_ms
 
-    def _address_of(self, item: _Range) -> str:
+    def _address_of(self, item: LeasedRange) -> str:
         """Returns where the owner listens, from before if it is not listed any more."""
         owner = self._owners.get(item.owned.owner)
         return owner.address if owner else item.address
 
-    def _grant(self, item: _Range, address: str, lease_ms: float) -> GrantCall:
+    def _grant(self, item: LeasedRange, address: str, lease_ms: float) -> GrantCall:
         self._calls += 1
         item.call = self._calls
         item.address = address
@@ -486,7 +361,7 @@
 
     def _mark(self, move: Move) -> None:
         """Notes the new owner of some hashes and cuts ranges at its edges."""
-        ranges: list[_Range] = []
+        ranges: list[LeasedRange] = []
         covered: list[tuple[int, int]] = []
         for item in self._ranges:
             first = max(item.owned.first, move.first)
@@ -502,7 +377,9 @@
             if first <= last:
                 self._ranges.append(self._unowned(first, last, move.owner))
 
-    def _cut(self, item: _Range, first: int, last: int, target: str) -> list[_Range]:
+    def _cut(
+        self, item: LeasedRange, first: int, last: int, target: str
+    ) -> list[LeasedRange]:
         parts = []
         if item.owned.first < first:
             parts.append(item.part(item.owned.first, first - 1))
@@ -517,7 +394,7 @@
         self._replace_pending(item, parts)
         return parts
 
-    def _replace_pending(self, item: _Range, parts: list[_Range]) -> None:
+    def _replace_pending(self, item: LeasedRange, parts: list[LeasedRange]) -> None:
         """Lets the end of a call under way count for all parts of its range."""
         if not item.call:
             return
@@ -528,8 +405,8 @@
         self._pending[item.call] = (others + parts, lease_ms, kind)
 
     @staticmethod
-    def _unowned(first: int, last: int, target: str) -> _Range:
-        item = _Range(OwnedRange(first, last, "", 0), "", -math.inf)
+    def _unowned(first: int, last: int, target: str) -> LeasedRange:
+        item = LeasedRange(OwnedRange(first, last, "", 0), "", -math.inf)
         item.is_free = True
         item.is_leaving = True
         item.target = target
--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -23,9 +23,9 @@
 from ..errors import caller as codes
 from ..errors.code import Code
 from . import fields
+from .answer import Answer
 from .clock import now_ms
-from .exchange import Answer
-from .metrics import OTHER
+from .metric_names import OTHER
 from .problem import Problem
 from .routes import CallerRequest
 from .thread_pool import GrowingDispatcher
--- a/src/skylarktrail/daemon/dispatch.py
+++ b/src/skylarktrail/daemon/dispatch.py
@@ -26,8 +26,9 @@
 from ..errors import upstream as upstream_codes
 from ..providers.interface import ReportClient
 from . import fields
+from .answer import Answer
 from .clock import now_ms
-from .exchange import MAY_HAVE_RUN, Answer, Exchanged, Outgoing, exchange
+from .exchange import MAY_HAVE_RUN, Exchanged, Outgoing, exchange
 from .hedging import HedgeTimers, Race
 from .metrics import Metrics
 from .pools import Line, Pools, make_pool
--- a/src/skylarktrail/daemon/exchange.py
+++ b/src/skylarktrail/daemon/exchange.py
@@ -14,6 +14,7 @@
 
 from ..core.traffic.messages import Outcome
 from . import fields
+from .answer import Answer
 from .clock import now_ms
 from .pools import CONNECT_TIMEOUT_MS, Line, TrackedPool, use_line
 
@@ -44,14 +45,6 @@
     answer_bytes: int
 
 
-class Answer(NamedTuple):
-    """A whole answer of a back end."""
-
-    status: int
-    headers: fields.Fields
-    body: bytes
-
-
 class Exchanged(NamedTuple):
     """How an attempt ended.
 
--- a/src/skylarktrail/daemon/homes.py
+++ b/src/skylarktrail/daemon/homes.py
@@ -34,8 +34,8 @@
 from ..peer.messages import HomeBegin, HomeVerdict, Message
 from ..peer.verdicts import message_to_verdict, outcome_to_message
 from . import fields
+from .answer import Answer
 from .dispatch import Dispatched, spread_retry_ms
-from .exchange import Answer
 from .home_handler import MAX_TIME_LEFT_MS, SYSTEM_CLOCKS, Clocks, HomeHandler
 from .problem import Problem
 
--- a/src/skylarktrail/daemon/key_minting.py
+++ b/src/skylarktrail/daemon/key_minting.py
@@ -11,8 +11,8 @@
 from ..core.idempotency.keys import MINTED_SHIFT, UUID_VERSION
 from ..errors import caller as codes
 from . import fields
+from .answer import Answer
 from .clock import wall_ms
-from .exchange import Answer
 from .problem import Problem
 
 CREATED = 201
--- /dev/null
+++ b/src/skylarktrail/daemon/metric_names.py
@@ -0,0 +1,21 @@
+"""Names and buckets that the metrics of all kinds of daemons share."""
+
+from __future__ import annotations
+
+OTHER = "other"
+PREFIX = "skylarktrail"
+LATENCY_BUCKETS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
--- a/src/skylarktrail/daemon/metrics.py
+++ b/src/skylarktrail/daemon/metrics.py
@@ -9,26 +9,9 @@
 from aioprometheus.histogram import Histogram as LatencySeries
 
 from ..errors.code import Code
+from .metric_names import LATENCY_BUCKETS_S, OTHER, PREFIX
 from .status import StatusSnapshot
 
-OTHER = "other"
-PREFIX = "skylarktrail"
-LATENCY_BUCKETS_S = (
-    0.001,
-    0.002,
-    0.005,
-    0.01,
-    0.02,
-    0.05,
-    0.1,
-    0.2,
-    0.5,
-    1.0,
-    2.0,
-    5.0,
-    10.0,
-)
-
 SERIES_MAX = 5000
 REQUEST_LABELS = ("tenant", "service", "outcome")
 
--- a/src/skylarktrail/daemon/router.py
+++ b/src/skylarktrail/daemon/router.py
@@ -12,13 +12,14 @@
 from ..errors import ownership as ownership_codes
 from ..errors.code import Code, Fault
 from . import fields
+from .answer import Answer
 from .clock import now_ms
 from .dispatch import Dispatched, Dispatcher, Outbound, spread_retry_ms
-from .exchange import Answer
 from .homes import Homes
 from .key_minting import mint_key, mints_keys
 from .loads import LoadMeters
-from .metrics import OTHER, Metrics
+from .metric_names import OTHER
+from .metrics import Metrics
 from .problem import Problem
 from .routes import CallerRequest, RouteTable, Target
 
--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -4,24 +4,24 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
-from typing import Any, Callable, NamedTuple, Protocol, Sequence
+from typing import Any, Callable, Sequence
 
 import cbor2
 import pykka
 from result import Result
 
 from ..core.gateway.former import FormerGranters
-from ..core.gateway.granter import (
+from ..core.gateway.granter import Granter
+from ..core.gateway.instance import Instance
+from ..core.gateway.key_load import KeyLoad
+from ..core.gateway.lease_calls import (
     CallResult,
     GrantCall,
-    Granter,
     Owner,
     RecordWanted,
     ReleaseCall,
     Timings,
 )
-from ..core.gateway.instance import Instance
-from ..core.gateway.key_load import KeyLoad
 from ..core.gateway.model import ServiceSpec
 from ..core.gateway.planner import Move
 from ..core.gateway.ranges import OwnedRange, OwnerTable
@@ -39,6 +39,17 @@
 from ..peer.messages import GatewayLoad
 from .clock import now_ms
 from .event_log import EventLog
+from .granting_messages import (
+    CallEnded,
+    Candidate,
+    EndedTerm,
+    LoadTold,
+    Orders,
+    SharedRead,
+    SharedWrite,
+    TermEnded,
+    WriteEnded,
+)
 from .metrics import GatewayMetrics
 from .order_queue import Lane, OrderQueue
 from .site import Site
@@ -57,94 +68,6 @@
 START_WAIT_MS = 2500.0  # Instances of a new site are listed within this time.
 
 
-class Orders(Protocol):
-    """Sends grants and releases to instances."""
-
-    def grant(self, call: GrantCall) -> CallResult:
-        """Grants a range or renews its lease."""
-
-    def release(self, call: ReleaseCall) -> CallResult:
-        """Takes a range back."""
-
-
-class Candidate(NamedTuple):
-    """Whether this daemon is to take the role."""
-
-    is_candidate: bool
-
-
-class SharedRead(NamedTuple):
-    """The shared records were read.
-
-    Attributes:
-        position: Up to where.
-        started_ms: When the read began.
-    """
-
-    position: int
-    started_ms: float
-
-
-class TermEnded(NamedTuple):
-    """A former granter has said that it grants no more.
-
-    Attributes:
-        daemon: Its name.
-        term: Term of this granter.
-        at_ms: When it said so.
-    """
-
-    daemon: str
-    term: int
-    at_ms: float
-
-
-class CallEnded(NamedTuple):
-    """A grant or release has ended."""
-
-    service: str
-    order: GrantCall | ReleaseCall
-    result: CallResult
-
-
-class WriteEnded(NamedTuple):
-    """A write to the shared records has ended."""
-
-    result: Result[int, Fault]
-
-
-class LoadTold(NamedTuple):
-    """A daemon has told its load."""
-
-    report: GatewayLoad
-
-
-class EndedTerm:
-    """The highest term whose granter has asked this daemon to stop.
-
-    It is set from the thread of the links and read before each call, so that a stop
-    holds before it is confirmed.
-    """
-
-    def __init__(self) -> None:
-        self.term = 0
-
-
-class _Write:
-    """A write under way, until it is known to have landed or not."""
-
-    def __init__(
-        self, key: str, value: bytes, service: str, ranges: Sequence[OwnedRange] = ()
-    ) -> None:
-        self.ranges = ranges
-        self.key = key
-        self.value = value
-        self.service = service
-        self.at = -1
-        self.is_sent = False
-        self.next_ms = 0.0
-
-
 class GranterActor(pykka.ThreadingActor):
     """Takes the role when it is this daemon's turn, and grants while it has it.
 
@@ -207,7 +130,7 @@
         self._loads: dict[str, KeyLoad] = {}
         self._speeds = Speeds()
         self._begun_ms = 0.0
-        self._writes: list[_Write] = []
+        self._writes: list[SharedWrite] = []
         self._recorded_ms = 0.0
         self._even_ms = 0.0
         self._merge_ms = 0.0
@@ -275,7 +198,7 @@
     def _claim(self) -> None:
         term = self._site.shared.granter.term + 1
         record = GranterRecord(self._site.daemon, self._process, term)
-        self._writes.append(_Write(GRANTER_KEY, encode_granter(record), ""))
+        self._writes.append(SharedWrite(GRANTER_KEY, encode_granter(record), ""))
 
     def _take_read(self, read: SharedRead) -> None:
         self._position = max(self._position, read.position)
@@ -310,7 +233,7 @@
         is_landed = self._current(write) == write.value
         self._end_write(write, is_landed)
 
-    def _current(self, write: _Write) -> bytes:
+    def _current(self, write: SharedWrite) -> bytes:
         """Returns the value that the records read have for the key of a write."""
         if write.key == GRANTER_KEY:
             return encode_granter(self._site.shared.granter)
@@ -388,7 +311,7 @@
         if code is codes.STORE_CONFLICT:
             self._settle_by_read()
 
-    def _end_write(self, write: _Write, is_landed: bool) -> None:
+    def _end_write(self, write: SharedWrite, is_landed: bool) -> None:
         self._writes = [item for item in self._writes if item is not write]
         if write.key == GRANTER_KEY:
             if is_landed and not self.is_granter:
@@ -401,7 +324,7 @@
         self._step()
 
     @staticmethod
-    def _claimed_term(write: _Write) -> int:
+    def _claimed_term(write: SharedWrite) -> int:
         return GranterRecord(*cbor2.loads(write.value)).term
 
     def _step_granters(self, at_ms: float) -> None:
@@ -477,7 +400,7 @@
         if isinstance(action, RecordWanted):
             self._recorded_ms = now_ms()
             value = encode_owners(action.ranges)
-            write = _Write(OWNERS_PREFIX + service, value, service, action.ranges)
+            write = SharedWrite(OWNERS_PREFIX + service, value, service, action.ranges)
             self._writes.append(write)
             self._send_write(now_ms())
             return
--- a/src/skylarktrail/gateway/metrics.py
+++ b/src/skylarktrail/gateway/metrics.py
@@ -7,7 +7,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from ..daemon.metrics import LATENCY_BUCKETS_S, OTHER, PREFIX
+from ..daemon.metric_names import LATENCY_BUCKETS_S, OTHER, PREFIX
 from ..errors.code import Code
 
 SERIES_MAX = 2000  # Series of one metric; what is beyond is counted as other.
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -10,7 +10,7 @@
 from ..core.gateway.model import InstanceEntry, Route
 from ..core.gateway.scheduler import Ticket
 from ..daemon import fields
-from ..daemon.exchange import Answer
+from ..daemon.answer import Answer
 from ..daemon.problem import Problem
 from ..daemon.routes import CallerRequest
 from ..errors import caller as caller_codes
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -24,7 +24,8 @@
 from .connections import Connections
 from .departures import Departures
 from .event_log import EventLog
-from .granting import Candidate, EndedTerm, GranterActor, LoadTold, SharedRead
+from .granting import GranterActor
+from .granting_messages import Candidate, EndedTerm, LoadTold, SharedRead
 from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .ready_app import ReadyApp
--- a/src/skylarktrail/platform/orders.py
+++ b/src/skylarktrail/platform/orders.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from ..core.gateway.granter import CallResult, GrantCall, ReleaseCall
+from ..core.gateway.lease_calls import CallResult, GrantCall, ReleaseCall
 from .headers import TARGET
 
 CONNECT_TIMEOUT_MS = 300.0
--- a/tests/core/gateway/test_granter.py
+++ b/tests/core/gateway/test_granter.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from skylarktrail.core.gateway import granter as granter_module
+from skylarktrail.core.gateway.leased_range import LeasedRange
 
 from .world import TIMINGS, World
 
@@ -178,7 +179,7 @@
     def ignores_unanswered(self, now_ms):
         return not self.is_held
 
-    monkeypatch.setattr(granter_module._Range, "needs_fencing", ignores_unanswered)
+    monkeypatch.setattr(LeasedRange, "needs_fencing", ignores_unanswered)
     with pytest.raises(AssertionError):
         for seed in range(30):
             run_troubled_world(seed)
--- a/tests/core/gateway/world.py
+++ b/tests/core/gateway/world.py
@@ -4,15 +4,15 @@
 
 import random
 
-from skylarktrail.core.gateway.granter import (
+from skylarktrail.core.gateway.granter import Granter
+from skylarktrail.core.gateway.key_load import LoadCurve
+from skylarktrail.core.gateway.lease_calls import (
     CallResult,
     GrantCall,
-    Granter,
     Owner,
     RecordWanted,
     Timings,
 )
-from skylarktrail.core.gateway.key_load import LoadCurve
 from skylarktrail.core.gateway.ranges import OwnerTable
 
 TIMINGS = Timings()
--- a/tests/daemon/test_caller_app.py
+++ b/tests/daemon/test_caller_app.py
@@ -12,8 +12,8 @@
 import pytest
 
 from skylarktrail.config.settings import Limits
+from skylarktrail.daemon.answer import Answer
 from skylarktrail.daemon.caller_app import CallerApp, make_caller_server
-from skylarktrail.daemon.exchange import Answer
 from skylarktrail.daemon.metrics import Metrics
 from skylarktrail.errors import caller as codes
 from skylarktrail.errors import idempotency as idempotency_codes
--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -10,8 +10,8 @@
 import pytest
 
 from skylarktrail.core.directory import Owner
+from skylarktrail.daemon.answer import Answer
 from skylarktrail.daemon.clock import now_ms
-from skylarktrail.daemon.exchange import Answer
 from skylarktrail.daemon.routes import CallerRequest
 from skylarktrail.errors import caller as codes
 from skylarktrail.errors import ownership as ownership_codes
--- a/tests/daemon/test_hedging.py
+++ b/tests/daemon/test_hedging.py
@@ -5,8 +5,9 @@
 import pytest
 
 from skylarktrail.core.traffic.messages import Outcome
+from skylarktrail.daemon.answer import Answer
 from skylarktrail.daemon.clock import now_ms
-from skylarktrail.daemon.exchange import Answer, Exchanged
+from skylarktrail.daemon.exchange import Exchanged
 from skylarktrail.daemon.hedging import Race
 from skylarktrail.daemon.pools import Line
 
--- a/tests/daemon/test_homes.py
+++ b/tests/daemon/test_homes.py
@@ -14,8 +14,8 @@
 from skylarktrail.core.idempotency.table import Attempt, Limits, TenureView
 from skylarktrail.core.state import Member, State, Tenure
 from skylarktrail.core.traffic.messages import Outcome
+from skylarktrail.daemon.answer import Answer
 from skylarktrail.daemon.dispatch import Dispatched
-from skylarktrail.daemon.exchange import Answer
 from skylarktrail.daemon.home_handler import (
     FREE_AFTER_MS,
     HOME_MESSAGES,
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -10,9 +10,9 @@
 from skylarktrail.core.directory import Directory
 from skylarktrail.core.idempotency import verdicts
 from skylarktrail.core.idempotency.keys import minted_at_ms, parse_key
+from skylarktrail.daemon.answer import Answer
 from skylarktrail.daemon.clock import now_ms, wall_ms
 from skylarktrail.daemon.dispatch import Dispatched
-from skylarktrail.daemon.exchange import Answer
 from skylarktrail.daemon.homes import reply_to
 from skylarktrail.daemon.loads import LoadMeters
 from skylarktrail.daemon.metrics import Metrics
