--- /dev/null
+++ b/tests/gateway/test_granting.py
@@ -0,0 +1,124 @@
+"""Tests of when a daemon takes the role of the granter."""
+
+from __future__ import annotations
+
+import io
+import threading
+
+import pytest
+from result import Ok
+
+from skylarktrail.config.gateway_settings import Bounds
+from skylarktrail.core.gateway.lease_calls import Timings
+from skylarktrail.core.gateway.shared import (
+    GRANTER_KEY,
+    GranterRecord,
+    encode_granter,
+)
+from skylarktrail.gateway import granting
+from skylarktrail.gateway.event_log import EventLog
+from skylarktrail.gateway.granting import CANDIDATE_MS, SUCCESSOR_MS, GranterActor
+from skylarktrail.gateway.granting_messages import Candidate, EndedTerm, SharedRead
+from skylarktrail.gateway.metrics import GatewayMetrics
+from skylarktrail.gateway.site import Site
+from skylarktrail.gateway.site_store import SharedUpdate
+
+WAIT_S = 5.0
+QUIET_S = 0.05
+
+
+class Clock:
+    """Time that passes when told."""
+
+    def __init__(self) -> None:
+        self.at_ms = 10_000.0
+
+    def __call__(self) -> float:
+        return self.at_ms
+
+
+class ClaimedStore:
+    """Keeps the keys that are written."""
+
+    def __init__(self) -> None:
+        self.written = threading.Semaphore(0)
+
+    def share(self, key, value, position):
+        """Takes a record."""
+        assert key == GRANTER_KEY
+        self.written.release()
+        return Ok(position + 1)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = Clock()
+    monkeypatch.setattr(granting, "now_ms", clock)
+    return clock
+
+
+@pytest.fixture
+def site():
+    return Site("d1", "east", Bounds())
+
+
+@pytest.fixture
+def store():
+    return ClaimedStore()
+
+
+@pytest.fixture
+def actor(site, store, clock):
+    actor = GranterActor(
+        site,
+        "p1",
+        store,
+        None,
+        Timings(),
+        EventLog("d1", io.StringIO()),
+        GatewayMetrics(),
+        lambda service, ranges, position: None,
+        lambda: False,
+        lambda daemon, term, on_ended: None,
+        EndedTerm(),
+        lambda service, moves: None,
+    )
+    yield actor
+    actor.on_stop()
+
+
+@pytest.fixture
+def read_granter(actor, site, clock):
+    def read(daemon, process, term):
+        """Reads the record of a granter."""
+        record = (GRANTER_KEY, encode_granter(GranterRecord(daemon, process, term)))
+        site.take_shared(SharedUpdate([record], False, term), clock.at_ms)
+        actor.on_receive(SharedRead(term, clock.at_ms))
+
+    return read
+
+
+def test_a_candidate_replaces_a_granter_that_is_not_heard(actor, store, read_granter):
+    read_granter("d2", "p2", 4)
+    actor.on_receive(Candidate(True))
+    assert store.written.acquire(timeout=WAIT_S)
+
+
+def test_a_successor_is_given_time_to_be_heard(actor, store, clock, read_granter):
+    """A granter whose outage ends finds that another has taken the role."""
+    read_granter("d2", "p2", 4)
+    read_granter("d3", "p3", 5)
+    actor.on_receive(Candidate(True))
+    assert not store.written.acquire(timeout=QUIET_S)
+    clock.at_ms += SUCCESSOR_MS + 1
+    actor.on_receive(Candidate(True))
+    assert store.written.acquire(timeout=WAIT_S)
+
+
+def test_a_candidacy_from_before_an_outage_counts_for_nothing(
+    actor, store, clock, read_granter
+):
+    actor.on_receive(Candidate(True))
+    clock.at_ms += CANDIDATE_MS + 1
+    read_granter("d2", "p2", 4)
+    assert not store.written.acquire(timeout=QUIET_S)
