Leave no process behind when a site's start fails or the soak is told to end

Cause: 20 stand-ins of two test modules were left running when their gateways could not start (the machine was out of threads), as the site's exit runs only after a whole start; so did a soak that got SIGTERM.

--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -100,6 +100,14 @@
         self._pool = urllib3.PoolManager(num_pools=64, maxsize=16, retries=False)
 
     def __enter__(self) -> GatewaySite:
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__()  # A start that fails leaves no process behind.
+            raise
+        return self
+
+    def _start(self) -> None:
         self.store.start()
         self.wait_for(self.store_address, "/calls")
         self.publish()
@@ -107,7 +115,6 @@
             process.start()
         for address in self.ready_addresses.values():
             self.wait_for(address, "/ready")
-        return self
 
     def __exit__(self, *_: object) -> None:
         kill_all([*self.gateways.values(), *self.instances.values(), self.store])
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import shutil
+import signal
 import sys
 
 from .run import Run
@@ -18,6 +19,8 @@
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--instances", type=int, default=4)
     arguments = parser.parse_args()
+    # Ends the processes of the run under way too, as any other exit does.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     status = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         run = Run(seed, arguments.seconds, arguments.gateways, arguments.instances)
--- /dev/null
+++ b/tests/demo/test_gateway_site.py
@@ -0,0 +1,18 @@
+"""Tests of the site of gateways that tests and the soak run on."""
+
+from __future__ import annotations
+
+import pytest
+
+from demo.gateway_site import GatewaySite
+
+
+def test_a_start_that_fails_leaves_no_process_behind(tmp_path, monkeypatch):
+    def fail(self, **changes):
+        raise TimeoutError("the store does not answer")
+
+    monkeypatch.setattr(GatewaySite, "publish", fail)
+    site = GatewaySite(tmp_path, 1, 1)
+    with pytest.raises(TimeoutError), site:
+        pass
+    assert site.store.pid and not site.store.is_running
