--- a/src/skylarktrail/__main__.py
+++ b/src/skylarktrail/__main__.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 
-from .run import main
+# SIGHUP ends a process that has no handler yet, and imports take half a second. What a
+# request to reload meets before that is read at the start anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from .run import main  # noqa: E402  The imports that take their time.
 
 if __name__ == "__main__":
     status = main()
