--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from typing import Callable
 
 from demo.gateway_site import ZONES, GatewaySite
+from demo.process import Process
 
 from .proxy import CALM, Proxies, Trouble
 
@@ -25,21 +26,29 @@
     return register
 
 
-def _gateway(site: GatewaySite, rng: random.Random):
+def _gateway(site: GatewaySite, rng: random.Random) -> Process:
     return site.gateways[rng.choice(sorted(site.gateways))]
 
 
-def _instance(site: GatewaySite, rng: random.Random):
+def _instance(site: GatewaySite, rng: random.Random) -> Process:
     return site.instances[rng.choice(sorted(site.instances))]
 
 
-@fault("gateway_killed")
-def _kill_gateway(site: GatewaySite, proxies: Proxies, rng: random.Random) -> Undo:
-    process = _gateway(site, rng)
+def _kill(process: Process) -> Undo:
     process.kill()
     return lambda: None if process.is_running else process.start()
 
 
+def _freeze(process: Process) -> Undo:
+    process.freeze()
+    return process.resume
+
+
+@fault("gateway_killed")
+def _kill_gateway(site: GatewaySite, proxies: Proxies, rng: random.Random) -> Undo:
+    return _kill(_gateway(site, rng))
+
+
 @fault("gateway_stopped")
 def _stop_gateway(site: GatewaySite, proxies: Proxies, rng: random.Random) -> Undo:
     process = _gateway(site, rng)
@@ -54,9 +63,7 @@
 
 @fault("gateway_frozen")
 def _freeze_gateway(site: GatewaySite, proxies: Proxies, rng: random.Random) -> Undo:
-    process = _gateway(site, rng)
-    process.freeze()
-    return process.resume
+    return _freeze(_gateway(site, rng))
 
 
 @fault("gateway_told_to_reload")
@@ -67,16 +74,12 @@
 
 @fault("instance_killed")
 def _kill_instance(site: GatewaySite, proxies: Proxies, rng: random.Random) -> Undo:
-    process = _instance(site, rng)
-    process.kill()
-    return lambda: None if process.is_running else process.start()
+    return _kill(_instance(site, rng))
 
 
 @fault("instance_frozen")
 def _freeze_instance(site: GatewaySite, proxies: Proxies, rng: random.Random) -> Undo:
-    process = _instance(site, rng)
-    process.freeze()
-    return process.resume
+    return _freeze(_instance(site, rng))
 
 
 @fault("instance_slow")
