--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -175,12 +175,9 @@
         shows no newer term lets it go on.
         """
         is_confirmed = at_ms - self._confirmed_ms <= self._timings.authority_ms
+        is_fenced = self._confirmed_ms <= self._fenced_ms
         is_asked_to_end = self._ended.term > self._term
-        return (
-            is_confirmed
-            and self._confirmed_ms > self._fenced_ms
-            and not (is_asked_to_end)
-        )
+        return is_confirmed and not is_fenced and not is_asked_to_end
 
     def _may_claim(self) -> bool:
         """Tells whether to take the role; a granter at work is left alone.
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -224,8 +224,7 @@
     ) -> None:
         """Sends what a record of owners has changed to all others."""
         message = GatewayOwners(service, tuple(changed), position)
-        for name in self._peers:
-            self._links.send(name, message)
+        self._tell_all(message)
 
     def tell_records(
         self, base: int, position: int, records: Sequence[tuple[str, bytes]]
@@ -233,16 +232,18 @@
         """Sends shared records that others have written, as the granter reads them."""
         told = tuple(SharedRecord(key, value) for key, value in records)
         message = GatewayRecords(base, position, told)
-        for name in self._peers:
-            self._links.send(name, message)
+        self._tell_all(message)
 
     def tell_moving(self, service: str, moves: Sequence[Move]) -> None:
         """Tells all that hashes are about to move, so that their requests wait."""
         ranges = tuple(MovingRange(move.first, move.last) for move in moves)
         message = GatewayMoving(service, ranges)
+        self._tell_all(message)
+        self._site.note_moving(message, now_ms())
+
+    def _tell_all(self, message: Message) -> None:
         for name in self._peers:
             self._links.send(name, message)
-        self._site.note_moving(message, now_ms())
 
     def tell_listing(self, listing: Listing) -> None:
         """Sends what has changed in the instances' entries to all others."""
