--- a/src/skylarktrail/config/reference.py
+++ b/src/skylarktrail/config/reference.py
@@ -35,7 +35,7 @@
     "operator_file": (
         "Operator file",
         "Published as a whole with `skylarkctl publish`; see "
-        "[operations.md](operations.md). A file with a fault changes nothing.",
+        "[OPERATIONS.md](OPERATIONS.md). A file with a fault changes nothing.",
     ),
 }
 HEADS = "| Field | Unit | Value | Default | Meaning |"
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,62 @@
+"""No name of the users' platform stands outside the folder that translates it."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+NAMES = (
+    "Request-Id Deadline-Ms Target-Instance Response-Signature Not-Executed "
+    "Instance-Load Instance-Id Cold-Ms Shard-Key "
+    "log-append log-read log-newest log-join log-leave log-owners log-commit log-trim "
+    "configVersion trafficSplit routeType pathPrefix maxAttempts timeoutMs "
+    "targetLatencyMs coldRemainingMs coldStartS coldPerS heartbeatMs holdMs endOffset "
+    "firstOffset ttlMs sharded healthCheck maxConnections hostname "
+    "keyed.op keyed.servers evacuate/ non_idempotent "
+    "nodeName readyAddress internalPortRange maxFds SKYLARKTRAIL_CONFIG "
+    "retryBudgetRatio budgetWindowS budgetExtraRetries graceS maxHoldMs fleetbench"
+).split()
+# Header names are compared whatever their case, as HTTP does.
+PATTERNS = {
+    name: re.compile(
+        rf"(?<![\w.-]){re.escape(name)}(?![\w-])",
+        re.IGNORECASE if "-" in name and name[0].isupper() else 0,
+    )
+    for name in NAMES
+}
+OWN = {
+    # The product's own field of an earlier interface, and of its metrics.
+    "Request-Id": ("Skylark-Request-Id",),
+    "Deadline-Ms": ("Skylark-Deadline-Ms",),
+}
+
+
+def sources():
+    package = ROOT / "src" / "skylarktrail"
+    for path in sorted(package.rglob("*.py")):
+        if path.relative_to(package).parts[0] != "platform":
+            yield path
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_name_stands_in_the_platform_folder_only(name):
+    found = []
+    for path in sources():
+        text = path.read_text()
+        for own in OWN.get(name, ()):
+            text = text.replace(own, "")
+        if PATTERNS[name].search(text):
+            found.append(str(path.relative_to(ROOT)))
+    assert found == []
+
+
+def test_the_product_imports_the_platform_in_one_place():
+    importing = [
+        str(path.relative_to(ROOT / "src" / "skylarktrail"))
+        for path in sources()
+        if re.search(r"from \.+platform\b", path.read_text())
+    ]
+    assert importing == ["gateway/run.py"]
