Start a daemon again that SIGHUP ended before its first line, in the soak

The platform starts such a process again, the soak did not. Ruled out: our handler (SIGHUP is ignored from the first line on, tests/test_main.py). A daemon that has printed its first line and ends is not started again, so that a run still finds it.

--- a/demo/process.py
+++ b/demo/process.py
@@ -51,12 +51,14 @@
         self.name = name
         self._command = [sys.executable, "-m", module, *arguments]
         self._output = directory / f"{name}.log"
+        self._printed_before = 0
         self._child: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Starts the process."""
         # An exception between the fork and the assignment would lose the child.
         with self._output.open("ab") as output, signals_held():
+            self._printed_before = output.tell()
             self._child = subprocess.Popen(
                 self._command,
                 cwd=ROOT,
@@ -82,6 +84,11 @@
         """Whether the process was started and has not ended."""
         return self._child is not None and self._child.poll() is None
 
+    @property
+    def has_printed(self) -> bool:
+        """Whether it has printed anything since its last start."""
+        return self._output.stat().st_size > self._printed_before
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal if the process still runs."""
         if self.is_running:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,9 +34,13 @@
     return site.instances[rng.choice(sorted(site.instances))]
 
 
+def _restart(process: Process) -> Undo:
+    return lambda: None if process.is_running else process.start()
+
+
 def _kill(process: Process) -> Undo:
     process.kill()
-    return lambda: None if process.is_running else process.start()
+    return _restart(process)
 
 
 def _freeze(process: Process) -> Undo:
@@ -68,8 +72,15 @@
 
 @fault("gateway_told_to_reload")
 def _hang_up(site: GatewaySite, proxies: Proxies, rng: random.Random) -> Undo:
-    _gateway(site, rng).send(signal.SIGHUP)
-    return lambda: None
+    """Sends SIGHUP, which ends a process that has not come to its first line yet.
+
+    Such a process is started again, as the platform does; one that has begun and ends
+    stays down, so that the run finds it.
+    """
+    process = _gateway(site, rng)
+    has_begun = process.has_printed
+    process.send(signal.SIGHUP)
+    return (lambda: None) if has_begun else _restart(process)
 
 
 @fault("instance_killed")
