Shed a part of the requests for overloaded owners, from loads told each 0.35 s

Cause: what a daemon is told of an owner's queue was up to 1.2 s old, so all daemons sent while it was short and held back while it was long. Change: reports each 0.25 s (bounded to 500 a second for the granter), the granter's word each 0.35 s in a message of its own, and with it the part of the requests for an owner's keys that is let in; the part falls and rises with what is under way there. Ruled out: stricter admission of returns, a shorter queue at the instance, sorting requests that can still be in time before others (all within the noise of the replay or worse).

--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -55,6 +55,8 @@
         self._answers = 0
         self._work_sum = 0.0
         self._failures = 0
+        self._admitted_part = 1.0
+        self._admitted_ms = -math.inf
 
     def refresh(self, entry: InstanceEntry, now_ms: float) -> None:
         """Takes a newer entry of the same life."""
@@ -99,11 +101,25 @@
         self._others_ms = now_ms
         self._others_fade_ms = TOLD_FADE_MS
 
+    def note_admitted(self, part: float, now_ms: float) -> None:
+        """Takes which part of its requests is admitted."""
+        self._admitted_part = part
+        self._admitted_ms = now_ms
+
+    def admitted_part(self, now_ms: float) -> float:
+        """Returns which part of its requests is admitted."""
+        is_known = now_ms - self._admitted_ms <= TOLD_FADE_MS
+        return self._admitted_part if is_known else 1.0
+
     def note_not_busy(self) -> None:
-        """Learns that a slot is free again, if it was told that none was."""
+        """Learns that all of its requests are admitted and a slot is free again.
+
+        The latter counts only if it was told that none was.
+        """
         if self._others_fade_ms == TOLD_FADE_MS:
             free = max(1, self.entry.slots) - 1 - self.in_flight
             self._others = min(self._others, max(0.0, float(free)))
+        self._admitted_part = 1.0
 
     def note_success(self, elapsed_ratio: float) -> None:
         """Takes an answer.
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -139,11 +139,21 @@
     def submit(self, ticket: Ticket, now_ms: float) -> None:
         """Places the ticket, refuses it or lets it wait."""
         ticket.submitted_ms = now_ms
+        if self._is_shed(ticket, now_ms):
+            ticket.refusal = "overload"
+            return
         self._decide(ticket, now_ms, self._ahead_of(ticket))
         if not ticket.is_decided:
             self._waiting.append(ticket)
             self._waiting.sort(key=Ticket.order)
 
+    def _is_shed(self, ticket: Ticket, now_ms: float) -> bool:
+        """Tells whether a ticket is among those that an overloaded owner cannot do."""
+        if ticket.key_hash is None:
+            return False
+        owner = self.fleet.find(self.view.owner_of(ticket.service, ticket.key_hash))
+        return owner is not None and self._draw() >= owner.admitted_part(now_ms)
+
     def withdraw(self, ticket: Ticket) -> None:
         """Forgets a ticket whose caller has left."""
         if ticket in self._waiting:
--- /dev/null
+++ b/src/skylarktrail/gateway/load_teller.py
@@ -0,0 +1,71 @@
+"""The granter's word on overloaded instances, from what all daemons report."""
+
+from __future__ import annotations
+
+import threading
+from typing import Callable
+
+from ..core.gateway.load_board import LoadBoard
+from ..core.gateway.shedding import AdmittedParts
+from ..peer.messages import BusyInstance, GatewayBusy, GatewayLoad
+from .clock import now_ms
+from .site import Site
+
+# Queues fill and empty within half a second; older figures make daemons send and hold
+# back by turns.
+TELL_MS = 350.0
+
+
+class LoadTeller:
+    """Sums up the daemons' requests under way and tells all whose slots are taken.
+
+    Args:
+        site: What is known of the site.
+        is_granter: Tells whether this daemon is the granter.
+        tell: Sends a message to all other daemons.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        is_granter: Callable[[], bool],
+        tell: Callable[[GatewayBusy], None],
+    ) -> None:
+        self._site = site
+        self._is_granter = is_granter
+        self._tell = tell
+        self._board = LoadBoard()
+        self._parts = AdmittedParts()
+        self._lock = threading.Lock()
+        self._has_told = False
+
+    def note(self, daemon: str, report: GatewayLoad) -> None:
+        """Takes a daemon's report."""
+        in_flight = {item.instance: item.count for item in report.in_flight}
+        with self._lock:
+            self._board.note(daemon, in_flight, now_ms())
+
+    def round(self) -> float:
+        """Tells once, if there is news; returns the pause until the next round."""
+        if not self._is_granter():
+            self._has_told = False
+            return TELL_MS
+        message = self._sum_up()
+        if message.instances or self._has_told:
+            self._site.take_busy(message.instances, now_ms())
+            self._tell(message)
+        self._has_told = bool(message.instances)
+        return TELL_MS
+
+    def _sum_up(self) -> GatewayBusy:
+        slots = self._site.slots()
+        with self._lock:
+            totals = self._board.totals(now_ms())
+            busy = self._board.busy(slots, now_ms())
+            parts = self._parts.update(totals, slots)
+        return GatewayBusy(
+            tuple(
+                BusyInstance(name, totals[name], parts.get(name, 1.0))
+                for name in sorted(set(busy) | set(parts))
+            )
+        )
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -1,28 +1,26 @@
-"""Links between gateways: loads to the granter, its records and listings to all."""
+"""Links between gateways: loads to the granter, its records and news to all."""
 
 from __future__ import annotations
 
-import threading
 from concurrent.futures import Future
 from typing import Callable, Sequence
 
 from result import Result
 
 from ..core.gateway.fleet import Fleet
-from ..core.gateway.load_board import LoadBoard
 from ..core.gateway.model import InstanceEntry
 from ..core.gateway.ranges import OwnedRange
 from ..errors.code import Fault
 from ..peer.hub import Reply
 from ..peer.links import PeerLinks
 from ..peer.messages import (
+    GatewayBusy,
     GatewayListing,
     GatewayLoad,
     GatewayOwners,
     GatewayRecords,
     GatewayTermAsk,
     GatewayTermEnded,
-    InFlight,
     Message,
     SharedRecord,
 )
@@ -45,13 +43,9 @@
         self.shared = -1
         self.operators = -1
         self._reached: dict[str, int] = {}
-        self._busy: tuple[InFlight, ...] = ()
 
-    def update(
-        self, fleet: Fleet, position: int, busy: tuple[InFlight, ...]
-    ) -> GatewayListing:
+    def update(self, fleet: Fleet, position: int) -> GatewayListing:
         """Takes the entries after a read; returns the change."""
-        self._busy = busy
         now = {name: i.entry for name, i in fleet.instances.items()}
         changed = [
             entry
@@ -80,7 +74,6 @@
             self.operators,
             entries,
             gone,
-            self._busy,
         )
 
     def next_for(self, daemon: str, change: GatewayListing) -> GatewayListing:
@@ -115,7 +108,7 @@
         process: Identifier of this process.
         address: `host:port` where other daemons connect.
         log: Gets lines about links.
-        on_load: Takes a report of load while this daemon is the granter.
+        on_load: Takes a daemon's report of load while this one is the granter.
         on_owners: Takes what a record of owners has changed, and its position.
         on_records: Takes shared records that the granter has read.
         on_positions: Takes the granter's positions in shared and operators' records.
@@ -128,7 +121,7 @@
         process: str,
         address: str,
         log: EventLog,
-        on_load: Callable[[GatewayLoad], None],
+        on_load: Callable[[str, GatewayLoad], None],
         on_owners: Callable[[str, Sequence[OwnedRange], int], None],
         on_records: Callable[[GatewayRecords], None],
         on_positions: Callable[[int, int], None],
@@ -142,8 +135,6 @@
         self._on_positions = on_positions
         self._on_term = on_term
         self._feed = ListingFeed()
-        self._board = LoadBoard()
-        self._board_lock = threading.Lock()
         self._entries: dict[str, InstanceEntry] = {}
         self._told_ms = -1e18
         self._told_by = ""
@@ -212,7 +203,7 @@
             return
         report = self._site.take_report()
         if granter == self._site.daemon:
-            self._note_load(self._site.daemon, report)
+            self._on_load(granter, report)
         else:
             self._links.send(granter, report)
 
@@ -221,7 +212,7 @@
     ) -> None:
         """Sends what a record of owners has changed to all others."""
         message = GatewayOwners(service, tuple(changed), position)
-        self._tell_all(message)
+        self.tell_all(message)
 
     def tell_records(
         self, base: int, position: int, records: Sequence[tuple[str, bytes]]
@@ -229,37 +220,27 @@
         """Sends shared records that others have written, as the granter reads them."""
         told = tuple(SharedRecord(key, value) for key, value in records)
         message = GatewayRecords(base, position, told)
-        self._tell_all(message)
+        self.tell_all(message)
 
-    def _tell_all(self, message: Message) -> None:
+    def tell_all(self, message: Message) -> None:
+        """Sends a message to all others."""
         for name in self._peers:
             self._links.send(name, message)
 
     def tell_listing(self, listing: Listing) -> None:
         """Sends what has changed in the instances' entries to all others."""
-        slots = self._site.slots()
-        with self._board_lock:
-            busy = self._board.busy(slots, now_ms())
-        told = tuple(InFlight(*item) for item in busy.items())
-        self._site.take_busy(told, now_ms())
         with self._site.lock:
-            change = self._feed.update(self._site.fleet, listing.position, told)
+            change = self._feed.update(self._site.fleet, listing.position)
         for name in self._peers:
             self._links.send(name, self._feed.next_for(name, change))
 
-    def _note_load(self, daemon: str, report: GatewayLoad) -> None:
-        in_flight = {item.instance: item.count for item in report.in_flight}
-        with self._board_lock:
-            self._board.note(daemon, in_flight, now_ms())
-        self._on_load(report)
-
     def _take(self, daemon: str, message: Message, reply: Reply) -> None:
         if isinstance(message, GatewayTermAsk):
             self._on_term(message.term)
             reply(GatewayTermEnded(message.term))
         elif isinstance(message, GatewayLoad):
             self._feed.note_reached(daemon, message.listing)
-            self._note_load(daemon, message)
+            self._on_load(daemon, message)
         elif isinstance(message, GatewayOwners):
             self._on_owners(message.service, message.changed, message.position)
         elif isinstance(message, GatewayRecords):
@@ -267,6 +248,9 @@
                 self._on_records(message)
         elif isinstance(message, GatewayListing):
             self._take_listing(daemon, message)
+        elif isinstance(message, GatewayBusy):
+            if daemon == self._site.shared.granter.daemon:
+                self._site.take_busy(message.instances, now_ms())
 
     def _take_listing(self, daemon: str, message: GatewayListing) -> None:
         if daemon != self._site.shared.granter.daemon:
@@ -284,7 +268,6 @@
             self._entries.pop(name, None)
         self._told_by = daemon
         self._told_ms = now_ms()
-        self._site.take_busy(message.busy, now_ms())
         self._on_positions(message.shared, message.operators)
         self._site.told_position = message.position
         listing = Listing(list(self._entries.values()), message.position)
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -26,6 +26,7 @@
 from .event_log import EventLog
 from .granting import GranterActor
 from .granting_messages import Candidate, EndedTerm, LoadTold, SharedRead
+from .load_teller import LoadTeller
 from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .ready_app import ReadyApp
@@ -97,6 +98,9 @@
             self._take_positions,
             self._end_term,
         )
+        self._teller = LoadTeller(
+            self._site, self._is_granter, self._messenger.tell_all
+        )
         self._app = CallerApp(self._router, self._metrics)
         self._is_draining = False
         self._unheard_ms = now_ms()
@@ -223,7 +227,8 @@
             "operators": self._operators.round,
             "shared": self._shared.round,
             "candidacy": self._candidacy.round,
-            "load-report": LoadReporter(self._messenger).round,
+            "load-report": LoadReporter(self._messenger, site).round,
+            "load-teller": self._teller.round,
         }
         self._workers = [Worker(name, task, log) for name, task in rounds.items()]
         for worker in self._workers:
@@ -253,7 +258,8 @@
         """Stops grants of earlier terms at once, ahead of the actor's messages."""
         self._ended.term = max(self._ended.term, term)
 
-    def _take_load(self, report: GatewayLoad) -> None:
+    def _take_load(self, daemon: str, report: GatewayLoad) -> None:
+        self._teller.note(daemon, report)
         self._granter.tell(LoadTold(report))
 
     def _may_stand(self) -> bool:
--- a/src/skylarktrail/gateway/site.py
+++ b/src/skylarktrail/gateway/site.py
@@ -15,6 +15,7 @@
 from ..core.gateway.scheduler import Scheduler, SchedulerView, Ticket
 from ..core.gateway.shared import SharedState
 from ..peer.messages import (
+    BusyInstance,
     GatewayLoad,
     InFlight,
     KeyCount,
@@ -200,15 +201,17 @@
                 tuple(keys), tuple(speeds), in_flight, self.told_position
             )
 
-    def take_busy(self, busy: Iterable[InFlight], now_ms: float) -> None:
-        """Takes the requests of all daemons at instances whose slots are taken."""
-        counts = {item.instance: item.count for item in busy}
+    def take_busy(self, busy: Iterable[BusyInstance], now_ms: float) -> None:
+        """Takes the granter's word on overloaded instances."""
+        told = {item.instance: item for item in busy}
         with self.lock:
             for name, instance in self.fleet.instances.items():
-                if name in counts:
-                    instance.note_told(counts[name], now_ms)
-                else:
+                item = told.get(name)
+                if item is None:
                     instance.note_not_busy()
+                    continue
+                instance.note_told(item.count, now_ms)
+                instance.note_admitted(item.admitted_part, now_ms)
 
     def slots(self) -> dict[str, int]:
         """Returns the slots of each instance."""
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -41,7 +41,9 @@
 FAILED_MAX_MS = 1500.0  # With the time for an answer below the 3 s named above.
 STAND_MS = 600.0
 STAND_TTL_MS = 1500  # A lost candidate is replaced after this.
-LOAD_REPORT_MS = 500.0
+LOAD_REPORT_MS = 250.0  # Queues at instances fill and empty within half a second.
+# Bounds what the granter takes to 500 reports a second, however many daemons there are.
+LOAD_REPORT_MEMBER_MS = 2.0
 
 
 class StoreWatch:
@@ -353,11 +355,13 @@
 class LoadReporter:
     """Tells the granter how this daemon's keyed requests are spread."""
 
-    def __init__(self, messenger: Messenger) -> None:
+    def __init__(self, messenger: Messenger, site: Site) -> None:
         self._messenger = messenger
+        self._site = site
 
     def round(self) -> float:
         """Reports once; returns the pause until the next report."""
         self._messenger.set_members()
         self._messenger.report()
-        return LOAD_REPORT_MS
+        members = len(self._site.shared.members)
+        return max(LOAD_REPORT_MS, LOAD_REPORT_MEMBER_MS * members)
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -451,7 +451,6 @@
         operators: Position that it has reached in the operators' records.
         entries: New and changed entries.
         gone: Instances that are no longer listed.
-        busy: Requests of all daemons under way at instances whose slots are taken.
     """
 
     base: int
@@ -460,7 +459,31 @@
     operators: int
     entries: tuple[InstanceEntry, ...]
     gone: tuple[str, ...]
-    busy: tuple[InFlight, ...]
+
+
+class BusyInstance(NamedTuple):
+    """An instance that has more to do than it has slots.
+
+    Attributes:
+        instance: Its identifier.
+        count: Requests of all daemons under way at it.
+        admitted_part: Part of the requests for its keys that daemons let in.
+    """
+
+    instance: str
+    count: int
+    admitted_part: float
+
+
+@message("gateway_busy")
+class GatewayBusy(NamedTuple):
+    """The granter's word on load; instances that are not named have a free slot.
+
+    Attributes:
+        instances: Those whose slots are taken or were so a moment ago.
+    """
+
+    instances: tuple[BusyInstance, ...]
 
 
 Message = (
@@ -470,6 +493,7 @@
     | GatewayOwners
     | GatewayRecords
     | GatewayListing
+    | GatewayBusy
     | Hello
     | Heartbeat
     | PromiseAsk
--- /dev/null
+++ b/tests/core/gateway/test_shedding.py
@@ -0,0 +1,211 @@
+"""Tests that replay an overloaded owner of keys, before many daemons."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import Counter
+
+import pytest
+
+from skylarktrail.core.gateway.fleet import Fleet
+from skylarktrail.core.gateway.load_board import LoadBoard
+from skylarktrail.core.gateway.model import LoadReport, ServiceSpec
+from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView, Ticket
+from skylarktrail.core.gateway.shedding import LEAST_PART, AdmittedParts
+from skylarktrail.gateway.load_teller import TELL_MS
+from skylarktrail.gateway.router import WAIT_STEP_MS
+from skylarktrail.gateway.watchers import LOAD_REPORT_MS
+
+OWNER, SLOTS = "i-1", 3
+DAEMONS = 17
+WORK_MS, WORK_SPREAD = 190.0, 0.8
+TARGET_MS, DEADLINE_MS = 627.0, 2594.0
+CAPACITY_PER_S = SLOTS / WORK_MS * 1000
+
+
+class Daemon:
+    """A daemon's scheduler over one owner."""
+
+    def __init__(self, number, make_entry, names, rng):
+        self.name = f"d{number}"
+        self.fleet = Fleet()
+        self.fleet.merge([make_entry(OWNER, slots=SLOTS)], 0.0)
+        view = SchedulerView(
+            lambda *_: OWNER, lambda *_: False, lambda _: True, {}, names, "d0", "east"
+        )
+        self.scheduler = Scheduler(self.fleet, view, rng.random)
+        self.scheduler.services = {"stock": ServiceSpec("stock", is_keyed=True)}
+        self.instance = self.fleet.instances[OWNER]
+
+
+class Overload:
+    """Callers, daemons, one owner and what the granter tells, in simulated time."""
+
+    def __init__(self, make_entry, route, is_shedding):
+        self.random = random.Random(5)
+        names = frozenset(f"d{number}" for number in range(DAEMONS))
+        self.daemons = [
+            Daemon(number, make_entry, names, self.random) for number in range(DAEMONS)
+        ]
+        self.route = route
+        self.is_shedding = is_shedding
+        self.board = LoadBoard()
+        self.parts = AdmittedParts()
+        self.now_ms = 0.0
+        self.events: list = []
+        self.queue: list = []
+        self.running: set = set()
+        self.outcomes: Counter = Counter()
+
+    def at(self, time_ms, action, *arguments):
+        entry = (time_ms, self.random.random(), action, arguments)
+        heapq.heappush(self.events, entry)
+
+    def run(self, until_ms):
+        for number, daemon in enumerate(self.daemons):
+            self.at(number * LOAD_REPORT_MS / DAEMONS, self.report, daemon)
+            self.at(number, self.look, daemon)
+        self.at(0.0, self.tell)
+        while self.events and self.events[0][0] < until_ms:
+            self.now_ms, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+
+    def send(self, rate_per_s, from_ms, until_ms):
+        """Lets callers come at a rate."""
+        time_ms = from_ms
+        while time_ms < until_ms:
+            self.at(time_ms, self.arrive, time_ms, False)
+            time_ms += self.random.expovariate(rate_per_s / 1000)
+
+    def arrive(self, first_ms, is_return):
+        daemon = self.random.choice(self.daemons)
+        end_ms = min(first_ms + DEADLINE_MS, self.now_ms + self.route.timeout_ms)
+        ticket = Ticket(
+            self.route,
+            "stock",
+            7,
+            end_ms,
+            first_ms + TARGET_MS,
+            is_return,
+            lambda: self.decided(daemon, ticket, first_ms),
+        )
+        daemon.scheduler.submit(ticket, self.now_ms)
+        if ticket.is_decided:
+            ticket.wake()
+
+    def decided(self, daemon, ticket, first_ms):
+        if ticket.instance is None:
+            if ticket.is_return:
+                self.outcomes["refused"] += 1
+                return
+            wait_ms = daemon.scheduler.retry_after_ms(ticket, self.now_ms)
+            self.at(self.now_ms + wait_ms, self.arrive, first_ms, True)
+            return
+        self.queue.append((daemon, ticket, first_ms))
+        self.at(ticket.end_ms, self.expire, ticket)
+        self.serve()
+
+    def serve(self):
+        while self.queue and len(self.running) < SLOTS:
+            daemon, ticket, first_ms = self.queue.pop(0)
+            self.running.add(ticket)
+            mean = math.log(WORK_MS) - WORK_SPREAD**2 / 2
+            work_ms = self.random.lognormvariate(mean, WORK_SPREAD)
+            self.at(self.now_ms + work_ms, self.answer, daemon, ticket, first_ms)
+
+    def answer(self, daemon, ticket, first_ms):
+        if ticket not in self.running:
+            return
+        self.running.remove(ticket)
+        is_in_time = self.now_ms <= first_ms + TARGET_MS
+        self.outcomes["in time" if is_in_time else "late"] += 1
+        daemon.scheduler.release(ticket)
+        daemon.scheduler.note_answer(ticket, self.now_ms - ticket.placed_ms)
+        report = LoadReport(len(self.running), len(self.queue), SLOTS)
+        daemon.instance.note_report(report, self.now_ms)
+        self.serve()
+
+    def expire(self, ticket):
+        waiting = [item for item in self.queue if item[1] is ticket]
+        self.queue = [item for item in self.queue if item[1] is not ticket]
+        if waiting or ticket in self.running:
+            self.running.discard(ticket)
+            self.outcomes["timed out"] += 1
+            for daemon in self.daemons:
+                if ticket.instance is daemon.instance:
+                    daemon.scheduler.release(ticket)
+            self.serve()
+
+    def look(self, daemon):
+        daemon.scheduler.poll(self.now_ms)
+        self.at(self.now_ms + WAIT_STEP_MS, self.look, daemon)
+
+    def report(self, daemon):
+        in_flight = {OWNER: daemon.instance.in_flight}
+        self.board.note(daemon.name, in_flight, self.now_ms)
+        self.at(self.now_ms + LOAD_REPORT_MS, self.report, daemon)
+
+    def tell(self):
+        slots = {OWNER: SLOTS}
+        busy = self.board.busy(slots, self.now_ms)
+        parts = self.parts.update(self.board.totals(self.now_ms), slots)
+        for daemon in self.daemons:
+            if OWNER in busy:
+                daemon.instance.note_told(busy[OWNER], self.now_ms)
+            else:
+                daemon.instance.note_not_busy()
+            if self.is_shedding:
+                part = parts.get(OWNER, 1.0)
+                daemon.instance.note_admitted(part, self.now_ms)
+        self.at(self.now_ms + TELL_MS, self.tell)
+
+
+@pytest.fixture
+def replay(make_entry, make_route):
+    """Returns a function that replays seconds of load and counts how requests end."""
+
+    def play(ratio, is_shedding):
+        route = make_route(target_ms=TARGET_MS, timeout_ms=1200.0)
+        load = Overload(make_entry, route, is_shedding)
+        load.send(CAPACITY_PER_S * 0.6, 0.0, 4000.0)
+        load.send(CAPACITY_PER_S * ratio, 4000.0, 12_000.0)
+        load.run(16_000.0)
+        return load.outcomes
+
+    return play
+
+
+@pytest.mark.parametrize("ratio", [1.5, 2.0, 3.0])
+def test_an_overloaded_owner_answers_most_of_what_it_can_in_time(replay, ratio):
+    shed, unshed = replay(ratio, True), replay(ratio, False)
+    print(ratio, shed, unshed)
+    assert shed["in time"] > 1.15 * unshed["in time"]
+    assert shed["in time"] > 0.6 * CAPACITY_PER_S * 8
+
+
+def test_an_owner_with_room_refuses_hardly_anything(replay):
+    shed, unshed = replay(0.7, True), replay(0.7, False)
+    print(shed, unshed)
+    assert shed["in time"] > 0.97 * unshed["in time"]
+
+
+def test_a_part_falls_with_the_queue_and_rises_as_slots_get_free():
+    parts = AdmittedParts()
+    slots = {OWNER: SLOTS}
+    assert parts.update({OWNER: SLOTS}, slots) == {}
+    assert parts.update({OWNER: 9}, slots)[OWNER] == pytest.approx(0.6)
+    for _ in range(20):
+        parts.update({OWNER: 50}, slots)
+    assert parts.update({OWNER: 50}, slots)[OWNER] == LEAST_PART
+    for _ in range(20):
+        parts.update({}, slots)
+    assert parts.update({}, slots) == {}
+
+
+def test_an_instance_that_is_gone_is_forgotten():
+    parts = AdmittedParts()
+    parts.update({OWNER: 9}, {OWNER: SLOTS})
+    parts.update({}, {})
+    assert parts.update({OWNER: SLOTS * 2}, {OWNER: SLOTS}) == {}
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -51,8 +51,8 @@
         7,
         (InstanceEntry("i-1", "s", "10.0.0.1:80", "z", 3, False, 1.5, 1 << 41, 4),),
         ("i-2",),
-        (messages.InFlight("i-1", 9),),
     ),
+    messages.GatewayBusy((messages.BusyInstance("i-1", 9, 0.5),)),
     messages.GatewayTermAsk(5),
     messages.GatewayTermEnded(5),
 ]
