Await a try to the end of its request where SIGTERM comes before its own end

Ruled out: the drain's own end; the daemon had 6 s left. Change: the end of a try is asked again when it has come; a draining daemon's is the end of the request. Test: an answer that comes after the first end and before the moved one.

--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -5,7 +5,7 @@
 import select
 import socket
 import struct
-from typing import NamedTuple
+from typing import Callable, NamedTuple
 
 import h11
 from result import Err, Ok, Result
@@ -158,17 +158,24 @@
         except OSError:
             pass  # Nothing is left to be released.
 
-    def exchange(self, request: Outgoing, end_ms: float) -> Result[RawAnswer, Fault]:
-        """Sends a request and reads its answer until a time."""
+    def exchange(
+        self, request: Outgoing, end_of: Callable[[], float]
+    ) -> Result[RawAnswer, Fault]:
+        """Sends a request and reads its answer until a time.
+
+        Args:
+            request: The request.
+            end_of: Returns that time in milliseconds; asked again when it has come.
+        """
         sock = self._socket
         if sock is None or self.is_cut:
             return Err(Fault(codes.INSTANCE_UNREACHED, self.address, "not open"))
         parser = h11.Connection(h11.CLIENT)
         try:
             data = _encode(parser, request)
-            _limit(sock, end_ms)
+            _limit(sock, end_of())
             sock.sendall(data)
-            return self._read(sock, parser, request, end_ms)
+            return self._read(sock, parser, request, end_of)
         except TimeoutError:
             return Err(Fault(codes.INSTANCE_SILENT, self.address))
         except h11.RemoteProtocolError as error:
@@ -182,10 +189,10 @@
         sock: socket.socket,
         parser: h11.Connection,
         request: Outgoing,
-        end_ms: float,
+        end_of: Callable[[], float],
     ) -> Result[RawAnswer, Fault]:
         for _ in range(1 + STRAY_ANSWERS):
-            answer = self._read_one(sock, parser, end_ms)
+            answer = self._read_one(sock, parser, end_of)
             if answer is None:
                 code = codes.ATTEMPT_CUT if self.is_cut else codes.INSTANCE_BROKEN
                 return Err(Fault(code, self.address, "closed before its answer"))
@@ -203,7 +210,7 @@
         return Err(Fault(codes.INSTANCE_GARBLED, self.address, detail))
 
     def _read_one(
-        self, sock: socket.socket, parser: h11.Connection, end_ms: float
+        self, sock: socket.socket, parser: h11.Connection, end_of: Callable[[], float]
     ) -> RawAnswer | None:
         status = 0
         fields: Fields = []
@@ -212,8 +219,7 @@
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                _limit(sock, end_ms)
-                data = sock.recv(CHUNK_BYTES)
+                data = _receive(sock, end_of)
                 is_open = bool(data)
                 if not is_open and not status:
                     return None
@@ -241,6 +247,15 @@
     return data + (parser.send(h11.EndOfMessage()) or b"")
 
 
+def _receive(sock: socket.socket, end_of: Callable[[], float]) -> bytes:
+    while True:
+        _limit(sock, end_of())
+        try:
+            return sock.recv(CHUNK_BYTES)
+        except TimeoutError:
+            continue  # The end may have moved; if not, the limit raises.
+
+
 def _limit(sock: socket.socket, end_ms: float) -> None:
     left_ms = end_ms - now_ms()
     if left_ms <= 0:
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from typing import NamedTuple, Protocol
+from typing import Callable, NamedTuple, Protocol
 
 from result import Result
 
@@ -259,7 +259,7 @@
         assert instance is not None
         entry = instance.entry
         sent_ms = now_ms()
-        result = self._exchange(job, entry, self._try_end_ms(job, sent_ms))
+        result = self._exchange(job, entry, lambda: self._try_end_ms(job, sent_ms))
         elapsed_ms = now_ms() - sent_ms
         with self._site.lock:
             self._site.finish(ticket, now_ms())
@@ -280,19 +280,19 @@
         return at_ms + (job.end_ms - at_ms) * SILENT_PART
 
     def _exchange(
-        self, job: _Job, entry: InstanceEntry, end_ms: float
+        self, job: _Job, entry: InstanceEntry, end_of: Callable[[], float]
     ) -> Result[RawAnswer, Fault]:
         taken = self._connections.take(
             entry.instance,
             entry.address,
-            end_ms - now_ms(),
+            end_of() - now_ms(),
             not job.route.is_idempotent,
         )
         if taken.is_err():
             return taken
         connection = taken.unwrap()
         with self._departures.watch(job.request.has_left, connection):
-            result = connection.exchange(self._outgoing(job, entry), end_ms)
+            result = connection.exchange(self._outgoing(job, entry), end_of)
         self._return_connection(entry.instance, connection, result)
         return result
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -4,10 +4,24 @@
 
 import socket
 import threading
+import time
+from typing import NamedTuple
 
 import pytest
 
 
+class Late(NamedTuple):
+    """An answer that takes its time.
+
+    Attributes:
+        wait_s: How long.
+        data: The bytes.
+    """
+
+    wait_s: float
+    data: bytes
+
+
 class Scripted:
     """A server that sends fixed bytes for each request on each connection.
 
@@ -50,6 +64,9 @@
             if answer == "silence":
                 connection.recv(1)
                 return
+            if isinstance(answer, Late):
+                time.sleep(answer.wait_s)
+                answer = answer.data
             connection.sendall(answer)
 
     def close(self) -> None:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -11,6 +11,8 @@
 from skylarktrail.gateway.connections import Connections
 from skylarktrail.gateway.exchange import Connection, Outgoing
 
+from .conftest import Late
+
 ID_FIELD = "request-id"
 LONG_MS = 3000.0
 
@@ -34,7 +36,8 @@
 def exchange(server, request=None, timeout_ms=LONG_MS):
     connection = Connection(server.address, ID_FIELD)
     assert connection.open(1000).is_ok()
-    result = connection.exchange(request or outgoing(), now_ms() + timeout_ms)
+    end_ms = now_ms() + timeout_ms
+    result = connection.exchange(request or outgoing(), lambda: end_ms)
     connection.close()
     return result
 
@@ -91,6 +94,22 @@
     assert code_of(exchange(scripted(["reset"]))) is codes.INSTANCE_BROKEN
 
 
+def test_an_end_that_moves_while_an_answer_is_awaited_is_kept(scripted):
+    """SIGTERM comes as a try is about to be given up: its work is not broken off."""
+    started_ms = now_ms()
+
+    def end_ms():
+        is_draining = now_ms() > started_ms + 50
+        return started_ms + (LONG_MS if is_draining else 100)
+
+    server = scripted([Late(0.3, answer())])
+    connection = Connection(server.address, ID_FIELD)
+    assert connection.open(1000).is_ok()
+    result = connection.exchange(outgoing(), end_ms)
+    connection.close()
+    assert result.unwrap().body == b"whole"
+
+
 def test_silence_ends_at_the_time_given(scripted):
     started = time.monotonic()
     result = exchange(scripted(["silence"]), timeout_ms=150)
@@ -112,7 +131,8 @@
 
 def use(connections, server, request_id="r1", is_once=False):
     taken = connections.take("i-1", server.address, 1000, is_once).unwrap()
-    result = taken.exchange(outgoing(request_id), now_ms() + LONG_MS)
+    end_ms = now_ms() + LONG_MS
+    result = taken.exchange(outgoing(request_id), lambda: end_ms)
     if result.is_ok():
         connections.give_back("i-1", taken, result.unwrap())
     return result
@@ -153,5 +173,6 @@
     connection = Connection(server.address, ID_FIELD)
     connection.open(1000)
     connection.cut()
-    result = connection.exchange(outgoing(), now_ms() + LONG_MS)
+    end_ms = now_ms() + LONG_MS
+    result = connection.exchange(outgoing(), lambda: end_ms)
     assert code_of(result) is codes.INSTANCE_UNREACHED
