Give no keys to owners that refuse connections, and take none from them for a moment's failure

Change: refused and unsent orders suspend the instance; a suspended owner gets no keys and keeps its own until its third failure in a row. Ruled out: taking one refused connection for the end of a process (a full instance may refuse too). Test: a world in which an owner that rests keeps its keys under an uneven load.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -87,7 +87,7 @@
     def has_orphans(self) -> bool:
         """Tells whether hashes have no owner that may keep them."""
         is_leaving = any(
-            not item.is_free and not item.target and not self._is_usable(item.owned[2])
+            not item.is_free and not item.target and not self._is_staying(item)
             for item in self._ranges
         )
         return is_leaving or bool(self._unplaced_hashes())
@@ -140,7 +140,7 @@
         ] + [
             Holding(item.owned.first, item.owned.last, item.owned.owner)
             for item in self._ranges
-            if not item.is_free and not item.target
+            if not item.is_free and not item.target and not self._is_resting(item)
         ]
         moves = plan_moves(holdings, capacities, curve)
         if not is_even_wanted:
@@ -376,6 +376,15 @@
         owner = self._owners.get(instance)
         return owner is not None and owner.is_usable
 
+    def _is_staying(self, item: LeasedRange) -> bool:
+        """Tells whether the owner of a range may keep it."""
+        owner = self._owners.get(item.owned.owner)
+        return owner is not None and owner.is_staying
+
+    def _is_resting(self, item: LeasedRange) -> bool:
+        """Tells whether a range stays where it is, as its owner gets and loses none."""
+        return self._is_staying(item) and not self._is_usable(item.owned.owner)
+
     def _is_usable_at(self, key_hash: int) -> bool:
         for item in self._ranges:
             if item.owned.first <= key_hash <= item.owned.last and not item.is_free:
--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -20,6 +20,7 @@
 FAILURE_SMOOTHING = 0.2  # Weight of one attempt in the share of failures.
 SUSPEND_MS = 400.0  # First pause after a failed connection.
 SUSPEND_MAX_MS = 3000.0  # Longest pause; a returning instance is found within it.
+LOST_SUSPENSIONS = 3  # Failed connections in a row after which it gives up its keys.
 
 
 class Instance:
@@ -80,6 +81,10 @@
         """Tells whether its last connections failed a moment ago."""
         return now_ms < self._suspended_until_ms
 
+    def is_lost(self, now_ms: float) -> bool:
+        """Tells whether its connections have failed for a while."""
+        return self.is_suspended(now_ms) and self._suspensions >= LOST_SUSPENSIONS
+
     def note_report(self, report: LoadReport, now_ms: float) -> None:
         """Takes the load figures of an answer."""
         seen = report.running + report.waiting - self.in_flight
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -30,6 +30,7 @@
         born_ms: Start of its life.
         is_usable: Whether it may get keys.
         capacity: Its speed relative to the others.
+        is_staying: Whether it may keep those that it has.
     """
 
     instance: str
@@ -37,6 +38,7 @@
     born_ms: int
     is_usable: bool
     capacity: float = 1.0
+    is_staying: bool = True
 
 
 class GrantCall(NamedTuple):
--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -371,16 +371,17 @@
         with self._site.lock:
             instances = list(self._site.fleet.of_service(service))
             out = set(self._site.zones_out)
-        staying = [i for i in instances if _is_staying(i, out, at_ms)]
-        warm = [i for i in staying if not i.is_cold(at_ms)]
-        usable = {id(i) for i in warm or staying}
+        staying = {id(i) for i in instances if _is_staying(i, out, at_ms)}
+        warm = {id(i) for i in instances if id(i) in staying and not i.is_cold(at_ms)}
+        kept = warm or staying
         return {
             i.entry.instance: Owner(
                 i.entry.instance,
                 i.entry.address,
                 i.entry.born_ms,
-                id(i) in usable,
+                id(i) in kept and not i.is_suspended(at_ms),
                 self._speeds.capacity(i.entry.instance),
+                id(i) in kept,
             )
             for i in instances
         }
@@ -435,6 +436,8 @@
         granter.take_result(ended.result, now_ms())
         if outcome == "fenced":
             self._fenced_ms = now_ms()
+        elif outcome in ("refused", "unsent"):
+            self._site.note_unreached(ended.order.instance, now_ms())
         if outcome != "done":
             order = ended.order
             self._log.write(
@@ -465,4 +468,4 @@
 def _is_staying(instance: Instance, zones_out: set[str], at_ms: float) -> bool:
     if instance.entry.is_draining or instance.entry.zone in zones_out:
         return False
-    return not instance.is_suspended(at_ms)
+    return not instance.is_lost(at_ms)
--- a/src/skylarktrail/gateway/site.py
+++ b/src/skylarktrail/gateway/site.py
@@ -160,6 +160,13 @@
             self.scheduler.release(ticket)
             self._poll(now_ms)
 
+    def note_unreached(self, instance: str, now_ms: float) -> None:
+        """Notes that no connection to an instance could be made."""
+        with self.lock:
+            found = self.fleet.find(instance)
+            if found is not None:
+                found.suspend(now_ms)
+
     def note_unheld(
         self, service: str, key_hash: int, instance: str, now_ms: float
     ) -> None:
--- a/tests/core/gateway/test_granter.py
+++ b/tests/core/gateway/test_granter.py
@@ -255,3 +255,13 @@
     with pytest.raises(AssertionError):
         for seed in range(30):
             run_moves_that_are_taken_over(seed)
+
+
+def test_an_owner_that_cannot_be_reached_for_a_moment_keeps_its_keys(world):
+    """Load pattern: connections are reset while load is uneven."""
+    world.resting = {"s1"}
+    world.curve = LoadCurve({key: 5.0 for key in range(0, 9000, 50)}, 0.1, 900.0)
+    held = world.held_by("s1")
+    world.advance(3000)
+    assert world.held_by("s1") == held
+    assert world.unheld() == 0
--- a/tests/core/gateway/world.py
+++ b/tests/core/gateway/world.py
@@ -99,6 +99,7 @@
         self.seats: list[Seat] = []
         self.late: list[tuple[float, float, Server, int, GrantCall]] = []
         self.curve = EVEN
+        self.resting: set[str] = set()
         self.lost_answers = 0.0
         self.late_share = 0.0
         self.take_over()
@@ -145,6 +146,11 @@
             for key_hash in PROBES
         )
 
+    def held_by(self, name: str) -> int:
+        """Returns how many of the probed hashes a server holds."""
+        server = self.servers[name]
+        return sum(server.holds_hash(key_hash, self.now_ms) for key_hash in PROBES)
+
     def restart(self, name: str) -> None:
         """Starts a new life under an identifier."""
         born_ms = int(self.now_ms) + 2
@@ -177,7 +183,8 @@
                 server.name,
                 server.name,
                 server.born_ms,
-                server.name not in seat.unreached,
+                server.name not in seat.unreached | self.resting,
+                is_staying=server.name not in seat.unreached,
             )
             for server in self.servers.values()
             if server.is_listed
