--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -28,7 +28,9 @@
 QUEUE_FALL = 0.5  # How much of that each step of priority costs.
 OWN_TOTAL = 24.0  # Requests that all daemons together hand to an instance unseen.
 OTHER_ZONE_RATIO = 1.12  # Bytes between zones are dear; much waiting is dearer.
-NEW_CONNECTION_RATIO = 1.1  # A new connection takes time and may hold a slot.
+# A new connection takes time and may hold a slot; it pays if the instance is clearly
+# faster than those that are connected.
+NEW_CONNECTION_RATIO = 1.4
 CHOICE_JITTER = 0.1  # Keeps daemons from all choosing the same best instance.
 OVERDUE_RATIO = 3.0  # A request this much over its time says the instance is stuck.
 FAILURE_COST = 4.0  # A failed attempt costs about this many times its work.
