Pass operators' records on over the links, as shared records are

Change: the granter sends what it has read; who lacks records before them, or cannot decode them, reads. The two readers share their frame. Tests: told records are not read again, those that cannot be decoded are, the granter tells.

--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -82,14 +82,6 @@
         self._reached[daemon] = change.position
         return change if reached == change.base and change.base >= 0 else self.whole()
 
-    def unchanged(self) -> GatewayListing:
-        """Returns an update without a change of entries."""
-        return self._make(self._position, (), ())
-
-    def has_reached(self, daemon: str) -> bool:
-        """Tells whether a daemon was sent the latest update."""
-        return self._reached.get(daemon) == self._position
-
     def note_reached(self, daemon: str, position: int) -> None:
         """Takes a daemon's word of the last update that it has."""
         if position < 0:
@@ -110,7 +102,7 @@
         log: Gets lines about links.
         on_load: Takes a daemon's report of load while this one is the granter.
         on_owners: Takes what a record of owners has changed, and its position.
-        on_records: Takes shared records that the granter has read.
+        on_records: Takes records that the granter has read.
         on_positions: Takes the granter's positions in shared and operators' records.
         on_term: Stops grants of terms below one; called before this is answered.
     """
@@ -188,14 +180,6 @@
         if operators is not None:
             self._feed.operators = operators
 
-    def tell_positions(self) -> None:
-        """Sends the positions at once, as the operators have written."""
-        if self._site.daemon == self._site.shared.granter.daemon:
-            change = self._feed.unchanged()
-            for name in self._peers:
-                if self._feed.has_reached(name):
-                    self._links.send(name, change)
-
     def report(self) -> None:
         """Tells the granter of this daemon's load."""
         granter = self._site.shared.granter.daemon
@@ -215,11 +199,11 @@
         self.tell_all(message)
 
     def tell_records(
-        self, base: int, position: int, records: Sequence[tuple[str, bytes]]
+        self, log: str, base: int, position: int, records: Sequence[tuple[str, bytes]]
     ) -> None:
-        """Sends shared records that others have written, as the granter reads them."""
+        """Sends records that others have written, as the granter reads them."""
         told = tuple(SharedRecord(key, value) for key, value in records)
-        message = GatewayRecords(base, position, told)
+        message = GatewayRecords(log, base, position, told)
         self.tell_all(message)
 
     def tell_all(self, message: Message) -> None:
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -18,7 +18,7 @@
 from ..daemon.ticker import Ticker
 from ..errors import caller as codes
 from ..errors.code import Fault
-from ..peer.messages import GatewayLoad
+from ..peer.messages import GatewayLoad, GatewayRecords
 from .adapters import ADAPTERS
 from .clock import now_ms
 from .connections import Connections
@@ -94,7 +94,7 @@
             self._log,
             self._take_load,
             self._take_owners,
-            lambda message: self._shared.take_records(message),
+            self._take_records,
             self._take_positions,
             self._end_term,
         )
@@ -203,7 +203,12 @@
             self._is_granter,
         )
         self._operators = OperatorWatcher(
-            self._store(), site, self._watch("operators"), log, self._messenger
+            self._store(),
+            site,
+            self._watch("operators"),
+            log,
+            self._messenger,
+            self._is_granter,
         )
         self._shared = SharedWatcher(
             self._store(),
@@ -250,6 +255,11 @@
     ) -> None:
         self._shared.take_owners(service, changed, position)
 
+    def _take_records(self, message: GatewayRecords) -> None:
+        for reader in (self._shared, self._operators):
+            if reader.log_name == message.log:
+                reader.take_records(message)
+
     def _take_positions(self, shared: int, operators: int) -> None:
         self._shared.take_position(shared)
         self._operators.take_position(operators)
--- a/src/skylarktrail/gateway/site_store.py
+++ b/src/skylarktrail/gateway/site_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, Protocol, Sequence
 
 from result import Result
 
@@ -30,12 +30,14 @@
         zones: Zones taken out (True) or back (False).
         is_whole: Whether zones that are not named are in.
         position: Where to read on.
+        records: Keys and values from which it was decoded.
     """
 
     config: SiteConfig | None
     zones: dict[str, bool]
     is_whole: bool
     position: int
+    records: tuple[tuple[str, bytes], ...] = ()
 
 
 class SharedUpdate(NamedTuple):
@@ -63,6 +65,11 @@
     ) -> Result[OperatorUpdate, Fault]:
         """Reads what the operators want, from a position on or as a whole."""
 
+    def decode_operators(
+        self, records: Sequence[tuple[str, bytes]], position: int
+    ) -> Result[OperatorUpdate, Fault]:
+        """Decodes operators' records up to a position that another daemon has read."""
+
     def read_shared(
         self, position: int | None, wait_ms: int
     ) -> Result[SharedUpdate, Fault]:
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -24,7 +24,7 @@
 from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .site import Site
-from .site_store import SharedUpdate, SiteStore
+from .site_store import OperatorUpdate, SharedUpdate, SiteStore
 
 LISTING_MS = 1000.0  # A leaving instance gets no work 2 s after it said so.
 GRANTER_LISTING_MS = 700.0  # The granter reads for all; its word takes a moment.
@@ -138,17 +138,30 @@
 
 
 class LogReader:
-    """Reads a log of the store; when the granter is heard, only if it has news."""
+    """Reads a log of the store; when the granter is heard, only if it has news.
+
+    Args:
+        is_granter: Tells whether this daemon is the granter.
+    """
+
+    log_name = ""
 
     def __init__(
-        self, store: SiteStore, site: Site, watch: StoreWatch, messenger: Messenger
+        self,
+        store: SiteStore,
+        site: Site,
+        watch: StoreWatch,
+        messenger: Messenger,
+        is_granter: Callable[[], bool],
     ) -> None:
         self._store = store
         self._site = site
         self._watch = watch
         self._messenger = messenger
+        self._is_granter = is_granter
         self._position: int | None = None
         self._news = threading.Event()
+        self._lock = threading.Lock()
 
     def round(self) -> float:
         """Reads once; returns the pause until the next read."""
@@ -163,8 +176,44 @@
         if self._position is None or position > self._position:
             self._news.set()
 
+    def take_records(self, message: GatewayRecords) -> None:
+        """Takes records that the granter has read; reads if one before is missing."""
+        with self._lock:
+            if self._position == message.base and self._take_told(message):
+                return
+        self.take_position(message.position)
+
     def _read(self, wait_ms: int) -> float:
         """Reads once, waiting for news; returns the pause until the next read."""
+        self._news.clear()
+        started_ms = now_ms()
+        position = self._position
+        read = self._fetch(position, wait_ms)
+        pause_ms = self._check(read)
+        if pause_ms is not None:
+            return pause_ms
+        update = read.unwrap()
+        with self._lock:
+            if self._position == position:
+                self._take(update)
+        if self._is_granter() and position is not None and update.records:
+            self._messenger.tell_records(
+                self.log_name, position, update.position, update.records
+            )
+        return self._finish(update, position, started_ms)
+
+    def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
+        raise NotImplementedError
+
+    def _take(self, update: Any) -> None:
+        raise NotImplementedError
+
+    def _take_told(self, message: GatewayRecords) -> bool:
+        """Takes records that follow those known; tells whether they can be read."""
+        raise NotImplementedError
+
+    def _finish(self, update: Any, position: int | None, started_ms: float) -> float:
+        """Ends a read from a position; returns the pause until the next one."""
         raise NotImplementedError
 
     def _check(self, read: Result[Any, Fault]) -> float | None:
@@ -180,6 +229,8 @@
 class OperatorWatcher(LogReader):
     """Reads the configuration and the zones that are out."""
 
+    log_name = "operators"
+
     def __init__(
         self,
         store: SiteStore,
@@ -187,29 +238,37 @@
         watch: StoreWatch,
         log: EventLog,
         messenger: Messenger,
+        is_granter: Callable[[], bool],
     ) -> None:
-        super().__init__(store, site, watch, messenger)
+        super().__init__(store, site, watch, messenger, is_granter)
         self._log = log
 
-    def _read(self, wait_ms: int) -> float:
-        self._news.clear()
-        read = self._store.read_operators(self._position, wait_ms)
-        pause_ms = self._check(read)
-        if pause_ms is not None:
-            return pause_ms
-        update = read.unwrap()
-        is_news = self._position != update.position
+    def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
+        return self._store.read_operators(position, wait_ms)
+
+    def _take(self, update: OperatorUpdate) -> None:
         self._position = update.position
+        self._messenger.note_positions(None, update.position)
         config = self._site.take_operators(update, now_ms())
-        if is_news:
-            self._messenger.note_positions(None, update.position)
-            self._messenger.tell_positions()
         if config is not None:
             routes = len(config.routes)
             self._log.state("config_in_force", version=config.version, routes=routes)
         for zone, is_out in update.zones.items():
             self._log.state("zone_out" if is_out else "zone_back", zone=zone)
-        return NEWS_PAUSE_MS if is_news else 0.0
+
+    def _take_told(self, message: GatewayRecords) -> bool:
+        records = [(item.key, item.value) for item in message.records]
+        decoded = self._store.decode_operators(records, message.position)
+        if decoded.is_err():
+            self._log.state("records_refused", fault=str(decoded.unwrap_err()))
+            return False
+        self._take(decoded.unwrap())
+        return True
+
+    def _finish(
+        self, update: OperatorUpdate, position: int | None, started_ms: float
+    ) -> float:
+        return NEWS_PAUSE_MS if update.position != position else 0.0
 
 
 class SharedWatcher(LogReader):
@@ -217,10 +276,11 @@
 
     Args:
         on_read: Told the position reached and when the read began.
-        is_granter: Tells whether this daemon is the granter.
-        is_candidate: Tells whether it is to become the granter.
+        is_candidate: Tells whether this daemon is to become the granter.
     """
 
+    log_name = "shared"
+
     def __init__(
         self,
         store: SiteStore,
@@ -232,12 +292,10 @@
         is_candidate: Callable[[], bool],
         messenger: Messenger,
     ) -> None:
-        super().__init__(store, site, watch, messenger)
+        super().__init__(store, site, watch, messenger, is_granter)
         self._me = me
         self._on_read = on_read
-        self._is_granter = is_granter
         self._is_candidate = is_candidate
-        self._lock = threading.Lock()
 
     def round(self) -> float:
         """Reads once; the granter does so each second to confirm its term."""
@@ -259,45 +317,27 @@
         if not is_known:
             self._news.set()
 
-    def take_records(self, message: GatewayRecords) -> None:
-        """Takes records that the granter has read; reads if one before is missing."""
-        with self._lock:
-            if self._position == message.base:
-                records = [(item.key, item.value) for item in message.records]
-                self._take(SharedUpdate(records, False, message.position))
-                return
-        self.take_position(message.position)
-
-    def _read(self, wait_ms: int) -> float:
-        self._news.clear()
-        started_ms = now_ms()
-        position = self._position
-        read = self._store.read_shared(position, wait_ms)
-        pause_ms = self._check(read)
-        if pause_ms is not None:
-            return pause_ms
-        update = read.unwrap()
-        with self._lock:
-            if self._position == position:
-                self._take(update)
-        self._on_read(update.position, started_ms)
-        self._join()
-        if self._is_granter():
-            self._tell(position, update)
-            return 0.0
-        is_paced = bool(update.records) and not self._is_candidate()
-        return NEWS_PAUSE_MS if is_paced else 0.0
-
-    def _tell(self, position: int | None, update: SharedUpdate) -> None:
-        """Passes records that others have written on to all daemons."""
-        if position is not None and update.records:
-            self._messenger.tell_records(position, update.position, update.records)
+    def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
+        return self._store.read_shared(position, wait_ms)
 
     def _take(self, update: SharedUpdate) -> None:
         self._position = update.position
         self._messenger.note_positions(update.position, None)
         self._site.take_shared(update, now_ms())
 
+    def _take_told(self, message: GatewayRecords) -> bool:
+        records = [(item.key, item.value) for item in message.records]
+        self._take(SharedUpdate(records, False, message.position))
+        return True
+
+    def _finish(
+        self, update: SharedUpdate, position: int | None, started_ms: float
+    ) -> float:
+        self._on_read(update.position, started_ms)
+        self._join()
+        is_first = self._is_granter() or self._is_candidate()
+        return NEWS_PAUSE_MS if update.records and not is_first else 0.0
+
     def _join(self) -> None:
         if self._site.shared.members.get(self._site.daemon) == self._me:
             return
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -405,14 +405,16 @@
 
 @message("gateway_records")
 class GatewayRecords(NamedTuple):
-    """Shared records that the granter has read, so that the others need not.
+    """Records that the granter has read, so that the others need not.
 
     Attributes:
+        log: `shared` or `operators`.
         base: Position from which it has read.
         position: Position that it has reached.
         records: The records between the two.
     """
 
+    log: str
     base: int
     position: int
     records: tuple[SharedRecord, ...]
--- a/src/skylarktrail/platform/provider.py
+++ b/src/skylarktrail/platform/provider.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import NamedTuple
+from typing import NamedTuple, Sequence
 
 from result import Err, Ok, Result
 
@@ -56,6 +56,13 @@
             return Err(read.unwrap_err())
         return _to_operator_update(read.unwrap())
 
+    def decode_operators(
+        self, records: Sequence[tuple[str, bytes]], position: int
+    ) -> Result[OperatorUpdate, Fault]:
+        """Decodes operators' records up to a position that another daemon has read."""
+        keyed = [KeyedRecord(key, value) for key, value in records]
+        return _to_operator_update(KeyedRead(keyed, False, position))
+
     def read_shared(
         self, position: int | None, wait_ms: int
     ) -> Result[SharedUpdate, Fault]:
@@ -127,4 +134,5 @@
                 return Err(Fault(codes.STORE_MALFORMED, record.key, repr(error)))
         elif record.key.startswith(EVACUATION_PREFIX):
             zones[record.key.removeprefix(EVACUATION_PREFIX)] = bool(record.value)
-    return Ok(OperatorUpdate(config, zones, read.is_whole, read.position))
+    records = tuple((item.key, item.value) for item in read.records)
+    return Ok(OperatorUpdate(config, zones, read.is_whole, read.position, records))
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -35,6 +35,13 @@
     def __init__(self, *answers) -> None:
         self.answers = list(answers)
         self.asked = []
+        self.is_decoding = True
+
+    def decode_operators(self, records, position):
+        """Decodes the version in a record."""
+        if not self.is_decoding:
+            return Err(Fault(codes.STORE_MALFORMED))
+        return update(int(records[0][1]), position)
 
     def read_operators(self, position, wait_ms):
         """Returns the next answer."""
@@ -72,21 +79,23 @@
     def note_positions(self, shared, operators):
         """Takes positions."""
 
-    def tell_positions(self):
-        """Sends positions."""
-
-    def tell_records(self, base, position, records):
+    def tell_records(self, log, base, position, records):
         """Keeps what is told to the others."""
-        self.told.append((base, position, records))
+        self.told.append((log, base, position, records))
+
+
+PUBLISHED = (("config", b"6"),)
 
 
 def update(version, position, zones=None):
-    return Ok(OperatorUpdate(SiteConfig(version, (), {}), zones or {}, False, position))
+    config = SiteConfig(version, (), {})
+    return Ok(OperatorUpdate(config, zones or {}, False, position, PUBLISHED))
 
 
-def watcher(store, site, log, is_heard=False):
+def watcher(store, site, log, is_heard=False, messenger=None, is_granter=False):
     watch = StoreWatch("operators", log, GatewayMetrics())
-    return OperatorWatcher(store, site, watch, log, Messenger(is_heard))
+    messenger = messenger or Messenger(is_heard)
+    return OperatorWatcher(store, site, watch, log, messenger, lambda: is_granter)
 
 
 def test_a_failed_read_is_followed_by_quick_ones_until_the_store_answers(site, log):
@@ -161,7 +170,7 @@
     store = ScriptedStore(shared(7, is_whole=True))
     reader = shared_watcher(store, site, log, Messenger(is_heard=True))
     reader.round()
-    reader.take_records(GatewayRecords(7, 8, (SharedRecord(*JOINED),)))
+    reader.take_records(GatewayRecords("shared", 7, 8, (SharedRecord(*JOINED),)))
     reader.take_position(8)
     reader.round()
     assert len(store.asked) == 1
@@ -172,7 +181,7 @@
     store = ScriptedStore(shared(7, is_whole=True), shared(9, JOINED))
     reader = shared_watcher(store, site, log, Messenger(is_heard=True))
     reader.round()
-    reader.take_records(GatewayRecords(8, 9, ()))
+    reader.take_records(GatewayRecords("shared", 8, 9, ()))
     reader.round()
     assert store.asked[1] == (7, 0)
     assert site.shared.members == {"d2": OTHER}
@@ -185,7 +194,43 @@
     reader.take_position(7)
     for _ in range(3):
         reader.round()
-    assert messenger.told == [(7, 8, [JOINED])]
+    assert messenger.told == [("shared", 7, 8, [JOINED])]
+
+
+def test_a_version_that_the_granter_has_read_is_not_read_again(site, log):
+    """Load pattern: operators publish in series before dozens of daemons."""
+    store = ScriptedStore(update(4, 7))
+    reader = watcher(store, site, log, is_heard=True)
+    reader.round()
+    reader.take_records(told_version(7, 8))
+    reader.take_position(8)
+    reader.round()
+    assert len(store.asked) == 1
+    assert site.table.config.version == 6
+
+
+def test_told_records_that_cannot_be_decoded_are_read(site, log):
+    store = ScriptedStore(update(4, 7), update(6, 8))
+    store.is_decoding = False
+    reader = watcher(store, site, log, is_heard=True)
+    reader.round()
+    reader.take_records(told_version(7, 8))
+    reader.round()
+    assert store.asked[1] == (7, 0)
+
+
+def test_the_granter_passes_on_what_operators_have_published(site, log):
+    messenger = Messenger()
+    store = ScriptedStore(update(4, 7), update(6, 8))
+    reader = watcher(store, site, log, messenger=messenger, is_granter=True)
+    reader.round()
+    reader.round()
+    assert messenger.told == [("operators", 7, 8, PUBLISHED)]
+
+
+def told_version(base, position):
+    records = tuple(SharedRecord(*item) for item in PUBLISHED)
+    return GatewayRecords("operators", base, position, records)
 
 
 @pytest.mark.parametrize(
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -43,7 +43,9 @@
         -1,
     ),
     messages.GatewayOwners("catalogo", (OwnedRange(0, 99, "i-1", 1 << 41),), 7),
-    messages.GatewayRecords(7, 9, (messages.SharedRecord("member/d1", b"x"),)),
+    messages.GatewayRecords(
+        "shared", 7, 9, (messages.SharedRecord("member/d1", b"x"),)
+    ),
     messages.GatewayListing(
         -1,
         9,
