Place a slice whose split is under way as the log goes out, if its server is lost

Ruled out: giving it to another server without a record (the log decides); a split that takes effect after the assignment (its sequence number is lower, it is refused). Change: only merges keep a slice; an assignment that follows the split has the higher number. Parts of a slice inherit the floor of its fences, as its record shows older ones for them.

--- a/src/skylarktrail/core/ownership/granter.py
+++ b/src/skylarktrail/core/ownership/granter.py
@@ -105,6 +105,7 @@
         self._moving: dict[int, str] = {}
         self._moved_ms: dict[int, float] = {}
         self._reshaping: dict[int, frozenset[int]] = {}
+        self._merging: set[int] = set()
         self._slices: list[Slice] = []
         self._starts: dict[int, Slice] = {}
         self._folded = (0, -1)
@@ -118,6 +119,7 @@
         """Goes on in the next own term with the same books."""
         self._pending.clear()
         self._reshaping.clear()
+        self._merging.clear()
         self._seq = 0
         for book in self._books.values():
             book.begin_term()
@@ -144,6 +146,7 @@
             if pending.token != token
         }
         self._reshaping.pop(token, None)
+        self._merging.discard(token)
         self._next_reconcile_ms = 0.0
 
     def fail(self, server: str, sent_ms: float, now_ms: float) -> None:
@@ -202,12 +205,31 @@
         self._folded = folded
         self._next_reconcile_ms = 0.0
         self._slices = [held for held in table if held.group == self._group]
-        bounds = {(held.start, held.end) for held in self._starts.values()}
+        before = list(self._starts.values())
+        bounds = {(held.start, held.end) for held in before}
         self._starts = {held.start: held for held in self._slices}
-        if any((held.start, held.end) not in bounds for held in self._slices):
+        shaped = [h for h in self._slices if (h.start, h.end) not in bounds]
+        if shaped:
+            self._inherit_floors(shaped, before)
             self._reshape()
         return True
 
+    def _inherit_floors(self, shaped: list[Slice], before: list[Slice]) -> None:
+        """Keeps fences above those given for slices that were split or merged.
+
+        A server may have got the whole slice after its split was appended and before
+        it was read back; the record has an older fence for the parts.
+        """
+        for current in shaped:
+            floors = [
+                self._floors.get(held.start, 0)
+                for held in before
+                if held.start < current.end and current.start < held.end
+            ]
+            floor = max(floors, default=0)
+            known = self._floors.get(current.start, 0)
+            self._floors[current.start] = max(floor, known)
+
     def _reshape(self) -> None:
         """Fits the books to slices that were split or merged."""
         for book in self._books.values():
@@ -334,8 +356,12 @@
                 del self._pending[start]
 
     def _busy(self, now_ms: float) -> set[int]:
-        """Returns slices that a server may still hold or that change shape."""
-        busy = {start for starts in self._reshaping.values() for start in starts}
+        """Returns slices that a server may still hold or that are being merged.
+
+        One that is being split may be placed: its assignment has the higher sequence
+        number, so a split that comes after it is refused.
+        """
+        busy = {start for token in self._merging for start in self._reshaping[token]}
         for book in self._books.values():
             for held in book.releasing(now_ms):
                 busy.update(self._overlapping(held))
@@ -501,6 +527,7 @@
         term, seq = self._next_seq()
         token = self._append(Merge(self._group, term, seq, start))
         self._reshaping[token] = frozenset((start, before.start))
+        self._merging.add(token)
 
     def _is_steady(self, start: int) -> bool:
         """Tells whether the log names the holder and nothing about it is open."""
--- a/tests/core/test_ownership_budget.py
+++ b/tests/core/test_ownership_budget.py
@@ -6,6 +6,7 @@
 
 from benchmarks.ownership_world import SERVICE, FakeServer, World
 from skylarktrail.core.ownership import Timings
+from skylarktrail.core.ownership.granter import Granter
 from skylarktrail.core.records import Split
 
 BUDGET_MS = 5000
@@ -159,3 +160,57 @@
     server = world.servers[world.log.state.tables[SERVICE].find(split.start).server]
     world.freeze(int(server.name[1:]), 10**6)
     assert watch(world, (server,)) <= BUDGET_MS
+
+
+def split_while_given_away(seed: int) -> tuple[World, Split, int]:
+    """Returns a world whose slice was split and placed while the log was out.
+
+    All others are lost before the split is read, and the old owner is back after.
+
+    Returns:
+        The world, the split, and the fence under which the slice was given.
+    """
+    world = begin(seed, Timings().balance_ms)
+    while (split := find_split(world)) is None:
+        world.advance(1)
+    world.stop_log(0, 13_000)
+    server = world.servers[world.log.state.tables[SERVICE].find(split.start).server]
+    world.freeze(int(server.name[1:]), 14_000)
+    world.advance(6000)
+    holders = [
+        part.fence
+        for other in world.servers.values()
+        for part in other.holds(world.now_ms)
+        if other is not server and part.start == split.start
+    ]
+    for other in world.servers.values():
+        if other is not server:
+            world.freeze(int(other.name[1:]), 10**6)
+    world.advance(14_000)
+    return world, split, max(holders)
+
+
+def lowest_fence(world: World, split: Split) -> int:
+    """Returns the lowest fence under which a part of a split slice is held."""
+    starts = (split.start, *split.cuts)
+    return min(
+        part.fence
+        for server in world.servers.values()
+        for part in server.holds(world.now_ms)
+        if part.start in starts
+    )
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_fences_rise_where_a_split_is_read_after_its_slice_was_placed(seed):
+    world, split, fence = split_while_given_away(seed)
+    assert lowest_fence(world, split) > fence
+
+
+def test_a_split_without_floors_for_its_parts_is_found(monkeypatch):
+    monkeypatch.setattr(Granter, "_inherit_floors", lambda *_: None)
+    for seed in range(1, 4):
+        world, split, fence = split_while_given_away(seed)
+        if lowest_fence(world, split) <= fence:
+            return
+    pytest.fail("no part was given under an older fence")
