Offer the granter's role to another daemon when the store turns the granter away

Change: after two failed reads, and as it drains, it asks a fit daemon, which claims after a read that began later. Ruled out: claims without a candidacy by whoever hears no granter (a daemon that is cut off from the others would take the role again and again).

--- a/src/skylarktrail/gateway/granting.py
+++ b/src/skylarktrail/gateway/granting.py
@@ -44,6 +44,7 @@
     EndedTerm,
     LoadTold,
     Orders,
+    RoleOffered,
     SharedRead,
     SharedWrite,
     TermEnded,
@@ -63,6 +64,8 @@
 CANDIDATE_MS = 1500.0
 # A new granter is heard by all daemons within this time.
 SUCCESSOR_MS = 2000.0
+# The granter asks another daemon after a failed read, half a second later at the least.
+OFFER_MS = 1000.0
 START_WAIT_MS = 2500.0  # Instances of a new site are listed within this time.
 
 
@@ -117,6 +120,7 @@
         self._writer = ThreadPoolExecutor(1, "writer")
         self._candidate_ms = -1e18
         self._succeeded_ms = -1e18
+        self._offer = RoleOffered(0, -1e18)
         self._position = -1
         self._confirmed_ms = -1e18
         self._term = 0
@@ -137,6 +141,8 @@
         elif isinstance(message, Candidate):
             self._candidate_ms = now_ms() if message.is_candidate else -1e18
             self._step()
+        elif isinstance(message, RoleOffered):
+            self._offer = message
         elif isinstance(message, SharedRead):
             self._take_read(message)
         elif isinstance(message, TermEnded):
@@ -205,8 +211,22 @@
             self._shorten_rights()
         if is_mine and not self.is_granter:
             self._begin(granter.term)
+        if self._may_take_offer(read):
+            self._offer = RoleOffered(0, -1e18)
+            self._claim()
         self._step()
 
+    def _may_take_offer(self, read: SharedRead) -> bool:
+        """Tells whether to take the role that the granter has offered.
+
+        The read has to be later than the offer: it shows that the store, which may
+        turn some daemons away, serves this one.
+        """
+        if self.is_granter or self._writes:
+            return False
+        is_newer = read.started_ms >= self._offer.at_ms >= now_ms() - OFFER_MS
+        return is_newer and self._offer.term == self._site.shared.granter.term
+
     def _note_successor(self, granter: GranterRecord) -> None:
         """Notes when another daemon took the role while this one was running."""
         known, self._known_term = self._known_term, granter.term
--- a/src/skylarktrail/gateway/granting_messages.py
+++ b/src/skylarktrail/gateway/granting_messages.py
@@ -28,6 +28,18 @@
     is_candidate: bool
 
 
+class RoleOffered(NamedTuple):
+    """The granter asks this daemon to take its role.
+
+    Attributes:
+        term: Term of the granter.
+        at_ms: When it was asked.
+    """
+
+    term: int
+    at_ms: float
+
+
 class SharedRead(NamedTuple):
     """The shared records were read.
 
--- a/src/skylarktrail/gateway/load_teller.py
+++ b/src/skylarktrail/gateway/load_teller.py
@@ -5,7 +5,7 @@
 import threading
 from typing import Callable
 
-from ..core.gateway.load_board import LoadBoard
+from ..core.gateway.load_board import REPORT_MS, LoadBoard
 from ..core.gateway.shedding import AdmittedParts
 from ..peer.messages import BusyInstance, GatewayBusy, GatewayLoad
 from .clock import now_ms
@@ -38,12 +38,25 @@
         self._parts = AdmittedParts()
         self._lock = threading.Lock()
         self._has_told = False
+        self._fit_ms: dict[str, float] = {}
 
     def note(self, daemon: str, report: GatewayLoad) -> None:
         """Takes a daemon's report."""
         in_flight = {item.instance: item.count for item in report.in_flight}
         with self._lock:
             self._board.note(daemon, in_flight, now_ms())
+            if report.is_fit:
+                self._fit_ms[daemon] = now_ms()
+
+    def fit_daemons(self) -> list[str]:
+        """Returns the daemons that have said lately that they may be the granter."""
+        with self._lock:
+            self._fit_ms = {
+                name: at_ms
+                for name, at_ms in self._fit_ms.items()
+                if now_ms() - at_ms <= REPORT_MS
+            }
+            return sorted(self._fit_ms)
 
     def round(self) -> float:
         """Tells once, if there is news; returns the pause until the next round."""
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -19,6 +19,7 @@
     GatewayLoad,
     GatewayOwners,
     GatewayRecords,
+    GatewayRoleOffer,
     GatewayTermAsk,
     GatewayTermEnded,
     Message,
@@ -99,11 +100,13 @@
         site: What is known of the site.
         process: Identifier of this process.
         address: `host:port` where other daemons connect.
+        is_fit: Whether this daemon may become the granter.
         log: Gets lines about links.
         on_load: Takes a daemon's report of load while this one is the granter.
         on_owners: Takes what a record of owners has changed, and its position.
         on_records: Takes records that the granter has read.
         on_positions: Takes the granter's positions in shared and operators' records.
+        on_offer: Takes the granter's offer of its role, with its term.
         on_term: Stops grants of terms below one; called before this is answered.
     """
 
@@ -112,14 +115,18 @@
         site: Site,
         process: str,
         address: str,
+        is_fit: bool,
         log: EventLog,
         on_load: Callable[[str, GatewayLoad], None],
         on_owners: Callable[[str, Sequence[OwnedRange], int], None],
         on_records: Callable[[GatewayRecords], None],
         on_positions: Callable[[int, int], None],
+        on_offer: Callable[[int], None],
         on_term: Callable[[int], None],
     ) -> None:
         self._site = site
+        self._is_fit = is_fit
+        self._on_offer = on_offer
         self._log = log
         self._on_load = on_load
         self._on_owners = on_owners
@@ -185,7 +192,7 @@
         granter = self._site.shared.granter.daemon
         if not granter:
             return
-        report = self._site.take_report()
+        report = self._site.take_report()._replace(is_fit=self._is_fit)
         if granter == self._site.daemon:
             self._on_load(granter, report)
         else:
@@ -206,6 +213,10 @@
         message = GatewayRecords(log, base, position, told)
         self.tell_all(message)
 
+    def send(self, daemon: str, message: Message) -> None:
+        """Sends a message to one other daemon."""
+        self._links.send(daemon, message)
+
     def tell_all(self, message: Message) -> None:
         """Sends a message to all others."""
         for name in self._peers:
@@ -232,6 +243,10 @@
                 self._on_records(message)
         elif isinstance(message, GatewayListing):
             self._take_listing(daemon, message)
+        elif isinstance(message, GatewayRoleOffer):
+            granter = self._site.shared.granter
+            if (daemon, message.term) == (granter.daemon, granter.term):
+                self._on_offer(message.term)
         elif isinstance(message, GatewayBusy):
             if daemon == self._site.shared.granter.daemon:
                 self._site.take_busy(message.instances, now_ms())
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -25,11 +25,18 @@
 from .departures import Departures
 from .event_log import EventLog
 from .granting import GranterActor
-from .granting_messages import Candidate, EndedTerm, LoadTold, SharedRead
+from .granting_messages import (
+    Candidate,
+    EndedTerm,
+    LoadTold,
+    RoleOffered,
+    SharedRead,
+)
 from .load_teller import LoadTeller
 from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .ready_app import ReadyApp
+from .role_offer import RoleOffer
 from .router import GatewayRouter
 from .site import Site
 from .site_store import SiteStore
@@ -91,16 +98,21 @@
             self._site,
             self._process,
             settings.peer_address,
+            settings.processors >= GRANTER_PROCESSORS,
             self._log,
             self._take_load,
             self._take_owners,
             self._take_records,
             self._take_positions,
+            self._take_offer,
             self._end_term,
         )
         self._teller = LoadTeller(
             self._site, self._is_granter, self._messenger.tell_all
         )
+        self._offer = RoleOffer(
+            self._site, self._teller.fit_daemons, self._messenger.send, self._log
+        )
         self._app = CallerApp(self._router, self._metrics)
         self._is_draining = False
         self._unheard_ms = now_ms()
@@ -143,6 +155,8 @@
         self._app.is_closing = True
         self._router.is_draining = True
         self._candidacy.withdraw()
+        if self._is_granter():
+            self._offer.offer("draining")
         end_ms = started_ms + self._bounds.grace_s * 1000 - KILL_MARGIN_MS
         _sleep_until(min(end_ms, started_ms + UNREADY_MS))
         self._router.is_closed = True
@@ -219,6 +233,7 @@
             self._is_granter,
             lambda: self._candidacy.is_candidate,
             self._messenger,
+            lambda: self._offer.offer("store_lost"),
         )
         self._candidacy = CandidacyWatcher(
             self._store(),
@@ -264,6 +279,11 @@
         self._shared.take_position(shared)
         self._operators.take_position(operators)
 
+    def _take_offer(self, term: int) -> None:
+        if not self._is_draining:
+            self._granter.tell(RoleOffered(term, now_ms()))
+            self._shared.confirm()
+
     def _end_term(self, term: int) -> None:
         """Stops grants of earlier terms at once, ahead of the actor's messages."""
         self._ended.term = max(self._ended.term, term)
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -39,6 +39,7 @@
 GRANTER_WAIT_MS = 1000  # The granter confirms its term this often.
 FAILED_MS = 250.0  # Pause after a failed call; the store counts refused calls too.
 FAILED_MAX_MS = 1500.0  # With the time for an answer below the 3 s named above.
+LOST_FAILURES = 2  # One call may fail while a store is well.
 STAND_MS = 600.0
 STAND_TTL_MS = 1500  # A lost candidate is replaced after this.
 LOAD_REPORT_MS = 250.0  # Queues at instances fill and empty within half a second.
@@ -67,6 +68,11 @@
         """Tells whether the last call failed; the next one should not wait long."""
         return self._failures > 0
 
+    @property
+    def failures(self) -> int:
+        """Returns how many calls have failed in a row."""
+        return self._failures
+
     def check(self, result: Result[Any, Fault]) -> float | None:
         """Takes the end of a call; returns the pause after a failure, else None."""
         if result.is_ok():
@@ -277,6 +283,7 @@
     Args:
         on_read: Told the position reached and when the read began.
         is_candidate: Tells whether this daemon is to become the granter.
+        on_lost: Told when reads of the granter fail again and again.
     """
 
     log_name = "shared"
@@ -291,8 +298,10 @@
         is_granter: Callable[[], bool],
         is_candidate: Callable[[], bool],
         messenger: Messenger,
+        on_lost: Callable[[], None],
     ) -> None:
         super().__init__(store, site, watch, messenger, is_granter)
+        self._on_lost = on_lost
         self._me = me
         self._on_read = on_read
         self._is_candidate = is_candidate
@@ -304,6 +313,16 @@
             return self._read(0)
         return super().round()
 
+    def confirm(self) -> None:
+        """Lets the next read begin at once."""
+        self._news.set()
+
+    def _check(self, read: Result[Any, Fault]) -> float | None:
+        pause_ms = super()._check(read)
+        if self._is_granter() and self._watch.failures >= LOST_FAILURES:
+            self._on_lost()
+        return pause_ms
+
     def take_owners(self, service: str, changed: Sequence[OwnedRange], at: int) -> None:
         """Takes a change that the granter tells; reads if one before it is missing."""
         with self._lock:
--- a/src/skylarktrail/peer/messages.py
+++ b/src/skylarktrail/peer/messages.py
@@ -368,12 +368,14 @@
         speeds: Answers by instance.
         in_flight: Its requests under way by instance.
         listing: Position of the instances' entries that it knows by the granter.
+        is_fit: Whether it may become the granter.
     """
 
     keys: tuple[KeyCount, ...]
     speeds: tuple[SpeedSample, ...]
     in_flight: tuple[InFlight, ...]
     listing: int
+    is_fit: bool = False
 
 
 @message("gateway_owners")
@@ -431,6 +433,17 @@
     term: int
 
 
+@message("gateway_role_offer")
+class GatewayRoleOffer(NamedTuple):
+    """The granter asks another daemon to take its role.
+
+    Attributes:
+        term: Term of the granter.
+    """
+
+    term: int
+
+
 @message("gateway_term_ended")
 class GatewayTermEnded(NamedTuple):
     """A former granter sends no grant of a lower term any more.
@@ -490,6 +503,7 @@
 
 Message = (
     GatewayTermAsk
+    | GatewayRoleOffer
     | GatewayTermEnded
     | GatewayLoad
     | GatewayOwners
--- a/tests/gateway/test_granting.py
+++ b/tests/gateway/test_granting.py
@@ -17,8 +17,18 @@
 )
 from skylarktrail.gateway import granting
 from skylarktrail.gateway.event_log import EventLog
-from skylarktrail.gateway.granting import CANDIDATE_MS, SUCCESSOR_MS, GranterActor
-from skylarktrail.gateway.granting_messages import Candidate, EndedTerm, SharedRead
+from skylarktrail.gateway.granting import (
+    CANDIDATE_MS,
+    OFFER_MS,
+    SUCCESSOR_MS,
+    GranterActor,
+)
+from skylarktrail.gateway.granting_messages import (
+    Candidate,
+    EndedTerm,
+    RoleOffered,
+    SharedRead,
+)
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site import Site
 from skylarktrail.gateway.site_store import SharedUpdate
@@ -121,3 +131,23 @@
     clock.at_ms += CANDIDATE_MS + 1
     read_granter("d2", "p2", 4)
     assert not store.written.acquire(timeout=QUIET_S)
+
+
+def test_an_offered_role_is_taken_after_a_read_that_began_later(
+    actor, store, clock, read_granter
+):
+    read_granter("d2", "p2", 4)
+    actor.on_receive(RoleOffered(4, clock.at_ms + 1))
+    assert not store.written.acquire(timeout=QUIET_S)
+    clock.at_ms += 10
+    read_granter("d2", "p2", 4)
+    assert store.written.acquire(timeout=WAIT_S)
+
+
+@pytest.mark.parametrize(("term", "later_ms"), [(3, 10), (4, OFFER_MS + 10)])
+def test_an_old_offer_is_left(actor, store, clock, read_granter, term, later_ms):
+    read_granter("d2", "p2", 4)
+    actor.on_receive(RoleOffered(term, clock.at_ms))
+    clock.at_ms += later_ms
+    read_granter("d2", "p2", 4)
+    assert not store.written.acquire(timeout=QUIET_S)
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -41,6 +41,7 @@
         (messages.SpeedSample("i-1", 4, 3.5, 1),),
         (messages.InFlight("i-1", 2),),
         -1,
+        True,
     ),
     messages.GatewayOwners("catalogo", (OwnedRange(0, 99, "i-1", 1 << 41),), 7),
     messages.GatewayRecords(
@@ -56,6 +57,7 @@
     ),
     messages.GatewayBusy((messages.BusyInstance("i-1", 9, 0.5),)),
     messages.GatewayTermAsk(5),
+    messages.GatewayRoleOffer(5),
     messages.GatewayTermEnded(5),
 ]
 
