Break the import circle of core/traffic

The queue names what it needs of a ticket, the observer what it needs of a service, and a service chooses by the request and the instances tried. No module is imported for types alone any more. Behaviour as before (tests/core/traffic pass).

--- a/src/skylarktrail/core/traffic/observer.py
+++ b/src/skylarktrail/core/traffic/observer.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from statistics import median_low
-from typing import TYPE_CHECKING, Callable, NamedTuple
+from typing import Callable, Mapping, NamedTuple, Protocol, Sequence
 
 from .instance import DEAD_FAILURES, Ejection, InstanceState, Pool
 from .lane import RATE_WINDOW_MS, Lane
+from .latency import LatencyWindow
 from .messages import Outcome
-
-if TYPE_CHECKING:
-    from .service import Service
+from .policy import Policy
 
 MEDIAN_INSTANCES = 64
 EJECTION_MIN_ANSWERS = 3
@@ -41,10 +40,36 @@
     is_fresh: bool
 
 
+class Observed(Protocol):
+    """A service as its observer sees it.
+
+    Attributes:
+        is_keyed: Whether its instances own keys.
+        policy: Its policy.
+        instances: Its instances by identifier.
+        candidates: Those that get work.
+        ejected: Those that get none for a while.
+        window: Recent latencies.
+    """
+
+    is_keyed: bool
+    policy: Policy
+    instances: Mapping[str, InstanceState]
+    candidates: Sequence[InstanceState]
+    ejected: Sequence[InstanceState]
+    window: LatencyWindow
+
+    def typical_ms(self) -> float:
+        """Returns the median latency of recent answers."""
+
+    def refresh(self, now_ms: float) -> None:
+        """Sorts the instances by their state anew."""
+
+
 class Observer:
     """Ejects, returns and marks the instances of a service as cold."""
 
-    def __init__(self, service: Service, uniform: Callable[[], float]) -> None:
+    def __init__(self, service: Observed, uniform: Callable[[], float]) -> None:
         self._service = service
         self._uniform = uniform
         self._reference_ms = 0.0
--- a/src/skylarktrail/core/traffic/queue.py
+++ b/src/skylarktrail/core/traffic/queue.py
@@ -4,15 +4,30 @@
 
 from collections import deque
 from heapq import heappop, heappush
-from typing import Mapping
+from typing import Generic, Mapping, Protocol, TypeVar
 
-from .ticket import Ticket
+from .messages import RequestInfo
 
 DEFAULT_WEIGHT = 1.0
 OTHER_TENANTS = ""
 
 
-class _TenantQueue:
+class Queued(Protocol):
+    """What a queue knows of its tickets.
+
+    Attributes:
+        request: The request.
+        is_queued: Whether it waits.
+    """
+
+    request: RequestInfo
+    is_queued: bool
+
+
+T = TypeVar("T", bound=Queued)
+
+
+class _TenantQueue(Generic[T]):
     """Tickets of one tenant, oldest first.
 
     Attributes:
@@ -24,12 +39,12 @@
 
     def __init__(self, weight: float) -> None:
         self.weight = weight
-        self.tickets: deque[Ticket] = deque()
+        self.tickets: deque[T] = deque()
         self.waiting = 0
         self.tag = 0.0
 
 
-class FairQueue:
+class FairQueue(Generic[T]):
     """Start-time fair queueing over tenants.
 
     Tenants without a weight of their own share one queue.
@@ -86,7 +101,7 @@
         fair = tenant.waiting * active_weight / tenant.weight
         return min(fair, float(self._waiting))
 
-    def push(self, ticket: Ticket) -> None:
+    def push(self, ticket: T) -> None:
         """Adds a ticket behind the others of its tenant."""
         tenant = self._tenant(ticket.request.tenant)
         if not tenant.waiting:
@@ -104,7 +119,7 @@
         self._pushes += 1
         heappush(self._due, (tenant.tag, self._pushes, tenant))
 
-    def remove(self, ticket: Ticket) -> None:
+    def remove(self, ticket: T) -> None:
         """Withdraws a ticket that waits."""
         ticket.is_queued = False
         tenant = self._tenant(ticket.request.tenant)
@@ -114,7 +129,7 @@
             self._active_weight -= tenant.weight
             self._active -= 1
 
-    def peek(self) -> Ticket | None:
+    def peek(self) -> T | None:
         """Returns the ticket that is due next."""
         while self._due:
             tenant = self._due[0][2]
@@ -125,7 +140,7 @@
             heappop(self._due)
         return None
 
-    def pop(self) -> Ticket | None:
+    def pop(self) -> T | None:
         """Takes the ticket that is due next."""
         ticket = self.peek()
         if ticket is None:
--- a/src/skylarktrail/core/traffic/service.py
+++ b/src/skylarktrail/core/traffic/service.py
@@ -10,11 +10,16 @@
 from .instance import Ejection, InstanceState
 from .lane import HEADROOM, Lane
 from .latency import LatencyWindow
-from .messages import Instance, InstanceAge, InstanceStatus, ServiceStatus
+from .messages import (
+    Instance,
+    InstanceAge,
+    InstanceStatus,
+    RequestInfo,
+    ServiceStatus,
+)
 from .observer import Observer
 from .policy import Policy, make_policy
 from .roster import RosterHistory
-from .ticket import Ticket
 
 KEYED = "keyed"
 PINNED_LIMIT_SLOTS = 4
@@ -227,20 +232,27 @@
         """Returns the median latency of recent answers."""
         return self.window.quantile_ms(50) or FIRST_LATENCY_MS
 
-    def choose(self, now_ms: float, ticket: Ticket, zone: str) -> InstanceState | None:
-        """Returns the instance for a new attempt, or None while there is no room."""
+    def choose(
+        self, now_ms: float, request: RequestInfo, tried: set[str], zone: str
+    ) -> InstanceState | None:
+        """Returns the instance for a new attempt, or None while there is no room.
+
+        Args:
+            now_ms: The time.
+            request: The request.
+            tried: Instances that it was sent to; emptied when none is left.
+            zone: Availability zone of this daemon.
+        """
         self.refresh_if_due(now_ms)
-        request = ticket.request
         if request.pinned is not None:
             return self._choose_pinned(now_ms, request.pinned)
-        probed = self._due_probe(now_ms, ticket)
-        if probed is not None:
-            return probed
-        if len(ticket.tried) >= len(self.candidates):
-            ticket.tried.clear()
-        situation = Situation(
-            now_ms, zone, self.typical_ms(), ticket.tried, self._uniform
-        )
+        if not tried:
+            probed = self._due_probe(now_ms, request)
+            if probed is not None:
+                return probed
+        if len(tried) >= len(self.candidates):
+            tried.clear()
+        situation = Situation(now_ms, zone, self.typical_ms(), tried, self._uniform)
         return self._chooser.choose(self.candidates, situation)
 
     def _choose_pinned(self, now_ms: float, pinned: str) -> InstanceState | None:
@@ -252,10 +264,10 @@
         is_due = now_ms >= instance.ejected_until_ms and instance.probe is None
         return instance if is_due else None
 
-    def _due_probe(self, now_ms: float, ticket: Ticket) -> InstanceState | None:
-        if now_ms < self._next_probe_ms or ticket.tried:
+    def _due_probe(self, now_ms: float, request: RequestInfo) -> InstanceState | None:
+        if now_ms < self._next_probe_ms:
             return None
-        delay_ms = 0.0 if ticket.request.is_idempotent else PROBE_PATIENCE_MS
+        delay_ms = 0.0 if request.is_idempotent else PROBE_PATIENCE_MS
         due = [i for i in self.ejected if self._may_probe(now_ms - delay_ms, i)]
         if due:
             return due[0]
--- a/src/skylarktrail/core/traffic/ticket.py
+++ b/src/skylarktrail/core/traffic/ticket.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from .instance import InstanceState
+from .lane import Lane
 from .messages import Attempt, RequestInfo
-
-if TYPE_CHECKING:
-    from .instance import InstanceState
-    from .lane import Lane
-    from .service import Service
+from .service import Service
 
 
 class Ticket:
--- a/src/skylarktrail/core/traffic/traffic.py
+++ b/src/skylarktrail/core/traffic/traffic.py
@@ -190,7 +190,7 @@
         lane, service = ticket.lane, ticket.service
         if not lane.has_room():
             return None
-        instance = service.choose(now_ms, ticket, self._me.zone)
+        instance = service.choose(now_ms, ticket.request, ticket.tried, self._me.zone)
         if instance is None:
             return None
         if not ticket.is_started:
@@ -310,7 +310,7 @@
             return None
         if now_ms + service.typical_ms() >= ticket.request.deadline_ms:
             return None
-        instance = service.choose(now_ms, ticket, self._me.zone)
+        instance = service.choose(now_ms, ticket.request, ticket.tried, self._me.zone)
         if instance is None or instance in ticket.in_flight.values():
             return None
         service.tries.take()
