--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -58,6 +58,7 @@
         instance: The instance that it was given.
         refusal: Why it was refused; empty while it was not.
         backlog_ms: Expected wait at the time of the refusal.
+        admitted_part: Part of the requests for its key that is let in.
         wake: Called when the ticket is decided.
     """
 
@@ -81,6 +82,7 @@
         self.instance: Instance | None = None
         self.refusal = ""
         self.backlog_ms = 0.0
+        self.admitted_part = 1.0
         self.placed_ms = 0.0
         self.occupancy = 0.0
         self.wake = wake
@@ -141,20 +143,21 @@
     def submit(self, ticket: Ticket, now_ms: float) -> None:
         """Places the ticket, refuses it or lets it wait."""
         ticket.submitted_ms = now_ms
-        if self._is_shed(ticket, now_ms):
-            ticket.refusal = "overload"
+        ticket.admitted_part = self._admitted_part(ticket, now_ms)
+        if ticket.admitted_part < 1 and self._draw() >= ticket.admitted_part:
+            ticket.refusal = "shed"
             return
         self._decide(ticket, now_ms, self._ahead_of(ticket))
         if not ticket.is_decided:
             self._waiting.append(ticket)
             self._waiting.sort(key=Ticket.order)
 
-    def _is_shed(self, ticket: Ticket, now_ms: float) -> bool:
-        """Tells whether a ticket is among those that an overloaded owner cannot do."""
+    def _admitted_part(self, ticket: Ticket, now_ms: float) -> float:
+        """Returns the part of the requests for the ticket's key that is let in."""
         if ticket.key_hash is None:
-            return False
+            return 1.0
         owner = self.fleet.find(self.view.owner_of(ticket.service, ticket.key_hash))
-        return owner is not None and self._draw() >= owner.admitted_part(now_ms)
+        return owner.admitted_part(now_ms) if owner else 1.0
 
     def withdraw(self, ticket: Ticket) -> None:
         """Forgets a ticket whose caller has left."""
--- a/src/skylarktrail/core/gateway/shedding.py
+++ b/src/skylarktrail/core/gateway/shedding.py
@@ -10,8 +10,8 @@
 
 from typing import Mapping
 
-KEPT_RATIO = 1.5  # Requests at an owner, relative to its slots, that are aimed for.
-LONG_RATIO = 2.0  # Above this part of its slots less is admitted.
+KEPT_RATIO = 1.8  # Requests at an owner, relative to its slots, that are aimed for.
+LONG_RATIO = 2.5  # Above this part of its slots less is admitted.
 RISE_RATIO = 1.5  # Growth of the part in each step while slots are free.
 FALL_RATIO = 0.6  # Largest fall of the part in one step.
 LEAST_PART = 0.1  # Keeps some requests coming, so that an end of the load is seen.
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -108,6 +108,7 @@
         self.spare: Answer | None = None
         self.refusal = ""
         self.backlog_ms = 0.0
+        self.admitted_part = 1.0
 
     @property
     def may_have_run(self) -> bool:
@@ -402,6 +403,7 @@
             return Problem(code, fields.UNKNOWN)
         job.refusal = ticket.refusal
         job.backlog_ms = ticket.backlog_ms
+        job.admitted_part = ticket.admitted_part
         wait_ms = self._site.scheduler.retry_after_ms(ticket, now_ms())
         return _refuse(_refusal_code(job, ticket), wait_ms)
 
@@ -441,13 +443,14 @@
             is_return=job.is_return,
             why=job.refusal,
             backlog_ms=round(job.backlog_ms, 1),
+            admitted_part=round(job.admitted_part, 2),
             attempts=[item.inputs() for item in job.attempts],
             **self._site.versions(now_ms())._asdict(),
         )
 
 
 def _refusal_code(job: _Job, ticket: Ticket) -> Code:
-    if ticket.refusal in ("overload", "timeout", "left"):
+    if ticket.refusal in ("overload", "shed", "timeout", "left"):
         return codes.WAIT_TOO_LONG
     if job.attempts and not job.attempts[-1].is_arrival:
         return codes.UPSTREAM_UNREACHABLE
--- a/tests/core/gateway/test_shedding.py
+++ b/tests/core/gateway/test_shedding.py
@@ -220,3 +220,13 @@
     parts.update({OWNER: 12}, {OWNER: SLOTS})
     parts.update({}, {})
     assert parts.update({OWNER: SLOTS * 2}, {OWNER: SLOTS}) == {}
+
+
+def test_a_refusal_says_which_part_was_let_in(make_entry, make_route):
+    names = frozenset({"d0"})
+    daemon = Daemon(0, make_entry, names, random.Random(1))
+    daemon.instance.note_admitted(0.0, 0.0)
+    route = make_route()
+    ticket = Ticket(route, "stock", 7, 1200.0, 300.0, False, lambda: None)
+    daemon.scheduler.submit(ticket, 0.0)
+    assert (ticket.refusal, ticket.admitted_part) == ("shed", 0.0)
