--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from typing import Callable, NamedTuple, Protocol
+from typing import Callable, Protocol
 
 from result import Result
 
@@ -22,6 +22,7 @@
 from .departures import Departures
 from .event_log import EventLog
 from .exchange import AnswerMarks, CallerMarks, Connection, Outgoing, RawAnswer
+from .job import Attempt, Job
 from .metrics import GatewayMetrics
 from .site import Site
 
@@ -53,69 +54,6 @@
         """Decodes what an instance says beside its answer."""
 
 
-class Attempt(NamedTuple):
-    """How one try ended.
-
-    Attributes:
-        instance: Where it was sent.
-        outcome: Name of the result.
-        may_have_run: Whether the request may have run there.
-        answer: The answer, if it may be passed on.
-        is_final: Whether the answer is the best that can be had.
-        is_arrival: Whether the instance was sent the request.
-        waited_ms: Time until it was placed.
-        took_ms: Time from sending to its end.
-        occupancy: Requests believed to be at the instance when it was placed.
-    """
-
-    instance: str
-    outcome: str
-    may_have_run: bool = True
-    answer: Answer | None = None
-    is_final: bool = False
-    is_arrival: bool = True
-    waited_ms: float = 0.0
-    took_ms: float = 0.0
-    occupancy: float = 0.0
-
-    def inputs(self) -> dict[str, object]:
-        """Returns what the log says of the try."""
-        return {
-            "instance": self.instance,
-            "outcome": self.outcome,
-            "waited_ms": round(self.waited_ms, 1),
-            "took_ms": round(self.took_ms, 1),
-            "occupancy": round(self.occupancy, 1),
-        }
-
-
-class _Job:
-    """One caller's request on its way."""
-
-    def __init__(
-        self, request: CallerRequest, marks: CallerMarks, route: Route, service: str
-    ) -> None:
-        self.request = request
-        self.marks = marks
-        self.route = route
-        self.service = service
-        self.key_hash: int | None = None
-        self.start_ms = now_ms()
-        self.end_ms = self.start_ms
-        self.target_end_ms = self.start_ms
-        self.is_return = False
-        self.attempts: list[Attempt] = []
-        self.spare: Answer | None = None
-        self.refusal = ""
-        self.backlog_ms = 0.0
-        self.admitted_part = 1.0
-
-    @property
-    def may_have_run(self) -> bool:
-        """Tells whether any try may have run."""
-        return any(item.may_have_run for item in self.attempts)
-
-
 class GatewayRouter:
     """Handles requests of callers; may be used from any thread.
 
@@ -187,9 +125,9 @@
 
     def _make_job(
         self, request: CallerRequest, marks: CallerMarks, route: Route
-    ) -> _Job:
+    ) -> Job:
         service = self._site.choose_service(route)
-        job = _Job(request, marks, route, service)
+        job = Job(request, marks, route, service)
         if self._site.service(service).is_keyed:
             job.key_hash = marks.key_hash
         given_ms = marks.deadline_ms or route.timeout_ms
@@ -209,7 +147,7 @@
         with self._lock:
             return self._deadlines.take_spent_ms(route.name, marks.deadline_ms)
 
-    def _serve(self, job: _Job) -> Reply:
+    def _serve(self, job: Job) -> Reply:
         avoided: set[str] = set()
         while True:
             ticket = self._place(job, avoided)
@@ -230,7 +168,7 @@
             if not self._may_repeat(job, attempt):
                 return self._give_up(job, ticket)
 
-    def _place(self, job: _Job, avoided: set[str]) -> Ticket:
+    def _place(self, job: Job, avoided: set[str]) -> Ticket:
         decided = threading.Event()
         ticket = Ticket(
             job.route,
@@ -254,7 +192,7 @@
                 ticket.refusal = "left"
         return ticket
 
-    def _attempt(self, job: _Job, ticket: Ticket) -> Attempt:
+    def _attempt(self, job: Job, ticket: Ticket) -> Attempt:
         """Sends the request to the ticket's instance."""
         instance = ticket.instance
         assert instance is not None
@@ -268,7 +206,7 @@
                 return self._take_fault(job, ticket, result.unwrap_err())
             return self._take_answer(job, ticket, result.unwrap(), elapsed_ms)
 
-    def _try_end_ms(self, job: _Job, at_ms: float) -> float:
+    def _try_end_ms(self, job: Job, at_ms: float) -> float:
         """Returns until when a try may stay silent.
 
         Only another instance can do better, and keys have one owner. A draining
@@ -281,7 +219,7 @@
         return at_ms + (job.end_ms - at_ms) * SILENT_PART
 
     def _exchange(
-        self, job: _Job, entry: InstanceEntry, end_of: Callable[[], float]
+        self, job: Job, entry: InstanceEntry, end_of: Callable[[], float]
     ) -> Result[RawAnswer, Fault]:
         taken = self._connections.take(
             entry.instance,
@@ -305,7 +243,7 @@
         else:
             connection.close(is_reset=True)
 
-    def _outgoing(self, job: _Job, entry: InstanceEntry) -> Outgoing:
+    def _outgoing(self, job: Job, entry: InstanceEntry) -> Outgoing:
         request = job.request
         kept = [
             (name, value)
@@ -325,7 +263,7 @@
             job.marks.request_id,
         )
 
-    def _take_fault(self, job: _Job, ticket: Ticket, fault: Fault) -> Attempt:
+    def _take_fault(self, job: Job, ticket: Ticket, fault: Fault) -> Attempt:
         instance = ticket.instance
         assert instance is not None
         name = instance.entry.instance
@@ -340,7 +278,7 @@
         return Attempt(name, fault.code.name)
 
     def _take_answer(
-        self, job: _Job, ticket: Ticket, raw: RawAnswer, elapsed_ms: float
+        self, job: Job, ticket: Ticket, raw: RawAnswer, elapsed_ms: float
     ) -> Attempt:
         instance = ticket.instance
         assert instance is not None
@@ -368,7 +306,7 @@
         return Attempt(name, "ANSWERED", True, answer, True)
 
     def _take_misdirected(
-        self, job: _Job, ticket: Ticket, marks: AnswerMarks
+        self, job: Job, ticket: Ticket, marks: AnswerMarks
     ) -> Attempt:
         instance = ticket.instance
         assert instance is not None
@@ -380,7 +318,7 @@
         self._site.note_unheld(job.service, job.key_hash, name, now_ms())
         return Attempt(name, "UNHELD", False)
 
-    def _may_repeat(self, job: _Job, attempt: Attempt) -> bool:
+    def _may_repeat(self, job: Job, attempt: Attempt) -> bool:
         if attempt.outcome == codes.ATTEMPT_CUT.name or job.request.has_left():
             return False
         if attempt.may_have_run:
@@ -393,7 +331,7 @@
             return False
         return not attempt.is_arrival or self._site.take_repeat(job.service, now_ms())
 
-    def _give_up(self, job: _Job, ticket: Ticket) -> Reply:
+    def _give_up(self, job: Job, ticket: Ticket) -> Reply:
         """Returns the final answer of a request that is not tried again."""
         if job.spare is not None:
             return job.spare
@@ -421,7 +359,7 @@
         )
         return problem
 
-    def _note(self, job: _Job, reply: Reply) -> None:
+    def _note(self, job: Job, reply: Reply) -> None:
         """Counts an answer and writes the line from which it can be explained."""
         elapsed_ms = now_ms() - job.start_ms
         is_problem = isinstance(reply, Problem)
@@ -449,7 +387,7 @@
         )
 
 
-def _refusal_code(job: _Job, ticket: Ticket) -> Code:
+def _refusal_code(job: Job, ticket: Ticket) -> Code:
     if ticket.refusal in ("overload", "shed", "timeout", "left"):
         return codes.WAIT_TOO_LONG
     if job.attempts and not job.attempts[-1].is_arrival:
