Leave large operators' records in the store, where all gateways read them

Cause: since the granter sends each record to all daemons over its own link. Ruled out: the store's link (4,000 Mbit/s). Change: records above 16 KiB are announced only, and each daemon reads at once. Tests: the granter announces a large record; who is told of records alone reads at once.

--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -42,6 +42,10 @@
 LOST_FAILURES = 2  # One call may fail while a store is well.
 STAND_MS = 600.0
 STAND_TTL_MS = 1500  # A lost candidate is replaced after this.
+# The granter sends records to each daemon over its own link, which may be the hundredth
+# part of the store's.
+TOLD_BYTES = 16 << 10
+NO_POSITION = -1  # Follows no read, so that who is told reads.
 LOAD_REPORT_MS = 250.0  # Queues at instances fill and empty within half a second.
 # Bounds what the granter takes to 500 reports a second, however many daemons there are.
 LOAD_REPORT_MEMBER_MS = 2.0
@@ -203,11 +207,16 @@
             if self._position == position:
                 self._take(update)
         if self._is_granter() and position is not None and update.records:
-            self._messenger.tell_records(
-                self.log_name, position, update.position, update.records
-            )
+            self._tell(update, position)
         return self._finish(update, position, started_ms)
 
+    def _tell(self, update: Any, position: int) -> None:
+        """Passes records on; large ones are left in the store, where all read them."""
+        size = sum(len(value) for _, value in update.records)
+        records = update.records if size <= TOLD_BYTES else ()
+        base = position if records else NO_POSITION
+        self._messenger.tell_records(self.log_name, base, update.position, records)
+
     def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
         raise NotImplementedError
 
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -19,6 +19,8 @@
 from skylarktrail.gateway.watchers import (
     FAILED_MAX_MS,
     NEWS_PAUSE_MS,
+    NO_POSITION,
+    TOLD_BYTES,
     OperatorWatcher,
     SharedWatcher,
     StoreWatch,
@@ -242,6 +244,27 @@
     assert messenger.told == [("operators", 7, 8, PUBLISHED)]
 
 
+def test_a_large_configuration_is_left_to_be_read(site, log):
+    """Load pattern: 1,680 routes more, before 75 daemons behind one link."""
+    large = (("config", b"6" * (TOLD_BYTES + 1)),)
+    messenger = Messenger()
+    store = ScriptedStore(update(4, 7), Ok(OperatorUpdate(None, {}, False, 8, large)))
+    reader = watcher(store, site, log, messenger=messenger, is_granter=True)
+    reader.round()
+    reader.round()
+    assert messenger.told == [("operators", NO_POSITION, 8, ())]
+
+
+def test_a_daemon_that_is_told_of_records_alone_reads_at_once(site, log):
+    store = ScriptedStore(update(4, 7), update(6, 8))
+    reader = watcher(store, site, log, is_heard=True)
+    reader.round()
+    reader.take_records(GatewayRecords("operators", NO_POSITION, 8, ()))
+    reader.round()
+    assert store.asked[1] == (7, 0)
+    assert site.table.config.version == 6
+
+
 def told_version(base, position):
     records = tuple(SharedRecord(*item) for item in PUBLISHED)
     return GatewayRecords("operators", base, position, records)
