--- a/tests/core/gateway/test_granter.py
+++ b/tests/core/gateway/test_granter.py
@@ -194,23 +194,24 @@
             run_troubled_world(seed)
 
 
-def test_keys_that_move_have_an_owner_while_the_store_is_away(world):
-    """Load pattern: a hot range is cut and moved just as the store falls silent."""
+def lose_store_as_keys_move(world):
+    """Lets a hot range be cut and moved, and the granter lose the store meanwhile."""
     world.curve = LoadCurve({key: 5.0 for key in range(0, 9000, 50)}, 0.1, 900.0)
     while not world.seats[-1].releases:
         world.advance(50)
     world.seats[-1].reaches_store = False
     world.advance(1000)
+
+
+def test_keys_that_move_have_an_owner_while_the_store_is_away(world):
+    """Load pattern: a hot range is cut and moved just as the store falls silent."""
+    lose_store_as_keys_move(world)
     assert world.unheld() == 0
 
 
 def test_a_successor_takes_over_a_move_without_a_gap(world):
     """The former granter has moved keys that its record still shows under way."""
-    world.curve = LoadCurve({key: 5.0 for key in range(0, 9000, 50)}, 0.1, 900.0)
-    while not world.seats[-1].releases:
-        world.advance(50)
-    world.seats[-1].reaches_store = False
-    world.advance(1000)
+    lose_store_as_keys_move(world)
     world.take_over()
     world.hear_that_former_granters_ended()
     for _ in range(60):
