--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -263,7 +263,7 @@
             is_due = not item.call and not item.is_free and now_ms >= item.next_call_ms
             if not is_due or not address or self._is_other_life(item):
                 continue
-            if item.is_taken_over:
+            if item.is_taken_over:  # Either of two instances may hold it.
                 continue
             if item.is_leaving and not item.needs_fencing(now_ms):
                 continue
@@ -290,14 +290,11 @@
         return owner.address if owner else item.address
 
     def _grant(self, item: LeasedRange, address: str, lease_ms: float) -> GrantCall:
-        self._calls += 1
-        item.call = self._calls
         item.address = address
         kind = FENCING if item.is_leaving else GRANT
-        self._pending[self._calls] = ([item], lease_ms, kind)
         owned = item.owned
         return GrantCall(
-            self._calls,
+            self._begin_call(item, lease_ms, kind),
             owned.owner,
             address,
             owned.first,
@@ -319,26 +316,31 @@
         return actions
 
     def _release(self, item: LeasedRange, address: str) -> ReleaseCall:
-        self._calls += 1
-        item.call = self._calls
         item.fence = item.fence or self._next_fence()
-        self._pending[self._calls] = ([item], 0.0, RELEASE)
+        call = self._begin_call(item, 0.0, RELEASE)
         owned = item.owned
         return ReleaseCall(
-            self._calls, owned.owner, address, owned.first, owned.last, item.fence
+            call, owned.owner, address, owned.first, owned.last, item.fence
         )
 
+    def _begin_call(self, item: LeasedRange, lease_ms: float, kind: str) -> int:
+        """Returns the number of a new call about a range."""
+        self._calls += 1
+        item.call = self._calls
+        self._pending[self._calls] = ([item], lease_ms, kind)
+        return self._calls
+
     def _free_ended(self, now_ms: float) -> None:
         """Frees ranges whose owner's life or lease is over."""
         for item in self._ranges:
+            if item.is_free:
+                continue
             owner = self._owners.get(item.owned.owner)
             is_other_life = self._is_other_life(item)
             is_ended = owner is None and self._has_ended(item)
             is_quiet = item.is_leaving and not item.call
             end_ms = max(item.lease_end_ms, item.inherited_end_ms)
             is_lapsed = is_quiet and now_ms >= end_ms
-            if item.is_free:
-                continue
             if is_other_life or is_ended or is_lapsed:
                 self._free(item)
             elif owner is None:
@@ -416,8 +418,7 @@
         if item.owned.first < first:
             parts.append(item.part(item.owned.first, first - 1))
         moved = item.part(first, last)
-        moved.target = target
-        moved.target_born_ms = self._owners[target].born_ms
+        moved.set_target(target, self._owners[target].born_ms)
         parts.append(moved)
         if last < item.owned.last:
             parts.append(item.part(last + 1, item.owned.last))
@@ -436,10 +437,8 @@
 
     def _unowned(self, first: int, last: int, target: str) -> LeasedRange:
         item = LeasedRange(OwnedRange(first, last, "", 0), "", -math.inf)
-        item.is_free = True
-        item.is_leaving = True
-        item.target = target
-        item.target_born_ms = self._owners[target].born_ms
+        item.is_free = item.is_leaving = True
+        item.set_target(target, self._owners[target].born_ms)
         return item
 
     def _record(self, now_ms: float) -> RecordWanted | None:
--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -14,7 +14,7 @@
 SPEED_LIMITS = (0.3, 12.0)  # Keeps one odd answer from ruling an instance out.
 PACE_FADE_MS = 250.0  # Neighbours' noise lasts a few hundred milliseconds.
 OTHERS_FADE_MS = 600.0  # After this a load figure says little about other daemons.
-# Requests of all daemons are told each 0.7 s, from reports of the last half second.
+# The granter tells all requests under way each 0.35 s; one that is lost takes longer.
 TOLD_FADE_MS = 1500.0
 OWN_REPORT_MS = 400.0  # A load figure of an own answer is believed first for this long.
 FAILURE_SMOOTHING = 0.2  # Weight of one attempt in the share of failures.
@@ -49,7 +49,7 @@
         self._pace_ratio = 1.0
         self._others = 0.0
         self._others_ms = -math.inf
-        self._others_fade_ms = OTHERS_FADE_MS
+        self._is_told = False
         self._reported_ms = -math.inf
         self._suspended_until_ms = -math.inf
         self._suspensions = 0
@@ -90,7 +90,7 @@
         seen = report.running + report.waiting - self.in_flight
         self._others = max(0.0, float(seen))
         self._others_ms = now_ms
-        self._others_fade_ms = OTHERS_FADE_MS
+        self._is_told = False
         self._pace_ratio = report.pace_ratio
         self._reported_ms = now_ms
 
@@ -104,7 +104,7 @@
             return
         self._others = max(0.0, float(in_flight - self.in_flight))
         self._others_ms = now_ms
-        self._others_fade_ms = TOLD_FADE_MS
+        self._is_told = True
 
     def note_admitted(self, part: float, now_ms: float) -> None:
         """Takes which part of its requests is admitted."""
@@ -121,7 +121,7 @@
 
         The latter counts only if it was told that none was.
         """
-        if self._others_fade_ms == TOLD_FADE_MS:
+        if self._is_told:
             free = max(1, self.entry.slots) - 1 - self.in_flight
             self._others = min(self._others, max(0.0, float(free)))
         self._admitted_part = 1.0
@@ -190,7 +190,8 @@
     def occupancy(self, now_ms: float) -> float:
         """Estimates the requests at the instance, those of other daemons included."""
         age_ms = now_ms - self._others_ms
-        return self.in_flight + self._others * math.exp(-age_ms / self._others_fade_ms)
+        fade_ms = TOLD_FADE_MS if self._is_told else OTHERS_FADE_MS
+        return self.in_flight + self._others * math.exp(-age_ms / fade_ms)
 
     def pace(self, now_ms: float) -> float:
         """Estimates its work time at this moment relative to its usual one."""
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -57,30 +57,28 @@
         Args:
             address: Where the target listens.
         """
-        # The former granter may have given it a lease already.
-        inherited_end_ms = self.inherited_end_ms if self.is_taken_over else -math.inf
+        if not self.is_taken_over:  # Else a former granter may have given it a lease.
+            self.inherited_end_ms = -math.inf
         self.owned = self.owned._replace(owner=self.target, born_ms=self.target_born_ms)
         self.address = address
-        self._begin()
-        self.inherited_end_ms = inherited_end_ms
-
-    def drop_target(self) -> None:
-        """Gives up a move that has not come about."""
-        self.target = ""
-        self.target_born_ms = 0
-        self.is_agreed = False
-
-    def _begin(self) -> None:
-        """Begins anew with another owner."""
         self.fence = 0
         self.is_held = self.is_leaving = self.is_free = False
         self.unanswered_until_ms = self.lease_end_ms = -math.inf
-        self.inherited_end_ms = -math.inf
         self.next_call_ms = 0.0
         self.refusals = 0
         self.is_taken_over = False
         self.drop_target()
 
+    def set_target(self, target: str, born_ms: int) -> None:
+        """Notes which life of an instance is to get the hashes."""
+        self.target = target
+        self.target_born_ms = born_ms
+
+    def drop_target(self) -> None:
+        """Gives up a move that has not come about."""
+        self.set_target("", 0)
+        self.is_agreed = False
+
     def needs_fencing(self, now_ms: float) -> bool:
         """Tells whether an earlier grant may still take effect after a release."""
         return not self.is_held or now_ms < self.unanswered_until_ms
--- a/src/skylarktrail/core/gateway/load_board.py
+++ b/src/skylarktrail/core/gateway/load_board.py
@@ -35,11 +35,11 @@
             totals.update(in_flight)
         return totals
 
-    def busy(self, slots: Mapping[str, int], now_ms: float) -> dict[str, int]:
-        """Returns the totals of instances whose slots are all taken."""
-        totals = self.totals(now_ms)
-        return {
-            name: count
-            for name, count in totals.items()
-            if name in slots and count >= slots[name]
-        }
+
+def find_busy(totals: Mapping[str, int], slots: Mapping[str, int]) -> dict[str, int]:
+    """Returns the totals of instances whose slots are all taken."""
+    return {
+        name: count
+        for name, count in totals.items()
+        if name in slots and count >= slots[name]
+    }
--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ..core.gateway.model import Route
+from ..core.gateway.scheduler import Ticket
 from ..daemon.answer import Answer
 from ..daemon.routes import CallerRequest
 from .clock import now_ms
@@ -62,9 +63,7 @@
         is_return: Whether its caller was refused before.
         attempts: Its tries, in order.
         spare: An answer that may be passed on if no better one comes.
-        refusal: Why it was refused; empty while it was not.
-        backlog_ms: Expected wait at the time of the refusal.
-        admitted_part: Part of the requests for its key that was let in.
+        refused: The ticket with which it was refused, if it was.
     """
 
     def __init__(
@@ -81,9 +80,16 @@
         self.is_return = False
         self.attempts: list[Attempt] = []
         self.spare: Answer | None = None
-        self.refusal = ""
-        self.backlog_ms = 0.0
-        self.admitted_part = 1.0
+        self.refused: Ticket | None = None
+
+    def refusal_inputs(self) -> dict[str, object]:
+        """Returns what the log says of a refusal."""
+        refused = self.refused
+        return {
+            "why": refused.refusal if refused else "",
+            "backlog_ms": round(refused.backlog_ms, 1) if refused else 0.0,
+            "admitted_part": round(refused.admitted_part, 2) if refused else 1.0,
+        }
 
     @property
     def may_have_run(self) -> bool:
--- a/src/skylarktrail/gateway/load_teller.py
+++ b/src/skylarktrail/gateway/load_teller.py
@@ -5,7 +5,7 @@
 import threading
 from typing import Callable
 
-from ..core.gateway.load_board import REPORT_MS, LoadBoard
+from ..core.gateway.load_board import REPORT_MS, LoadBoard, find_busy
 from ..core.gateway.shedding import AdmittedParts
 from ..peer.messages import BusyInstance, GatewayBusy, GatewayLoad
 from .clock import now_ms
@@ -74,11 +74,10 @@
         slots = self._site.slots()
         with self._lock:
             totals = self._board.totals(now_ms())
-            busy = self._board.busy(slots, now_ms())
             parts = self._parts.update(totals, slots)
         return GatewayBusy(
             tuple(
                 BusyInstance(name, totals[name], parts.get(name, 1.0))
-                for name in sorted(set(busy) | set(parts))
+                for name in sorted(set(find_busy(totals, slots)) | set(parts))
             )
         )
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -239,20 +239,23 @@
         elif isinstance(message, GatewayOwners):
             self._on_owners(message.service, message.changed, message.position)
         elif isinstance(message, GatewayRecords):
-            if daemon == self._site.shared.granter.daemon:
+            if self._is_granter(daemon):
                 self._on_records(message)
         elif isinstance(message, GatewayListing):
             self._take_listing(daemon, message)
         elif isinstance(message, GatewayRoleOffer):
-            granter = self._site.shared.granter
-            if (daemon, message.term) == (granter.daemon, granter.term):
+            is_present = message.term == self._site.shared.granter.term
+            if is_present and self._is_granter(daemon):
                 self._on_offer(message.term)
         elif isinstance(message, GatewayBusy):
-            if daemon == self._site.shared.granter.daemon:
+            if self._is_granter(daemon):
                 self._site.take_busy(message.instances, now_ms())
 
+    def _is_granter(self, daemon: str) -> bool:
+        return daemon == self._site.shared.granter.daemon
+
     def _take_listing(self, daemon: str, message: GatewayListing) -> None:
-        if daemon != self._site.shared.granter.daemon:
+        if not self._is_granter(daemon):
             return
         if message.base >= 0 and (
             message.base != self._site.told_position or daemon != self._told_by
--- a/src/skylarktrail/gateway/order_queue.py
+++ b/src/skylarktrail/gateway/order_queue.py
@@ -12,9 +12,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Callable, NamedTuple
 
-CALLS_PER_LANE = (
-    3  # A renewal takes milliseconds; one that hangs holds no more threads.
-)
+# A renewal takes milliseconds; one that hangs holds no more threads.
+CALLS_PER_LANE = 3
 
 Task = Callable[[], None]
 
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -153,12 +153,7 @@
             ticket = self._place(job, avoided)
             if ticket.instance is None:
                 return self._give_up(job, ticket)
-            sent_ms = now_ms()
-            attempt = self._attempt(job, ticket)._replace(
-                waited_ms=ticket.placed_ms - ticket.submitted_ms,
-                took_ms=now_ms() - sent_ms,
-                occupancy=ticket.occupancy,
-            )
+            attempt = self._attempt(job, ticket)
             job.attempts.append(attempt)
             self._metrics.count("attempts", job.service, attempt.outcome)
             if attempt.is_final and attempt.answer is not None:
@@ -203,8 +198,14 @@
         with self._site.lock:
             self._site.finish(ticket, now_ms())
             if result.is_err():
-                return self._take_fault(job, ticket, result.unwrap_err())
-            return self._take_answer(job, ticket, result.unwrap(), elapsed_ms)
+                attempt = self._take_fault(job, ticket, result.unwrap_err())
+            else:
+                attempt = self._take_answer(job, ticket, result.unwrap(), elapsed_ms)
+        return attempt._replace(
+            waited_ms=ticket.placed_ms - ticket.submitted_ms,
+            took_ms=elapsed_ms,
+            occupancy=ticket.occupancy,
+        )
 
     def _try_end_ms(self, job: Job, at_ms: float) -> float:
         """Returns until when a try may stay silent.
@@ -339,9 +340,7 @@
             is_late = now_ms() >= job.end_ms
             code = caller_codes.ANSWER_LATE if is_late else codes.OUTCOME_UNKNOWN
             return Problem(code, fields.UNKNOWN)
-        job.refusal = ticket.refusal
-        job.backlog_ms = ticket.backlog_ms
-        job.admitted_part = ticket.admitted_part
+        job.refused = ticket
         wait_ms = self._site.scheduler.retry_after_ms(ticket, now_ms())
         return _refuse(_refusal_code(job, ticket), wait_ms)
 
@@ -379,9 +378,7 @@
             took_ms=round(elapsed_ms, 1),
             time_ms=round(job.end_ms - job.start_ms),
             is_return=job.is_return,
-            why=job.refusal,
-            backlog_ms=round(job.backlog_ms, 1),
-            admitted_part=round(job.admitted_part, 2),
+            **job.refusal_inputs(),
             attempts=[item.inputs() for item in job.attempts],
             **self._site.versions(now_ms())._asdict(),
         )
--- a/src/skylarktrail/gateway/site.py
+++ b/src/skylarktrail/gateway/site.py
@@ -10,7 +10,7 @@
 from ..core.gateway.budget import RepeatBudget
 from ..core.gateway.fleet import Fleet, FleetChange
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
-from ..core.gateway.ranges import OwnedRange, OwnerTable
+from ..core.gateway.ranges import OwnedRange, OwnerTable, lay_over
 from ..core.gateway.routes import RouteTable, Splitter
 from ..core.gateway.scheduler import Scheduler, SchedulerView, Ticket
 from ..core.gateway.shared import SharedState
@@ -115,11 +115,17 @@
         with self.lock:
             before = dict(self.shared.owners)
             self.shared.apply(update.records, update.is_whole)
-            for service, table in self.shared.owners.items():
-                self._note_new_owners(service, before.get(service), table, now_ms)
-            self._share_extra()
-            self.scheduler.view = self._view()
-            self._poll(now_ms)
+            self._take_changes(before, now_ms)
+
+    def take_owners(
+        self, service: str, changed: Iterable[OwnedRange], now_ms: float
+    ) -> None:
+        """Takes what the latest record of a service's owners has changed."""
+        with self.lock:
+            before = dict(self.shared.owners)
+            known = before.get(service, OwnerTable())
+            self.shared.owners[service] = lay_over(known, changed)
+            self._take_changes(before, now_ms)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of a request."""
@@ -294,6 +300,13 @@
         self._splitter.keep_only(config.routes)
         return config
 
+    def _take_changes(self, before: dict[str, OwnerTable], now_ms: float) -> None:
+        for service, table in self.shared.owners.items():
+            self._note_new_owners(service, before.get(service), table, now_ms)
+        self._share_extra()
+        self.scheduler.view = self._view()
+        self._poll(now_ms)
+
     def _note_new_owners(
         self, service: str, before: OwnerTable | None, after: OwnerTable, now_ms: float
     ) -> None:
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -7,13 +7,11 @@
 
 from result import Result
 
-from ..core.gateway.ranges import OwnedRange, OwnerTable, lay_over
+from ..core.gateway.ranges import OwnedRange
 from ..core.gateway.shared import (
     MEMBER_PREFIX,
-    OWNERS_PREFIX,
     Member,
     encode_member,
-    encode_owners,
 )
 from ..errors import platform as codes
 from ..errors.code import Fault
@@ -188,8 +186,10 @@
 
     def take_records(self, message: GatewayRecords) -> None:
         """Takes records that the granter has read; reads if one before is missing."""
+        records = [(item.key, item.value) for item in message.records]
         with self._lock:
-            if self._position == message.base and self._take_told(message):
+            is_next = self._position == message.base
+            if is_next and self._take_told(records, message.position):
                 return
         self.take_position(message.position)
 
@@ -223,7 +223,7 @@
     def _take(self, update: Any) -> None:
         raise NotImplementedError
 
-    def _take_told(self, message: GatewayRecords) -> bool:
+    def _take_told(self, records: list[tuple[str, bytes]], position: int) -> bool:
         """Takes records that follow those known; tells whether they can be read."""
         raise NotImplementedError
 
@@ -271,9 +271,8 @@
         for zone, is_out in update.zones.items():
             self._log.state("zone_out" if is_out else "zone_back", zone=zone)
 
-    def _take_told(self, message: GatewayRecords) -> bool:
-        records = [(item.key, item.value) for item in message.records]
-        decoded = self._store.decode_operators(records, message.position)
+    def _take_told(self, records: list[tuple[str, bytes]], position: int) -> bool:
+        decoded = self._store.decode_operators(records, position)
         if decoded.is_err():
             self._log.state("records_refused", fault=str(decoded.unwrap_err()))
             return False
@@ -336,10 +335,8 @@
         """Takes a change that the granter tells; reads if one before it is missing."""
         with self._lock:
             if self._position == at:
-                before = self._site.shared.owners.get(service, OwnerTable())
-                value = encode_owners(lay_over(before, changed).ranges)
-                record = (OWNERS_PREFIX + service, value)
-                self._take(SharedUpdate([record], False, at + 1))
+                self._advance(at + 1)
+                self._site.take_owners(service, changed, now_ms())
                 return
             is_known = self._position is not None and self._position > at
         if not is_known:
@@ -348,14 +345,16 @@
     def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
         return self._store.read_shared(position, wait_ms)
 
+    def _advance(self, position: int) -> None:
+        self._position = position
+        self._messenger.note_positions(position, None)
+
     def _take(self, update: SharedUpdate) -> None:
-        self._position = update.position
-        self._messenger.note_positions(update.position, None)
+        self._advance(update.position)
         self._site.take_shared(update, now_ms())
 
-    def _take_told(self, message: GatewayRecords) -> bool:
-        records = [(item.key, item.value) for item in message.records]
-        self._take(SharedUpdate(records, False, message.position))
+    def _take_told(self, records: list[tuple[str, bytes]], position: int) -> bool:
+        self._take(SharedUpdate(records, False, position))
         return True
 
     def _finish(
--- a/tests/core/gateway/test_load_board.py
+++ b/tests/core/gateway/test_load_board.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from skylarktrail.core.gateway.instance import OWN_REPORT_MS, Instance
-from skylarktrail.core.gateway.load_board import REPORT_MS, LoadBoard
+from skylarktrail.core.gateway.load_board import REPORT_MS, LoadBoard, find_busy
 from skylarktrail.core.gateway.model import LoadReport
 
 DAEMONS = [f"d{number}" for number in range(17)]
@@ -15,7 +15,7 @@
     board = LoadBoard()
     for daemon in DAEMONS:
         board.note(daemon, {"i-1": 1}, 100.0)
-    busy = board.busy(SLOTS, 200.0)
+    busy = find_busy(board.totals(200.0), SLOTS)
     instance = Instance(make_entry(), 0.0)
     instance.begin(0.0)
     instance.note_told(busy["i-1"], 200.0)
@@ -27,7 +27,7 @@
     board = LoadBoard()
     for daemon in DAEMONS[:2]:
         board.note(daemon, {"i-1": 1, "i-2": 2, "gone": 9}, 0.0)
-    assert board.busy(SLOTS, 0.0) == {"i-2": 4}
+    assert find_busy(board.totals(0.0), SLOTS) == {"i-2": 4}
 
 
 def test_a_report_replaces_the_one_before_and_lapses():
--- a/tests/core/gateway/test_shedding.py
+++ b/tests/core/gateway/test_shedding.py
@@ -10,7 +10,7 @@
 import pytest
 
 from skylarktrail.core.gateway.fleet import Fleet
-from skylarktrail.core.gateway.load_board import LoadBoard
+from skylarktrail.core.gateway.load_board import LoadBoard, find_busy
 from skylarktrail.core.gateway.model import LoadReport, ServiceSpec
 from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView, Ticket
 from skylarktrail.core.gateway.shedding import LEAST_PART, AdmittedParts
@@ -156,8 +156,9 @@
 
     def tell(self):
         slots = {OWNER: SLOTS}
-        busy = self.board.busy(slots, self.now_ms)
-        parts = self.parts.update(self.board.totals(self.now_ms), slots)
+        totals = self.board.totals(self.now_ms)
+        busy = find_busy(totals, slots)
+        parts = self.parts.update(totals, slots)
         for daemon in self.daemons:
             if OWNER in busy:
                 daemon.instance.note_told(busy[OWNER], self.now_ms)
--- a/tests/gateway/test_order_queue.py
+++ b/tests/gateway/test_order_queue.py
@@ -19,21 +19,20 @@
     orders.stop()
 
 
-def test_an_instance_that_hangs_does_not_hold_up_the_others(orders):
-    """Load pattern: dozens of releases to one instance that does not answer."""
+@pytest.mark.parametrize(
+    ("hanging", "calls", "other"),
+    [
+        # Dozens of releases to one instance that does not answer.
+        (Lane("hangs", "release"), 10 * THREADS, Lane("works", "grant")),
+        # Renewals behind releases at the same instance.
+        (Lane("busy", "release"), 2 * CALLS_PER_LANE, Lane("busy", "grant")),
+    ],
+)
+def test_calls_that_hang_hold_up_no_other_lane(orders, hanging, calls, other):
     end, done = threading.Event(), threading.Event()
-    for _ in range(10 * THREADS):
-        orders.submit(Lane("hangs", "release"), lambda: end.wait(WAIT_S))
-    orders.submit(Lane("works", "grant"), done.set)
-    assert done.wait(WAIT_S / 2)
-    end.set()
-
-
-def test_releases_do_not_hold_up_renewals_at_the_same_instance(orders):
-    end, done = threading.Event(), threading.Event()
-    for _ in range(2 * CALLS_PER_LANE):
-        orders.submit(Lane("busy", "release"), lambda: end.wait(WAIT_S))
-    orders.submit(Lane("busy", "grant"), done.set)
+    for _ in range(calls):
+        orders.submit(hanging, lambda: end.wait(WAIT_S))
+    orders.submit(other, done.set)
     assert done.wait(WAIT_S / 2)
     end.set()
 
