Log the rate limit that an instance names in its answers

The daemons' lines could not tell whether the field is read at all, read and kept by each daemon alone, or kept for first attempts only.

The field is decoded into the metadata of a response. Only an answer that the service signed says that a limit has ended. The rate decides nothing yet.

--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -37,6 +37,8 @@
         failure_ratio: Smoothed ratio of failed attempts.
         cold_bucket: Limits the rate of requests while it is cold.
         draining_since_ms: When it was first seen to be draining; infinite if it is not.
+        rate_limit_per_s: Requests per second that it accepts from all daemons
+            together; None if it names no limit.
     """
 
     def __init__(self, entry: InstanceEntry, now_ms: float) -> None:
@@ -50,6 +52,7 @@
         self.failure_ratio = 0.0
         self.cold_bucket: TokenBucket | None = None
         self.draining_since_ms = now_ms if entry.is_draining else math.inf
+        self.rate_limit_per_s: float | None = None
         self._slowdown_ratio = 1.0
         self._others_in_flight = 0.0
         self._others_updated_ms = -math.inf
@@ -77,6 +80,12 @@
         """Records the time for which the instance remains cold."""
         self.cold_until_ms = now_ms + cold_ms
 
+    def record_rate_limit(self, per_s: float | None) -> bool:
+        """Records the rate limit that a response names; returns whether it changed."""
+        is_changed = per_s != self.rate_limit_per_s
+        self.rate_limit_per_s = per_s
+        return is_changed
+
     def is_cold(self, now_ms: float) -> bool:
         """Returns whether the instance can only serve its cold rate."""
         return now_ms < self.cold_until_ms
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -48,6 +48,8 @@
         instance: Identifier of the instance; may be empty.
         load: Load figures of the instance, if present.
         cold_ms: How much longer the instance is cold, if present.
+        rate_limit_per_s: Requests per second that the instance accepts from all
+            daemons together; None if it names no limit.
     """
 
     request_id: str
@@ -56,6 +58,7 @@
     instance: str
     load: LoadReport | None
     cold_ms: float | None
+    rate_limit_per_s: float | None = None
 
 
 class OutgoingRequest(NamedTuple):
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from ..core.gateway.caller_retries import CallerRetryDetector
+from ..core.gateway.instance import Instance
 from ..core.gateway.model import InstanceEntry, Route
 from ..core.gateway.scheduler import Ticket
 from ..daemon import fields
@@ -322,6 +323,8 @@
             instance.record_load_report(metadata.load, now_ms())
         if metadata.cold_ms is not None:
             instance.update_cold_time(metadata.cold_ms, now_ms())
+        if metadata.is_signed or metadata.rate_limit_per_s is not None:
+            self._record_rate_limit(instance, metadata.rate_limit_per_s)
         if raw_response.status == MISDIRECTED_STATUS:
             return self._handle_misdirected(job, ticket, metadata)
         if metadata.is_not_run:
@@ -338,6 +341,13 @@
         self._site.scheduler.record_response(ticket, elapsed_ms)
         return Attempt(name, "ANSWERED", True, response, True)
 
+    def _record_rate_limit(self, instance: Instance, per_s: float | None) -> None:
+        """Records and logs the rate limit that a response names, or its end."""
+        if instance.record_rate_limit(per_s):
+            self._log.state(
+                "instance_rate_limit", instance=instance.entry.instance, per_s=per_s
+            )
+
     def _handle_misdirected(
         self, job: Job, ticket: Ticket, metadata: ResponseMetadata
     ) -> Attempt:
--- a/src/skylarktrail/platform/headers.py
+++ b/src/skylarktrail/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Mapping
 
 from ..core.gateway.model import InstanceEntry, LoadReport
@@ -16,6 +17,7 @@
 LOAD = "instance-load"
 INSTANCE = "instance-id"
 COLD = "cold-ms"
+RATE_LIMIT = "server-limit"
 HASH_COUNT = 1 << 16
 USUAL_WORK_TIME_PERCENT = 100.0  # The fourth load figure is a percentage.
 REPLACED_FIELDS = frozenset((DEADLINE.lower(), TARGET.lower()))
@@ -49,6 +51,7 @@
         instance=headers.get(INSTANCE, ""),
         load=decode_load(headers.get(LOAD, "")),
         cold_ms=_parse_number(headers.get(COLD)),
+        rate_limit_per_s=_parse_rate(headers.get(RATE_LIMIT)),
     )
 
 
@@ -74,6 +77,12 @@
     return LoadReport(int(figures[0]), int(figures[1]), int(figures[2]), slowdown_ratio)
 
 
+def _parse_rate(text: str | None) -> float | None:
+    number = _parse_number(text)
+    is_rate = number is not None and math.isfinite(number) and number >= 0
+    return number if is_rate else None
+
+
 def _parse_number(text: str | None) -> float | None:
     try:
         return float(text) if text is not None else None
--- a/standins/platform/instance.py
+++ b/standins/platform/instance.py
@@ -118,7 +118,11 @@
         self._run_times_ms: list[float] = []
         self.application = Application()
         self.controls = Controls(
-            self.application, work_ms=arguments.work_ms, beats=True, lost_share=0.0
+            self.application,
+            work_ms=arguments.work_ms,
+            beats=True,
+            lost_share=0.0,
+            rate_limit_per_s=0.0,
         )
         self._loss_accumulator = 0.0
         route = self.application.route
@@ -236,7 +240,10 @@
 
     def _make_response(self, status: int, body: bytes, headers=()) -> Response:
         load = f"{self._running},{self._waiting},{self._arguments.slots},100"
-        instance_headers = (("Instance-Id", self._name), ("Instance-Load", load))
+        instance_headers = [("Instance-Id", self._name), ("Instance-Load", load)]
+        if self.controls["rate_limit_per_s"]:
+            limit = str(self.controls["rate_limit_per_s"])
+            instance_headers.append(("Server-Limit", limit))
         return Response(status, body, "text/plain", (*headers, *instance_headers))
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -141,6 +141,18 @@
     assert metadata.cold_ms == 250
 
 
+@pytest.mark.parametrize(
+    ("text", "per_s"),
+    [("3.3", 3.3), ("0", 0.0), ("", None), ("nan", None), ("-1", None), ("x", None)],
+)
+def test_decode_rate_limit(text, per_s):
+    assert decode_response({"server-limit": text}).rate_limit_per_s == per_s
+
+
+def test_response_without_a_rate_limit_names_none():
+    assert decode_response({}).rate_limit_per_s is None
+
+
 @pytest.mark.parametrize("text", ["", "3", "a,b,c", "1,2,"])
 def test_invalid_load_is_ignored(text):
     assert decode_load(text) is None
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -10,7 +10,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 NAMES = (
     "Request-Id Deadline-Ms Target-Instance Response-Signature Not-Executed "
-    "Instance-Load Instance-Id Cold-Ms Shard-Key "
+    "Instance-Load Instance-Id Cold-Ms Shard-Key Server-Limit Store-Era "
     "log-append log-read log-newest log-join log-leave log-owners log-commit log-trim "
     "configVersion trafficSplit routeType pathPrefix maxAttempts timeoutMs "
     "targetLatencyMs coldRemainingMs coldStartS coldPerS heartbeatMs holdMs endOffset "
