Keep within the rate that an instance names, over all daemons together

Cause: no daemon read the field. Class: a sum that a backend names for all daemons is a state of the site, and needs one place that counts it.

Mend: each request to such an instance needs a permit. A daemon that hears a limit, another one or its end tells the granter, which tells all daemons at once and again each second; permit requests and replies carry it too. A new granter starts with an empty bucket. Requests without a permit are refused at once (503, E5013, not run) with the time of the next permit as Retry-After.

--- a/src/skylarktrail/core/gateway/budget.py
+++ b/src/skylarktrail/core/gateway/budget.py
@@ -50,12 +50,25 @@
 
 
 class TokenBucket:
-    """Token bucket with a rate and a burst, both in tokens."""
+    """Token bucket with a rate and a burst, both in tokens.
 
-    def __init__(self, rate_per_s: float, burst: float, now_ms: float) -> None:
+    Args:
+        rate_per_s: Tokens added per second.
+        burst: Maximum number of tokens.
+        now_ms: Time of its creation.
+        tokens: Initial number of tokens; `burst` by default.
+    """
+
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        now_ms: float,
+        tokens: float | None = None,
+    ) -> None:
         self.rate_per_s = rate_per_s
         self.burst = burst
-        self._tokens = burst
+        self._tokens = burst if tokens is None else tokens
         self._refilled_ms = now_ms
 
     def try_acquire(self, now_ms: float) -> bool:
@@ -71,6 +84,19 @@
         self._refill(now_ms)
         return self._tokens >= 1
 
+    def set_rate(self, rate_per_s: float, burst: float, now_ms: float) -> None:
+        """Replaces rate and burst from now on."""
+        self._refill(now_ms)
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._tokens = min(burst, self._tokens)
+
+    def wait_ms(self, now_ms: float) -> float:
+        """Returns the time until `try_acquire` can succeed."""
+        self._refill(now_ms)
+        missing = max(0.0, 1 - self._tokens)
+        return missing / self.rate_per_s * 1000 if missing else 0.0
+
     def _refill(self, now_ms: float) -> None:
         new_tokens = max(0.0, now_ms - self._refilled_ms) / 1000 * self.rate_per_s
         self._tokens = min(self.burst, self._tokens + new_tokens)
--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -6,6 +6,7 @@
 
 from .budget import TokenBucket
 from .model import InstanceEntry, LoadReport
+from .permits import PermitGate, PermitIssuer, RateLimit
 
 # Weight of one response in the usual work time. Work times vary by a multiple.
 WORK_SMOOTHING_RATIO = 0.05
@@ -37,8 +38,9 @@
         failure_ratio: Smoothed ratio of failed attempts.
         cold_bucket: Limits the rate of requests while it is cold.
         draining_since_ms: When it was first seen to be draining; infinite if it is not.
-        rate_limit_per_s: Requests per second that it accepts from all daemons
-            together; None if it names no limit.
+        rate_limit: Latest known rate limit.
+        permits: Permits of this daemon while its rate is limited.
+        permit_issuer: Issues the permits of all daemons if this one is the granter.
     """
 
     def __init__(self, entry: InstanceEntry, now_ms: float) -> None:
@@ -52,7 +54,11 @@
         self.failure_ratio = 0.0
         self.cold_bucket: TokenBucket | None = None
         self.draining_since_ms = now_ms if entry.is_draining else math.inf
-        self.rate_limit_per_s: float | None = None
+        self.rate_limit = RateLimit(
+            entry.instance, entry.start_ms, False, 0.0, -math.inf
+        )
+        self.permits = PermitGate()
+        self.permit_issuer = PermitIssuer()
         self._slowdown_ratio = 1.0
         self._others_in_flight = 0.0
         self._others_updated_ms = -math.inf
@@ -80,11 +86,18 @@
         """Records the time for which the instance remains cold."""
         self.cold_until_ms = now_ms + cold_ms
 
-    def record_rate_limit(self, per_s: float | None) -> bool:
-        """Records the rate limit that a response names; returns whether it changed."""
-        is_changed = per_s != self.rate_limit_per_s
-        self.rate_limit_per_s = per_s
-        return is_changed
+    def record_rate_limit(self, limit: RateLimit) -> bool:
+        """Records a rate limit unless it is outdated; returns whether it changed."""
+        known = self.rate_limit
+        is_same_incarnation = limit.start_ms == known.start_ms
+        if not is_same_incarnation or limit.observed_ms < known.observed_ms:
+            return False
+        self.rate_limit = limit
+        return limit[:-1] != known[:-1]
+
+    def needs_permit(self, now_ms: float) -> bool:
+        """Returns whether a request to it needs a permit that this daemon lacks."""
+        return self.rate_limit.is_limited and not self.permits.has_permit(now_ms)
 
     def is_cold(self, now_ms: float) -> bool:
         """Returns whether the instance can only serve its cold rate."""
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -8,6 +8,9 @@
 - There are more requests than slots. They are served by priority, then by deadline.
 - Instances hang when their queue is full. The requests that a daemon sends stay within
   the slots and a short queue, by load reports and by a limit on its own requests.
+- An instance names a rate that it accepts from all daemons together. A request to it
+  needs a permit, for which it waits while the granter is asked; without one it is
+  refused.
 - Noisy neighbours slow an instance down for a moment. Load reports and the ages of
   requests in flight are part of its expected response time, so that the next request
   goes elsewhere.
@@ -16,6 +19,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import Callable, Iterable, Mapping, NamedTuple
 
 from .budget import TokenBucket
@@ -23,6 +27,7 @@
 from .fleet import Fleet
 from .instance import Instance
 from .model import Route, ServiceSpec
+from .permits import PermitRequest
 from .retry_after import retry_after_ms
 
 QUEUE_LENGTH_RATIO = 1.0  # Queue length at an instance, relative to its slots.
@@ -70,6 +75,7 @@
         occupancy: Estimated requests at the instance when it was placed.
         on_decided: Called when a waiting ticket is placed or refused.
         submitted_ms: When it was submitted.
+        permit_instance: Instance for which it waits for a permit; empty if it does not.
     """
 
     def __init__(
@@ -97,6 +103,7 @@
         self.occupancy = 0.0
         self.on_decided = on_decided
         self.submitted_ms = 0.0
+        self.permit_instance = ""
 
     @property
     def is_decided(self) -> bool:
@@ -148,6 +155,7 @@
         self.services: dict[str, ServiceSpec] = {}
         self._random_fraction = random_fraction
         self._waiting: list[Ticket] = []
+        self._preferred_limited: set[str] = set()
         self._work_ms: dict[tuple[str, str], float] = {}
 
     def submit(self, ticket: Ticket, now_ms: float) -> None:
@@ -187,6 +195,21 @@
                 ahead_count[queue_key] = ahead_count.get(queue_key, 0) + 1
                 self._waiting.append(ticket)
 
+    def pop_permit_requests(self, now_ms: float) -> list[PermitRequest]:
+        """Returns the requests for permits that are due, and records them as sent."""
+        counts = Counter(t.permit_instance for t in self._waiting if t.permit_instance)
+        counts.update(self._preferred_limited - set(counts))
+        self._preferred_limited.clear()
+        requests = []
+        for name, count in counts.items():
+            instance = self.fleet.find(name)
+            if instance is None or not instance.rate_limit.is_limited:
+                continue
+            if instance.permits.may_request(now_ms):
+                instance.permits.record_request()
+                requests.append(PermitRequest(instance.rate_limit, count))
+        return requests
+
     def release(self, ticket: Ticket) -> None:
         """Releases the instance of a ticket."""
         if ticket.instance is not None:
@@ -240,15 +263,22 @@
         if now_ms >= ticket.end_ms:
             ticket.refusal_reason = "timeout"
             return
-        usable = list(self._usable_instances(ticket, now_ms))
-        if not usable:
+        ticket.permit_instance = ""
+        candidates = list(self._usable_instances(ticket, now_ms))
+        if not candidates:
             self._decide_without_instance(ticket, now_ms)
             return
+        usable = [i for i in candidates if not i.needs_permit(now_ms)]
+        if not usable:
+            self._decide_without_permit(ticket, candidates, now_ms)
+            return
         priority = ticket.route.priority
         available = [i for i in usable if self._has_capacity(i, priority, now_ms)]
         free = [] if ahead_count else available
         if free:
             best = min(free, key=lambda i: self._cost_ms(ticket, i, now_ms))
+            if len(usable) < len(candidates):
+                self._note_preferred_limited(ticket, candidates, best, now_ms)
             if self._check_in_time(
                 ticket, self._expected_response_ms(ticket, best, now_ms), now_ms
             ):
@@ -291,11 +321,39 @@
         ticket.refusal_reason = "no_instance"
         ticket.backlog_ms = 0.0
 
+    def _decide_without_permit(
+        self, ticket: Ticket, candidates: list[Instance], now_ms: float
+    ) -> None:
+        """Refuses a ticket unless a permit for an instance may come at once."""
+        undecided = [i for i in candidates if i.permits.is_undecided(now_ms)]
+        if undecided:
+            best = min(undecided, key=lambda i: self._cost_ms(ticket, i, now_ms))
+            ticket.permit_instance = best.entry.instance
+            return
+        ticket.refusal_reason = "rate_limited"
+        ticket.backlog_ms = min(i.permits.wait_ms(now_ms) for i in candidates)
+
+    def _note_preferred_limited(
+        self, ticket: Ticket, candidates: list[Instance], best: Instance, now_ms: float
+    ) -> None:
+        """Notes an instance that lacks a permit and would be better than the best.
+
+        A permit that comes soon serves one of the next requests. So an instance with a
+        rate limit gets requests up to it, in whose responses it says when that ends.
+        """
+        limited = [i for i in candidates if i.needs_permit(now_ms)]
+        preferred = min(limited, key=lambda i: self._cost_ms(ticket, i, now_ms))
+        best_ms = self._cost_ms(ticket, best, now_ms)
+        if self._cost_ms(ticket, preferred, now_ms) < best_ms:
+            self._preferred_limited.add(preferred.entry.instance)
+
     def _place(self, ticket: Ticket, instance: Instance, now_ms: float) -> None:
         ticket.occupancy = instance.occupancy(now_ms)
         ticket.instance = instance
         ticket.placed_ms = now_ms
         instance.begin(now_ms)
+        if instance.rate_limit.is_limited:
+            instance.permits.use_permit()
         if instance.is_cold(now_ms):
             self._cold_bucket(instance, now_ms).try_acquire(now_ms)
 
--- a/src/skylarktrail/errors/upstream.py
+++ b/src/skylarktrail/errors/upstream.py
@@ -90,3 +90,10 @@
     "The attempt was ended because its caller had left.",
     "None needed.",
 )
+INSTANCE_LIMITED = declare(
+    5013,
+    "INSTANCE_LIMITED",
+    "The instances that may take the request accept only a limited rate at present.",
+    "Try again after the time given.",
+    status=503,
+)
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import Future
-from typing import Callable, Sequence
+from typing import Any, Callable, Sequence
 
 from result import Result
 
@@ -142,6 +142,7 @@
         on_term_end_request: Callable[[int], None],
     ) -> None:
         self._site = site
+        self._process = process
         self._is_eligible = is_eligible
         self._on_offer = on_offer
         self._log = log
@@ -155,6 +156,7 @@
         self._listing_received_ms = -1e18
         self._listing_sender = ""
         self._peers: dict[str, str] = {}
+        self._handlers: dict[type, Callable[[str, Any, Responder], None]] = {}
         self._links = PeerLinks(
             site.daemon,
             process,
@@ -166,6 +168,18 @@
             HEARTBEAT_MS,
         )
 
+    def add_handler(
+        self, message_type: type, handle: Callable[[str, Any, Responder], None]
+    ) -> None:
+        """Registers the handler of a message type.
+
+        Args:
+            message_type: Type of the messages.
+            handle: Called with the name of a daemon, its message and a `Responder`, in
+                the thread of the links; it must not block.
+        """
+        self._handlers[message_type] = handle
+
     def start(self) -> Result[str, Fault]:
         """Binds the peer address and returns it with the port in use."""
         return self._links.start()
@@ -182,6 +196,10 @@
             self._peers = peers
             self._links.set_peers(peers)
 
+    def is_granter(self) -> bool:
+        """Returns whether this process is the granter by the latest record."""
+        return self._site.shared.granter.process == self._process
+
     def is_granter_alive(self) -> bool:
         """Returns whether the current granter has sent a listing recently."""
         is_same_granter = self._listing_sender == self._site.shared.granter.daemon
@@ -246,6 +264,17 @@
         """Sends a message to one daemon."""
         self._links.send(daemon, message)
 
+    def send_to_granter(self, message: Message) -> None:
+        """Sends a message to the granter, if there is one."""
+        self._links.send(self._site.shared.granter.daemon, message)
+
+    def request_granter(
+        self, message: Message, timeout_ms: int
+    ) -> Future[Result[Message, Fault]]:
+        """Sends a request to the granter; the future raises no exception."""
+        granter = self._site.shared.granter.daemon
+        return self._links.request(granter, message, timeout_ms)
+
     def broadcast(self, message: Message) -> None:
         """Sends a message to all other daemons."""
         for name in self._peers:
@@ -259,7 +288,10 @@
             self._links.send(name, self._feed.select_listing(name, change))
 
     def _handle_message(self, daemon: str, message: Message, reply: Responder) -> None:
-        if isinstance(message, GatewayTermEndRequest):
+        handle = self._handlers.get(type(message))
+        if handle is not None:
+            handle(daemon, message, reply)
+        elif isinstance(message, GatewayTermEndRequest):
             self._on_term_end_request(message.term)
             reply(GatewayTermEnded(message.term))
         elif isinstance(message, GatewayLoad):
@@ -268,23 +300,23 @@
         elif isinstance(message, GatewayOwners):
             self._on_owners(message.service, message.changed, message.position)
         elif isinstance(message, GatewayRecords):
-            if self._is_granter(daemon):
+            if self._is_granter_daemon(daemon):
                 self._on_records(message)
         elif isinstance(message, GatewayListing):
             self._handle_listing(daemon, message)
         elif isinstance(message, GatewayRoleOffer):
             is_current_term = message.term == self._site.shared.granter.term
-            if is_current_term and self._is_granter(daemon):
+            if is_current_term and self._is_granter_daemon(daemon):
                 self._on_offer(message.term)
         elif isinstance(message, GatewayOverload):
-            if self._is_granter(daemon):
+            if self._is_granter_daemon(daemon):
                 self._site.apply_overloads(message.instances, now_ms())
 
-    def _is_granter(self, daemon: str) -> bool:
+    def _is_granter_daemon(self, daemon: str) -> bool:
         return daemon == self._site.shared.granter.daemon
 
     def _handle_listing(self, daemon: str, message: GatewayListing) -> None:
-        if not self._is_granter(daemon):
+        if not self._is_granter_daemon(daemon):
             return
         if message.base >= 0 and (
             message.base != self._site.granter_listing_position
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -8,7 +8,6 @@
 from result import Result
 
 from ..core.gateway.caller_retries import CallerRetryDetector
-from ..core.gateway.instance import Instance
 from ..core.gateway.model import InstanceEntry, Route
 from ..core.gateway.scheduler import Ticket
 from ..daemon import fields
@@ -31,6 +30,7 @@
 )
 from .job import Attempt, Job
 from .metrics import GatewayMetrics
+from .rate_limiter import RateLimiter
 from .site_state import SiteState
 
 QUEUE_POLL_MS = 20.0  # Longest time between two scheduling decisions for a request.
@@ -82,6 +82,7 @@
         site: State of the site.
         header_codec: Codec of the platform's header fields.
         connections: Pool of connections to instances.
+        rate_limiter: Keeps the requests to an instance within the rate that it names.
         disconnect_monitor: Aborts requests whose callers disconnect.
         log: Receives a line for each request.
         metrics: Counts replies, refusals and attempts.
@@ -96,6 +97,7 @@
         site: SiteState,
         header_codec: HeaderCodec,
         connections: ConnectionPool,
+        rate_limiter: RateLimiter,
         disconnect_monitor: DisconnectMonitor,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -103,6 +105,7 @@
         self._site = site
         self._header_codec = header_codec
         self._connections = connections
+        self._rate_limiter = rate_limiter
         self._disconnect_monitor = disconnect_monitor
         self._log = log
         self._metrics = metrics
@@ -201,11 +204,13 @@
         )
         ticket.avoided_instances = avoided
         self._site.submit(ticket, now_ms())
+        self._rate_limiter.request_permits()
         while not ticket.is_decided:
             left_ms = job.end_ms - now_ms()
             decided.wait(max(0.001, min(QUEUE_POLL_MS, left_ms) / 1000))
             if not ticket.is_decided:
                 self._site.poll(now_ms())
+                self._rate_limiter.request_permits()
             if job.request.is_disconnected():
                 self._site.cancel(ticket, now_ms())
                 ticket.instance = None
@@ -324,7 +329,7 @@
         if metadata.cold_ms is not None:
             instance.update_cold_time(metadata.cold_ms, now_ms())
         if metadata.is_signed or metadata.rate_limit_per_s is not None:
-            self._record_rate_limit(instance, metadata.rate_limit_per_s)
+            self._rate_limiter.observe(instance, metadata.rate_limit_per_s)
         if raw_response.status == MISDIRECTED_STATUS:
             return self._handle_misdirected(job, ticket, metadata)
         if metadata.is_not_run:
@@ -341,13 +346,6 @@
         self._site.scheduler.record_response(ticket, elapsed_ms)
         return Attempt(name, "ANSWERED", True, response, True)
 
-    def _record_rate_limit(self, instance: Instance, per_s: float | None) -> None:
-        """Records and logs the rate limit that a response names, or its end."""
-        if instance.record_rate_limit(per_s):
-            self._log.state(
-                "instance_rate_limit", instance=instance.entry.instance, per_s=per_s
-            )
-
     def _handle_misdirected(
         self, job: Job, ticket: Ticket, metadata: ResponseMetadata
     ) -> Attempt:
@@ -429,6 +427,8 @@
 
 
 def _refusal_code(job: Job, ticket: Ticket) -> Code:
+    if ticket.refusal_reason == "rate_limited":
+        return codes.INSTANCE_LIMITED
     if ticket.refusal_reason in ("overload", "shed", "timeout", "left"):
         return codes.WAIT_TOO_LONG
     if job.attempts and not job.attempts[-1].was_sent:
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -36,6 +36,7 @@
 from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .overload_broadcaster import OverloadBroadcaster
+from .rate_limiter import RateLimiter
 from .role_transfer import RoleTransfer
 from .router import GatewayRouter
 from .site_state import SiteState
@@ -91,14 +92,6 @@
             self._connections.has_idle,
         )
         self._disconnect_monitor = DisconnectMonitor()
-        self._router = GatewayRouter(
-            self._site,
-            header_codec,
-            self._connections,
-            self._disconnect_monitor,
-            self._log,
-            self._metrics,
-        )
         self._messenger = Messenger(
             self._site,
             self._process,
@@ -112,8 +105,18 @@
             self._on_role_offer,
             self._on_term_end_request,
         )
+        self._rate_limiter = RateLimiter(self._site, self._messenger, self._log)
+        self._router = GatewayRouter(
+            self._site,
+            header_codec,
+            self._connections,
+            self._rate_limiter,
+            self._disconnect_monitor,
+            self._log,
+            self._metrics,
+        )
         self._overload_broadcaster = OverloadBroadcaster(
-            self._site, self._is_granter, self._messenger.broadcast
+            self._site, self._messenger.is_granter, self._messenger.broadcast
         )
         self._role_transfer = RoleTransfer(
             self._site,
@@ -167,7 +170,7 @@
         self._app.closes_connections = True
         self._router.is_draining = True
         self._candidacy.withdraw()
-        if self._is_granter():
+        if self._messenger.is_granter():
             self._role_transfer.offer_role("draining")
         end_ms = started_ms + self._bounds.grace_s * 1000 - KILL_MARGIN_MS
         _sleep_until(min(end_ms, started_ms + UNREADY_NOTICE_MS))
@@ -228,7 +231,7 @@
             self._make_call_monitor("instances"),
             log,
             self._messenger,
-            self._is_granter,
+            self._messenger.is_granter,
         )
         self._operators = OperatorWatcher(
             self._make_store(),
@@ -236,7 +239,7 @@
             self._make_call_monitor("operators"),
             log,
             self._messenger,
-            self._is_granter,
+            self._messenger.is_granter,
         )
         self._shared = SharedWatcher(
             self._make_store(),
@@ -244,7 +247,7 @@
             Member(self._process, self._settings.peer_address),
             self._make_call_monitor("shared"),
             lambda position, at_ms: tell(SharedRecordsRead(position, at_ms)),
-            self._is_granter,
+            self._messenger.is_granter,
             lambda: self._candidacy.is_candidate,
             self._messenger,
             lambda: self._role_transfer.offer_role("store_lost"),
@@ -263,6 +266,7 @@
             "candidacy": self._candidacy.run_once,
             "load-report": LoadReporter(self._messenger, site).run_once,
             "load-teller": self._overload_broadcaster.run_once,
+            "rate-limits": self._rate_limiter.run_once,
         }
         self._workers = [Worker(name, task, log) for name, task in tasks.items()]
         for worker in self._workers:
@@ -319,9 +323,6 @@
             return True
         return now_ms() - self._granter_seen_ms > SMALL_VM_WAIT_MS
 
-    def _is_granter(self) -> bool:
-        return self._site.shared.granter.process == self._process
-
     def _make_store(self) -> SiteStore:
         return self._adapter.make_store(self._settings.store.address)
 
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import threading
 from typing import Callable, Iterable, NamedTuple
@@ -10,6 +11,12 @@
 from ..core.gateway.budget import RetryBudget
 from ..core.gateway.fleet import Fleet, FleetChange
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
+from ..core.gateway.permits import (
+    MAX_DENIAL_MS,
+    IssuedPermits,
+    PermitRequest,
+    RateLimit,
+)
 from ..core.gateway.ranges import OwnedRange, OwnerTable, apply_changed_ranges
 from ..core.gateway.routes import RouteTable, Splitter
 from ..core.gateway.scheduler import Scheduler, SchedulerView, Ticket
@@ -259,6 +266,62 @@
         with self.lock:
             return self._get_retry_budget(service).try_acquire(now_ms)
 
+    def pop_permit_requests(self, now_ms: float) -> list[PermitRequest]:
+        """Returns the requests for permits that are due, and records them as sent."""
+        with self.lock:
+            return self.scheduler.pop_permit_requests(now_ms)
+
+    def record_permits(
+        self, instance: str, reply: IssuedPermits, now_ms: float
+    ) -> None:
+        """Records the permits for an instance that the granter issued."""
+        with self.lock:
+            found = self.fleet.find(instance)
+            if found is not None:
+                found.permits.record_reply(reply, now_ms)
+                self._poll(now_ms)
+
+    def take_own_permits(self, request: PermitRequest, now_ms: float) -> None:
+        """Uses this daemon's share of a limited rate, without the granter."""
+        with self.lock:
+            found = self.fleet.find(request.limit.instance)
+            if found is None:
+                return
+            daemons = len(self.scheduler.view.daemons)
+            found.permits.take_own_share(
+                found.rate_limit, daemons, request.count, now_ms
+            )
+            self._poll(now_ms)
+
+    def issue_permits(self, request: PermitRequest, now_ms: float) -> IssuedPermits:
+        """Issues permits as granter."""
+        with self.lock:
+            found = self.fleet.find(request.limit.instance)
+            if found is None:
+                return IssuedPermits(0, MAX_DENIAL_MS)
+            return found.permit_issuer.issue(found.rate_limit, request.count, now_ms)
+
+    def record_rate_limit(self, limit: RateLimit, now_ms: float) -> bool:
+        """Records a rate limit unless it is outdated; returns whether it changed."""
+        with self.lock:
+            found = self.fleet.find(limit.instance)
+            is_changed = found is not None and found.record_rate_limit(limit)
+            if is_changed:
+                self._poll(now_ms)
+            return is_changed
+
+    def find_rate_limit(self, instance: str) -> RateLimit | None:
+        """Returns the latest known rate limit of an instance, if it is listed."""
+        with self.lock:
+            found = self.fleet.find(instance)
+            return found.rate_limit if found else None
+
+    def rate_limits(self) -> list[RateLimit]:
+        """Returns the latest known limits of all instances that ever named one."""
+        with self.lock:
+            limits = [i.rate_limit for i in self.fleet.instances.values()]
+        return [limit for limit in limits if limit.observed_ms > -math.inf]
+
     def versions(self, now_ms: float) -> SiteVersions:
         """Returns the versions on which decisions are based now."""
         with self.lock:
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -11,7 +11,7 @@
 from skylarktrail.core.gateway.model import InstanceEntry
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.errors import peer as codes
-from skylarktrail.peer import messages
+from skylarktrail.peer import messages, rate_limit_messages
 from skylarktrail.peer.codec import MAX_MESSAGE_BYTES, VERSION, decode, encode
 
 SETTINGS = settings(derandomize=True, database=None, deadline=None)
@@ -56,6 +56,15 @@
         ("i-2",),
     ),
     messages.GatewayOverload((messages.OverloadedInstance("i-1", 9, 0.5),)),
+    rate_limit_messages.GatewayRateLimits(
+        (rate_limit_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5),)
+    ),
+    rate_limit_messages.GatewayPermitRequest(
+        rate_limit_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5), 2
+    ),
+    rate_limit_messages.GatewayPermits(
+        rate_limit_messages.RateLimitReport("i-1", 1 << 41, False, 0.0, 1.5), 1, 0.0
+    ),
     messages.GatewayTermEndRequest(5),
     messages.GatewayRoleOffer(5),
     messages.GatewayTermEnded(5),
--- a/tests/processes/test_rate_limits.py
+++ b/tests/processes/test_rate_limits.py
@@ -79,3 +79,23 @@
     assert times_s, "the instance got no requests at all"
     assert max_count_in_window(times_s) <= ALLOWED_IN_WINDOW
     assert {response.status for response in responses} <= {200, 503}
+
+
+def test_requests_are_served_again_after_the_limit_has_ended(site):
+    owner = "catalogo-2"
+    keys = find_owned_keys(site, owner)
+    address = site.instance_addresses[owner]
+    site.control(address, rate_limit_per_s=0.5)
+    for name in site.gateways:
+        site.request(STOCK, name, keys[0])
+    limited = [site.request(STOCK, "d1", keys[0]) for _ in range(5)]
+    site.control(address, rate_limit_per_s=0.0)
+    end = time.monotonic() + 6.0
+    while any(
+        site.request(STOCK, name, keys[0]).status != 200 for name in site.gateways
+    ):
+        assert time.monotonic() < end, "the limit did not end"
+        time.sleep(0.05)
+    refused = [response for response in limited if response.status == 503]
+    assert refused and all('"code": 5013' in item.body for item in refused)
+    assert not set(item.request_id for item in refused) & set(site.runs())
