Move keys away from owners that accept only a limited rate

What callers saw: with the limit kept, most requests for the keys of such an owner are refused for as long as it names a rate, although other instances have room.

Its keys move by release and hand-over, as for load.

--- a/src/skylarktrail/core/gateway/key_load.py
+++ b/src/skylarktrail/core/gateway/key_load.py
@@ -79,6 +79,11 @@
         even_ratio = EVEN_RATIO + (1 - EVEN_RATIO) * (1 - confidence)
         return LoadDistribution(self._counts, even_ratio, sample_count)
 
+    def rate_per_s(self, now_ms: float) -> float:
+        """Returns the present requests per second for all hashes."""
+        self._decay(now_ms)
+        return sum(self._counts.values()) / (DECAY_MS / 1000)
+
     def _decay(self, now_ms: float) -> None:
         if now_ms - self._decayed_ms < DECAY_MS / 10:
             return
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -10,6 +10,7 @@
 import pykka
 from result import Result
 
+from ..core.gateway.capacities import limit_capacities
 from ..core.gateway.former_granters import FormerGranters
 from ..core.gateway.granter import Granter
 from ..core.gateway.instance import Instance
@@ -424,18 +425,35 @@
         staying = {id(i) for i in instances if _may_keep_ranges(i, zones_out, at_ms)}
         warm = {id(i) for i in instances if id(i) in staying and not i.is_cold(at_ms)}
         kept = warm or staying
+        capacities = self._capacities(service, instances, at_ms)
         return {
             i.entry.instance: KeyedInstance(
                 i.entry.instance,
                 i.entry.address,
                 i.entry.start_ms,
                 id(i) in kept and not i.is_suspended(at_ms),
-                self._speeds.capacity(i.entry.instance),
+                capacities[i.entry.instance],
                 id(i) in kept,
             )
             for i in instances
         }
 
+    def _capacities(
+        self, service: str, instances: list[Instance], at_ms: float
+    ) -> dict[str, float]:
+        """Returns the capacity of each instance, relative to the others."""
+        capacities = {
+            i.entry.instance: self._speeds.capacity(i.entry.instance) for i in instances
+        }
+        limits = {
+            i.entry.instance: i.rate_limit.per_s
+            for i in instances
+            if i.rate_limit.is_limited
+        }
+        load = self._loads.get(service)
+        total_per_s = load.rate_per_s(at_ms) if load and limits else 0.0
+        return limit_capacities(capacities, limits, total_per_s)
+
     def _execute(
         self, service: str, action: GrantCall | ReleaseCall | RecordOwners
     ) -> None:
--- a/tests/core/gateway/test_ranges.py
+++ b/tests/core/gateway/test_ranges.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from skylarktrail.core.gateway.capacities import limit_capacities
 from skylarktrail.core.gateway.key_load import KeyLoad, LoadDistribution
 from skylarktrail.core.gateway.model import HASH_COUNT
 from skylarktrail.core.gateway.planner import RangeAssignment, plan_moves
@@ -116,6 +118,33 @@
     ]
 
 
+def test_an_owner_that_names_a_low_rate_keeps_only_keys_for_it():
+    """One of the owners accepts a third of its usual 13 requests a second."""
+    load = KeyLoad()
+    load.add({number * 109: 1 for number in range(600)}, 0.0)
+    limits = {NAMES[2]: 0.33 * load.rate_per_s(0.0) / len(NAMES)}
+    capacities = limit_capacities(
+        dict.fromkeys(NAMES, 1.0), limits, load.rate_per_s(0.0)
+    )
+    distribution = load.distribution(0.0)
+    moves = plan_moves(equal_assignments(), capacities, distribution)
+    after = loads_by_owner(owners_after(equal_assignments(), moves), distribution)
+    assert after[NAMES[2]] * load.rate_per_s(0.0) <= limits[NAMES[2]]
+    assert max(after.values()) < 1.4 / len(NAMES)
+
+
+@pytest.mark.parametrize("limits", [{}, {"a": 100.0}, {"gone": 1.0}])
+def test_limits_above_the_load_change_no_capacity(limits):
+    capacities = {"a": 1.0, "b": 2.0}
+    limited = limit_capacities(capacities, limits, 30.0)
+    assert limited == pytest.approx(capacities)
+
+
+def test_capacities_stay_positive_when_all_instances_are_limited():
+    limited = limit_capacities({"a": 1.0, "b": 2.0}, {"a": 0.0, "b": 1.0}, 30.0)
+    assert 0 < limited["a"] < limited["b"]
+
+
 def test_random_imbalance_moves_nothing():
     load = KeyLoad()
     load.add({number * 655: 1 for number in range(100)}, 0.0)
