Send requests to a cold owner of keys by permits

What callers saw: nothing yet; found by asking which other figures are sums over daemons.

Cause: each daemon kept an equal share of the rate of a cold owner, with a burst of one. 72 daemons may so send 72 requests at once to an instance that bears 15 a second. Class: as with rate limits, a rate that holds over all daemons was kept by each for itself.

The permits of rate limits hold for cold owners too, at the lower of both rates.

Looked at and left: the retry budget (shares by recorded members, half of the extra, so sums stay below it also while members differ); cold stateless instances (four daemons by rank, 0.9 of the rate and a burst of one each); connections (bounded by the requests in flight a daemon); requests in flight (the granter broadcasts their sum).

--- a/src/skylarktrail/core/gateway/cold.py
+++ b/src/skylarktrail/core/gateway/cold.py
@@ -1,4 +1,7 @@
-"""Shares the request rate of a cold instance among a few daemons."""
+"""Shares the request rate of a cold stateless instance among a few daemons.
+
+Requests to a cold owner of keys need permits instead, as all daemons send to it.
+"""
 
 from __future__ import annotations
 
@@ -32,11 +35,3 @@
     if own_daemon not in chosen:
         return 0.0
     return cold_requests_per_s * USED_RATIO / len(chosen)
-
-
-def equal_cold_rate_per_s(daemons: frozenset[str], cold_requests_per_s: float) -> float:
-    """Returns the rate, per second, of each daemon when all use the instance.
-
-    Keyed services need this: requests for a key can only go to its owner.
-    """
-    return cold_requests_per_s * USED_RATIO / max(1, len(daemons))
--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -95,10 +95,6 @@
         self.rate_limit = limit
         return limit[:-1] != known[:-1]
 
-    def needs_permit(self, now_ms: float) -> bool:
-        """Returns whether a request to it needs a permit that this daemon lacks."""
-        return self.rate_limit.is_limited and not self.permits.has_permit(now_ms)
-
     def is_cold(self, now_ms: float) -> bool:
         """Returns whether the instance can only serve its cold rate."""
         return now_ms < self.cold_until_ms
--- a/src/skylarktrail/core/gateway/permits.py
+++ b/src/skylarktrail/core/gateway/permits.py
@@ -1,9 +1,10 @@
-"""Keeps the requests of all daemons to an instance within the rate that it names.
+"""Keeps the requests of all daemons to an instance within the rate that it accepts.
 
-An instance in need names a rate for all daemons together. The granter issues permits at
-that rate, each for one request, and the daemons ask for them as requests arrive. So the
-sum holds for any number of daemons and wherever callers connect, and a daemon that was
-not told the rate by the instance itself learns it from the granter.
+An instance in need names a rate for all daemons together, and a cold one has a rate by
+its configuration. The granter issues permits at that rate, each for one request. The
+daemons ask for them as requests arrive, so the sum holds for any number of daemons and
+wherever callers connect. A daemon that was not told the rate by the instance itself
+learns it from the granter.
 
 A daemon that cannot ask the granter uses an equal share of a small part of the rate.
 """
@@ -16,10 +17,10 @@
 
 from .budget import TokenBucket
 
-USED_RATIO = 0.9  # Fraction of the named rate for which permits are issued.
+USED_RATIO = 0.9  # Fraction of the accepted rate for which permits are issued.
 BURST_S = 0.25  # Permits that may be saved up, as time at the rate.
-# Fraction of the named rate that daemons without the granter use together. Others may
-# get permits meanwhile, so the two fractions together may exceed the rate for a while.
+# Fraction of the accepted rate that daemons without the granter use together. Others
+# may get permits meanwhile, so the two together may exceed the rate for a while.
 OWN_SHARE_RATIO = 0.4
 # An instance that accepts no requests is probed, to notice when that changes.
 MIN_RATE_PER_S = 0.2
@@ -51,11 +52,14 @@
     """Permits that requests of this daemon need.
 
     Attributes:
-        limit: Latest known rate limit of the instance.
+        instance: Identifier of the instance.
+        per_s: Requests per second that it accepts from all daemons together, as this
+            daemon knows it.
         count: Number of permits.
     """
 
-    limit: RateLimit
+    instance: str
+    per_s: float
     count: int
 
 
@@ -77,11 +81,15 @@
     def __init__(self) -> None:
         self._bucket: TokenBucket | None = None
 
-    def issue(self, limit: RateLimit, count: int, now_ms: float) -> IssuedPermits:
-        """Issues up to `count` permits."""
-        if not limit.is_limited:
-            return IssuedPermits(count, 0.0)
-        bucket = self._update_bucket(limit.per_s, now_ms)
+    def issue(self, per_s: float, count: int, now_ms: float) -> IssuedPermits:
+        """Issues up to `count` permits.
+
+        Args:
+            per_s: Requests per second that the instance accepts.
+            count: Number of permits requested.
+            now_ms: Present time.
+        """
+        bucket = self._update_bucket(per_s, now_ms)
         issued = 0
         while issued < count and bucket.try_acquire(now_ms):
             issued += 1
@@ -140,14 +148,12 @@
         self._ends_ms.extend([now_ms + PERMIT_TTL_MS] * reply.count)
         self._denied_until_ms = now_ms + min(MAX_DENIAL_MS, reply.wait_ms)
 
-    def take_own_share(
-        self, limit: RateLimit, daemon_count: int, wanted_count: int, now_ms: float
-    ) -> None:
-        """Adds permits of this daemon's own share, as the granter cannot be asked."""
-        share_per_s = max(MIN_RATE_PER_S, limit.per_s) * OWN_SHARE_RATIO
+    def take_own_share(self, per_s: float, daemon_count: int, now_ms: float) -> None:
+        """Adds a permit of this daemon's own share, as the granter cannot be asked."""
+        share_per_s = max(MIN_RATE_PER_S, per_s) * OWN_SHARE_RATIO
         rate_per_s = share_per_s / max(1, daemon_count)
         if self._own_share is None:
             self._own_share = TokenBucket(rate_per_s, 1.0, now_ms, tokens=0.0)
         self._own_share.set_rate(rate_per_s, 1.0, now_ms)
-        count = min(1, wanted_count) if self._own_share.try_acquire(now_ms) else 0
+        count = 1 if self._own_share.try_acquire(now_ms) else 0
         self.record_reply(IssuedPermits(count, self._own_share.wait_ms(now_ms)), now_ms)
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -8,9 +8,9 @@
 - There are more requests than slots. They are served by priority, then by deadline.
 - Instances hang when their queue is full. The requests that a daemon sends stay within
   the slots and a short queue, by load reports and by a limit on its own requests.
-- An instance names a rate that it accepts from all daemons together. A request to it
-  needs a permit, for which it waits while the granter is asked; without one it is
-  refused.
+- An instance names a rate that it accepts from all daemons together, or the owner of
+  some keys is cold. A request to it needs a permit, for which it waits while the
+  granter is asked; without one it is refused.
 - Noisy neighbours slow an instance down for a moment. Load reports and the ages of
   requests in flight are part of its expected response time, so that the next request
   goes elsewhere.
@@ -23,7 +23,7 @@
 from typing import Callable, Iterable, Mapping, NamedTuple
 
 from .budget import TokenBucket
-from .cold import cold_rate_per_s, equal_cold_rate_per_s
+from .cold import cold_rate_per_s
 from .fleet import Fleet
 from .instance import Instance
 from .model import Route, ServiceSpec
@@ -203,13 +203,34 @@
         requests = []
         for name, count in counts.items():
             instance = self.fleet.find(name)
-            if instance is None or not instance.rate_limit.is_limited:
+            rate_per_s = self.permit_rate_per_s(instance, now_ms) if instance else None
+            if instance is None or rate_per_s is None:
                 continue
             if instance.permits.may_request(now_ms):
                 instance.permits.record_request()
-                requests.append(PermitRequest(instance.rate_limit, count))
+                requests.append(PermitRequest(name, rate_per_s, count))
         return requests
 
+    def permit_rate_per_s(self, instance: Instance, now_ms: float) -> float | None:
+        """Returns the rate, over all daemons, at which permits for it are issued.
+
+        Returns:
+            Requests per second; None if requests to it need no permit. A cold instance
+            of a stateless service needs none, as a few daemons share its rate.
+        """
+        rates = []
+        if instance.rate_limit.is_limited:
+            rates.append(instance.rate_limit.per_s)
+        service = self.services.get(instance.entry.service)
+        if service and service.is_keyed and instance.is_cold(now_ms):
+            rates.append(service.cold_requests_per_s)
+        return min(rates, default=None)
+
+    def _needs_permit(self, instance: Instance, now_ms: float) -> bool:
+        """Returns whether a request to it needs a permit that this daemon lacks."""
+        is_limited = self.permit_rate_per_s(instance, now_ms) is not None
+        return is_limited and not instance.permits.has_permit(now_ms)
+
     def release(self, ticket: Ticket) -> None:
         """Releases the instance of a ticket."""
         if ticket.instance is not None:
@@ -268,7 +289,7 @@
         if not candidates:
             self._decide_without_instance(ticket, now_ms)
             return
-        usable = [i for i in candidates if not i.needs_permit(now_ms)]
+        usable = [i for i in candidates if not self._needs_permit(i, now_ms)]
         if not usable:
             self._decide_without_permit(ticket, candidates, now_ms)
             return
@@ -341,7 +362,7 @@
         A permit that comes soon serves one of the next requests. So an instance with a
         rate limit gets requests up to it, in whose responses it says when that ends.
         """
-        limited = [i for i in candidates if i.needs_permit(now_ms)]
+        limited = [i for i in candidates if self._needs_permit(i, now_ms)]
         preferred = min(limited, key=lambda i: self._cost_ms(ticket, i, now_ms))
         best_ms = self._cost_ms(ticket, best, now_ms)
         if self._cost_ms(ticket, preferred, now_ms) < best_ms:
@@ -352,9 +373,9 @@
         ticket.instance = instance
         ticket.placed_ms = now_ms
         instance.begin(now_ms)
-        if instance.rate_limit.is_limited:
+        if self.permit_rate_per_s(instance, now_ms) is not None:
             instance.permits.use_permit()
-        if instance.is_cold(now_ms):
+        if self._uses_cold_bucket(instance, now_ms):
             self._cold_bucket(instance, now_ms).try_acquire(now_ms)
 
     def _usable_instances(self, ticket: Ticket, now_ms: float) -> Iterable[Instance]:
@@ -381,10 +402,16 @@
             return False
         if instance.is_suspended(now_ms):
             return False
-        if instance.is_cold(now_ms):
+        if self._uses_cold_bucket(instance, now_ms):
             return self._cold_bucket(instance, now_ms).has_token(now_ms)
         return True
 
+    def _uses_cold_bucket(self, instance: Instance, now_ms: float) -> bool:
+        """Returns whether a share of its cold rate limits this daemon's requests."""
+        service = self.services.get(instance.entry.service)
+        is_keyed = service is not None and service.is_keyed
+        return instance.is_cold(now_ms) and not is_keyed
+
     def is_out_of_service(
         self, instance: Instance, is_keyed: bool, now_ms: float
     ) -> bool:
@@ -398,16 +425,12 @@
     def _cold_bucket(self, instance: Instance, now_ms: float) -> TokenBucket:
         service = self.services.get(instance.entry.service)
         cold_requests_per_s = service.cold_requests_per_s if service else 1.0
-        daemons = self.view.daemons
-        if service and service.is_keyed:
-            rate_per_s = equal_cold_rate_per_s(daemons, cold_requests_per_s)
-        else:
-            rate_per_s = cold_rate_per_s(
-                daemons,
-                self.view.own_daemon,
-                instance.entry.instance,
-                cold_requests_per_s,
-            )
+        rate_per_s = cold_rate_per_s(
+            self.view.daemons,
+            self.view.own_daemon,
+            instance.entry.instance,
+            cold_requests_per_s,
+        )
         if instance.cold_bucket is None:
             instance.cold_bucket = TokenBucket(rate_per_s, COLD_BURST_COUNT, now_ms)
         instance.cold_bucket.rate_per_s = rate_per_s
--- a/src/skylarktrail/gateway/rate_limiter.py
+++ b/src/skylarktrail/gateway/rate_limiter.py
@@ -68,7 +68,7 @@
         for request in self._site.pop_permit_requests(now_ms()):
             if self._messenger.is_granter():
                 reply = self._site.issue_permits(request, now_ms())
-                self._site.record_permits(request.limit.instance, reply, now_ms())
+                self._site.record_permits(request.instance, reply, now_ms())
             elif not self._messenger.is_granter_alive():
                 self._site.take_own_permits(request, now_ms())
             else:
@@ -83,7 +83,12 @@
         return REPEAT_INTERVAL_MS
 
     def _request_from_granter(self, request: PermitRequest) -> None:
-        message = GatewayPermitRequest(_make_report(request.limit), request.count)
+        limit = self._site.find_rate_limit(request.instance)
+        if limit is None:
+            return
+        message = GatewayPermitRequest(
+            _make_report(limit), request.per_s, request.count
+        )
 
         def handle_reply(future: Future) -> None:
             outcome = future.result()
@@ -93,7 +98,7 @@
             reply = outcome.unwrap()
             self._record_limit(reply.limit, "granter")
             permits = IssuedPermits(reply.count, reply.wait_ms)
-            self._site.record_permits(request.limit.instance, permits, now_ms())
+            self._site.record_permits(request.instance, permits, now_ms())
             self.request_permits()
 
         future = self._messenger.request_granter(message, PERMIT_TIMEOUT_MS)
@@ -106,9 +111,10 @@
             return
         if self._record_limit(message.limit, daemon):
             self._broadcast_limit(message.limit.instance)
-        request = PermitRequest(_read_report(message.limit), message.count)
+        instance = message.limit.instance
+        request = PermitRequest(instance, message.per_s, message.count)
         issued = self._site.issue_permits(request, now_ms())
-        limit = self._site.find_rate_limit(message.limit.instance) or request.limit
+        limit = self._site.find_rate_limit(instance) or _read_report(message.limit)
         reply(GatewayPermits(_make_report(limit), issued.count, issued.wait_ms))
 
     def _handle_limits(
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -284,22 +284,23 @@
     def take_own_permits(self, request: PermitRequest, now_ms: float) -> None:
         """Uses this daemon's share of a limited rate, without the granter."""
         with self.lock:
-            found = self.fleet.find(request.limit.instance)
+            found = self.fleet.find(request.instance)
             if found is None:
                 return
             daemons = len(self.scheduler.view.daemons)
-            found.permits.take_own_share(
-                found.rate_limit, daemons, request.count, now_ms
-            )
+            found.permits.take_own_share(request.per_s, daemons, now_ms)
             self._poll(now_ms)
 
     def issue_permits(self, request: PermitRequest, now_ms: float) -> IssuedPermits:
         """Issues permits as granter."""
         with self.lock:
-            found = self.fleet.find(request.limit.instance)
+            found = self.fleet.find(request.instance)
             if found is None:
                 return IssuedPermits(0, MAX_DENIAL_MS)
-            return found.permit_issuer.issue(found.rate_limit, request.count, now_ms)
+            known_per_s = self.scheduler.permit_rate_per_s(found, now_ms)
+            per_s = request.per_s if known_per_s is None else known_per_s
+            per_s = min(per_s, request.per_s)
+            return found.permit_issuer.issue(per_s, request.count, now_ms)
 
     def record_rate_limit(self, limit: RateLimit, now_ms: float) -> bool:
         """Records a rate limit unless it is outdated; returns whether it changed."""
--- a/src/skylarktrail/peer/rate_limit_messages.py
+++ b/src/skylarktrail/peer/rate_limit_messages.py
@@ -43,10 +43,13 @@
 
     Attributes:
         limit: Rate limit of the instance as known to the sender.
+        per_s: Requests per second that the instance accepts; lower than its limit while
+            it is cold.
         count: Number of permits.
     """
 
     limit: RateLimitReport
+    per_s: float
     count: int
 
 
