--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -36,7 +36,7 @@
 from ..daemon.ticker import Tick
 from ..errors import platform as codes
 from ..errors.code import Fault
-from ..peer.messages import GatewayLoad
+from ..peer.gateway_messages import GatewayLoad
 from .clock import now_ms
 from .event_log import EventLog
 from .granter_messages import (
--- a/src/skylarktrail/gateway/granter_messages.py
+++ b/src/skylarktrail/gateway/granter_messages.py
@@ -9,7 +9,7 @@
 from ..core.gateway.lease_calls import CallResult, GrantCall, ReleaseCall
 from ..core.gateway.ranges import OwnedRange
 from ..errors.code import Fault
-from ..peer.messages import GatewayLoad
+from ..peer.gateway_messages import GatewayLoad
 
 
 class LeaseClient(Protocol):
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -11,9 +11,7 @@
 from ..core.gateway.model import InstanceEntry
 from ..core.gateway.ranges import OwnedRange
 from ..errors.code import Fault
-from ..peer.hub import Responder
-from ..peer.links import PeerLinks
-from ..peer.messages import (
+from ..peer.gateway_messages import (
     GatewayListing,
     GatewayLoad,
     GatewayOverload,
@@ -22,9 +20,11 @@
     GatewayRoleOffer,
     GatewayTermEnded,
     GatewayTermEndRequest,
-    Message,
     SharedRecord,
 )
+from ..peer.hub import Responder
+from ..peer.links import PeerLinks
+from ..peer.messages import Message
 from .clock import now_ms
 from .event_log import EventLog
 from .site_state import SiteState
--- a/src/skylarktrail/gateway/overload_broadcaster.py
+++ b/src/skylarktrail/gateway/overload_broadcaster.py
@@ -11,7 +11,7 @@
     find_overloaded,
 )
 from ..core.gateway.shedding import LoadShedder
-from ..peer.messages import GatewayLoad, GatewayOverload, OverloadedInstance
+from ..peer.gateway_messages import GatewayLoad, GatewayOverload, OverloadedInstance
 from .clock import now_ms
 from .site_state import SiteState
 
--- a/src/skylarktrail/gateway/role_transfer.py
+++ b/src/skylarktrail/gateway/role_transfer.py
@@ -4,7 +4,8 @@
 
 from typing import Callable, Sequence
 
-from ..peer.messages import GatewayRoleOffer, Message
+from ..peer.gateway_messages import GatewayRoleOffer
+from ..peer.messages import Message
 from .event_log import EventLog
 from .site_state import SiteState
 
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -18,7 +18,7 @@
 from ..daemon.ticker import Ticker
 from ..errors import caller as codes
 from ..errors.code import Fault
-from ..peer.messages import GatewayLoad, GatewayRecords
+from ..peer.gateway_messages import GatewayLoad, GatewayRecords
 from .adapters import ADAPTERS
 from .clock import now_ms
 from .connection_pool import ConnectionPool
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -21,7 +21,7 @@
 from ..core.gateway.routes import RouteTable, Splitter
 from ..core.gateway.scheduler import Scheduler, SchedulerView, Ticket
 from ..core.gateway.shared_state import SharedState
-from ..peer.messages import (
+from ..peer.gateway_messages import (
     GatewayLoad,
     InFlightCount,
     KeyRequestCount,
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -15,7 +15,7 @@
 )
 from ..errors import platform as codes
 from ..errors.code import Fault
-from ..peer.messages import GatewayRecords
+from ..peer.gateway_messages import GatewayRecords
 from .clock import now_ms
 from .connection_pool import ConnectionPool
 from .event_log import EventLog
--- /dev/null
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -0,0 +1,260 @@
+"""Messages between gateways, in the same registry as those between daemons."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..core.gateway.model import InstanceEntry
+from ..core.gateway.ranges import OwnedRange
+from .messages import message
+
+
+class KeyRequestCount(NamedTuple):
+    """Number of requests for one key hash of a keyed service.
+
+    Attributes:
+        service: Name of the service.
+        key_hash: Hash of the key.
+        count: Number of requests.
+    """
+
+    service: str
+    key_hash: int
+    count: int
+
+
+class ResponseSample(NamedTuple):
+    """Responses of one instance since the last report.
+
+    Attributes:
+        instance: Identifier of the instance.
+        answers: Number of responses.
+        work_ratio_sum: Sum of the responses' work times, each divided by the mean
+            work time of its route.
+        failures: Number of failed attempts.
+    """
+
+    instance: str
+    answers: int
+    work_ratio_sum: float
+    failures: int
+
+
+class InFlightCount(NamedTuple):
+    """Number of the sender's requests in flight at one instance.
+
+    Attributes:
+        instance: Identifier of the instance.
+        count: Number of requests.
+    """
+
+    instance: str
+    count: int
+
+
+@message("gateway_load")
+class GatewayLoad(NamedTuple):
+    """Load report of a gateway to the granter.
+
+    Attributes:
+        key_counts: Requests by key hash since the last report.
+        response_samples: Responses by instance since the last report.
+        in_flight: Requests in flight by instance.
+        listing: Position of the last `GatewayListing` that the sender applied;
+            negative to request a full one.
+        is_eligible: Whether the sender may become granter.
+    """
+
+    key_counts: tuple[KeyRequestCount, ...]
+    response_samples: tuple[ResponseSample, ...]
+    in_flight: tuple[InFlightCount, ...]
+    listing: int
+    is_eligible: bool = False
+
+
+@message("gateway_owners")
+class GatewayOwners(NamedTuple):
+    """Ranges that changed with a record of owners written by the granter.
+
+    Attributes:
+        service: Name of the service.
+        changed: Ranges that replace the parts of earlier ranges that they overlap.
+        position: Position of the record in the log.
+    """
+
+    service: str
+    changed: tuple[OwnedRange, ...]
+    position: int
+
+
+class SharedRecord(NamedTuple):
+    """A record of a log that all daemons of the site read.
+
+    Attributes:
+        key: Key of the record.
+        value: Value of the record; empty when the key is deleted.
+    """
+
+    key: str
+    value: bytes
+
+
+@message("gateway_records")
+class GatewayRecords(NamedTuple):
+    """Records that the granter read and sends on, so that other daemons need not.
+
+    Attributes:
+        log: `shared` or `operators`.
+        base: Position from which the granter read.
+        position: Position after the last record.
+        records: Records between the two positions.
+    """
+
+    log: str
+    base: int
+    position: int
+    records: tuple[SharedRecord, ...]
+
+
+@message("gateway_term_ask")
+class GatewayTermEndRequest(NamedTuple):
+    """A new granter asks a former one to stop granting.
+
+    Attributes:
+        term: Term of the new granter.
+    """
+
+    term: int
+
+
+@message("gateway_role_offer")
+class GatewayRoleOffer(NamedTuple):
+    """The granter asks another daemon to become granter in its place.
+
+    Attributes:
+        term: Term of the granter.
+    """
+
+    term: int
+
+
+@message("gateway_term_ended")
+class GatewayTermEnded(NamedTuple):
+    """A former granter confirms that it sends no more grants of lower terms.
+
+    Attributes:
+        term: Term of the new granter.
+    """
+
+    term: int
+
+
+@message("gateway_listing")
+class GatewayListing(NamedTuple):
+    """Changes of the instances' entries, or all entries.
+
+    Attributes:
+        base: Position to which the change applies; negative when the message holds
+            all entries.
+        position: Position after the change.
+        shared: Position in the shared records up to which the granter has read.
+        operators: Position in the operators' records up to which the granter has
+            read.
+        entries: New and changed entries.
+        removed_instances: Instances that are no longer listed.
+    """
+
+    base: int
+    position: int
+    shared: int
+    operators: int
+    entries: tuple[InstanceEntry, ...]
+    removed_instances: tuple[str, ...]
+
+
+class OverloadedInstance(NamedTuple):
+    """Load of one instance in a `GatewayOverload`.
+
+    Attributes:
+        instance: Identifier of the instance.
+        in_flight_count: Requests of all daemons in flight at the instance.
+        admitted_part: Part of the requests for the instance's keys that daemons
+            admit, from 0 to 1.
+    """
+
+    instance: str
+    in_flight_count: int
+    admitted_part: float
+
+
+@message("gateway_busy")
+class GatewayOverload(NamedTuple):
+    """Overloaded instances, broadcast by the granter; all others have a free slot.
+
+    Attributes:
+        instances: Instances whose slots are all taken, and instances whose keys
+            daemons admit only in part since a recent overload.
+    """
+
+    instances: tuple[OverloadedInstance, ...]
+
+
+class RateLimitReport(NamedTuple):
+    """Rate limit that one incarnation of an instance named.
+
+    Attributes:
+        instance: Identifier of the instance.
+        start_ms: Wall-clock time of the start of its incarnation.
+        is_limited: Whether it named a rate.
+        per_s: Requests per second that it accepts from all daemons together; 0 if it
+            named no rate.
+        age_ms: Time since its answer was received.
+    """
+
+    instance: str
+    start_ms: int
+    is_limited: bool
+    per_s: float
+    age_ms: float
+
+
+@message("gateway_rate_limits")
+class GatewayRateLimits(NamedTuple):
+    """Rate limits that the sender knows.
+
+    Attributes:
+        limits: The limits, in any order.
+    """
+
+    limits: tuple[RateLimitReport, ...]
+
+
+@message("gateway_permit_ask")
+class GatewayPermitRequest(NamedTuple):
+    """A daemon asks the granter for permits, each for one request to an instance.
+
+    Attributes:
+        limit: Rate limit of the instance as known to the sender.
+        per_s: Requests per second that the instance accepts; lower than its limit while
+            it is cold.
+        count: Number of permits.
+    """
+
+    limit: RateLimitReport
+    per_s: float
+    count: int
+
+
+@message("gateway_permits")
+class GatewayPermits(NamedTuple):
+    """Reply to a `GatewayPermitRequest`.
+
+    Attributes:
+        limit: Rate limit of the instance as known to the granter.
+        count: Number of permits issued.
+        wait_ms: Time until the next permit can be issued; 0 if all were issued.
+    """
+
+    limit: RateLimitReport
+    count: int
+    wait_ms: float
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -25,7 +25,7 @@
     SharedWatcher,
     StoreCallMonitor,
 )
-from skylarktrail.peer.messages import GatewayRecords, SharedRecord
+from skylarktrail.peer.gateway_messages import GatewayRecords, SharedRecord
 
 SILENT = Err(Fault(codes.STORE_SILENT))
 TRIMMED = Err(Fault(codes.STORE_TRIMMED))
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -11,7 +11,7 @@
 from skylarktrail.core.gateway.model import InstanceEntry
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.errors import peer as codes
-from skylarktrail.peer import messages, rate_limit_messages
+from skylarktrail.peer import gateway_messages, messages
 from skylarktrail.peer.codec import MAX_MESSAGE_BYTES, VERSION, decode, encode
 
 SETTINGS = settings(derandomize=True, database=None, deadline=None)
@@ -36,18 +36,18 @@
     messages.Snapshot({"members": {"d1": ["i1", "heredia"]}}),
     messages.AgesRequest(),
     messages.Ages(True, (messages.ReportedAge("carga-1", -1.0),)),
-    messages.GatewayLoad(
-        (messages.KeyRequestCount("catalogo", 65535, 3),),
-        (messages.ResponseSample("i-1", 4, 3.5, 1),),
-        (messages.InFlightCount("i-1", 2),),
+    gateway_messages.GatewayLoad(
+        (gateway_messages.KeyRequestCount("catalogo", 65535, 3),),
+        (gateway_messages.ResponseSample("i-1", 4, 3.5, 1),),
+        (gateway_messages.InFlightCount("i-1", 2),),
         -1,
         True,
     ),
-    messages.GatewayOwners("catalogo", (OwnedRange(0, 99, "i-1", 1 << 41),), 7),
-    messages.GatewayRecords(
-        "shared", 7, 9, (messages.SharedRecord("member/d1", b"x"),)
+    gateway_messages.GatewayOwners("catalogo", (OwnedRange(0, 99, "i-1", 1 << 41),), 7),
+    gateway_messages.GatewayRecords(
+        "shared", 7, 9, (gateway_messages.SharedRecord("member/d1", b"x"),)
     ),
-    messages.GatewayListing(
+    gateway_messages.GatewayListing(
         -1,
         9,
         8,
@@ -55,19 +55,21 @@
         (InstanceEntry("i-1", "s", "10.0.0.1:80", "z", 3, False, 1.5, 1 << 41, 4),),
         ("i-2",),
     ),
-    messages.GatewayOverload((messages.OverloadedInstance("i-1", 9, 0.5),)),
-    rate_limit_messages.GatewayRateLimits(
-        (rate_limit_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5),)
+    gateway_messages.GatewayOverload(
+        (gateway_messages.OverloadedInstance("i-1", 9, 0.5),)
     ),
-    rate_limit_messages.GatewayPermitRequest(
-        rate_limit_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5), 3.3, 2
+    gateway_messages.GatewayRateLimits(
+        (gateway_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5),)
     ),
-    rate_limit_messages.GatewayPermits(
-        rate_limit_messages.RateLimitReport("i-1", 1 << 41, False, 0.0, 1.5), 1, 0.0
+    gateway_messages.GatewayPermitRequest(
+        gateway_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5), 3.3, 2
     ),
-    messages.GatewayTermEndRequest(5),
-    messages.GatewayRoleOffer(5),
-    messages.GatewayTermEnded(5),
+    gateway_messages.GatewayPermits(
+        gateway_messages.RateLimitReport("i-1", 1 << 41, False, 0.0, 1.5), 1, 0.0
+    ),
+    gateway_messages.GatewayTermEndRequest(5),
+    gateway_messages.GatewayRoleOffer(5),
+    gateway_messages.GatewayTermEnded(5),
 ]
 
 
