Give up answers whose head or body never ends

What callers saw: nothing yet; the users' pages say that bytes may come without end.

A response may have 16 MB and eight interim answers, that to a grant 4 KB. Beyond it counts as garbled and the connection is reset.

--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -19,6 +19,10 @@
 CONNECT_TIMEOUT_MS = 400.0
 # Responses to earlier requests that are skipped before the exchange fails.
 MAX_STRAY_RESPONSES = 3
+MAX_INFORMATIONAL_RESPONSES = 8  # Interim responses (1xx) before a final one.
+# A server in trouble may send bytes without end. The daemon keeps whole responses in
+# memory, of which it has 200 MB on a small VM.
+MAX_RESPONSE_BODY_BYTES = 16 << 20
 ZERO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER value: close() sends a reset.
 
 Fields = list[tuple[str, str]]
@@ -239,6 +243,7 @@
         status = 0
         fields: Fields = []
         body = bytearray()
+        informational_count = 0
         is_open = True
         while True:
             event = parser.next_event()
@@ -251,8 +256,14 @@
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 fields = [(n.decode(), v.decode("latin-1")) for n, v in event.headers]
+            elif isinstance(event, h11.InformationalResponse):
+                informational_count += 1
+                if informational_count > MAX_INFORMATIONAL_RESPONSES:
+                    raise h11.RemoteProtocolError("too many interim responses")
             elif isinstance(event, h11.Data):
                 body += event.data
+                if len(body) > MAX_RESPONSE_BODY_BYTES:
+                    raise h11.RemoteProtocolError("the response does not end")
             elif isinstance(event, h11.EndOfMessage):
                 is_complete = parser.their_state is h11.DONE
                 is_clean = is_complete and not parser.trailing_data[0]
--- a/src/skylarktrail/platform/lease_client.py
+++ b/src/skylarktrail/platform/lease_client.py
@@ -14,6 +14,8 @@
 # An instance answers a release when its running work on the keys has ended.
 RELEASE_TIMEOUT_MS = 3000.0
 MAX_POOLS = 256
+# Responses to these calls have short bodies. A server in trouble may never end one.
+MAX_BODY_BYTES = 4096
 DONE, FENCED, REFUSED = "done", "fenced", "refused"
 UNSENT, SILENT = "unsent", "silent"
 # 400, 404 and 421 show that another process has taken over the instance's address.
@@ -59,7 +61,9 @@
                 headers={"Content-Type": "application/json", TARGET: call.instance},
                 retries=False,
                 timeout=timeout,
+                preload_content=False,
             )
+            is_whole = _read_body(response)
         except urllib3.exceptions.NewConnectionError as error:
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             return CallResult(call.call_id, REFUSED if is_refused else UNSENT)
@@ -67,5 +71,14 @@
             return CallResult(call.call_id, UNSENT)
         except (urllib3.exceptions.HTTPError, OSError):
             return CallResult(call.call_id, SILENT)
-        outcome = OUTCOMES.get(response.status, SILENT)
+        outcome = OUTCOMES.get(response.status, SILENT) if is_whole else SILENT
         return CallResult(call.call_id, outcome, response.headers.get("Handover", ""))
+
+
+def _read_body(response: urllib3.BaseHTTPResponse) -> bool:
+    """Reads a body and keeps its connection; returns False for one that is too long."""
+    if len(response.read(MAX_BODY_BYTES + 1)) > MAX_BODY_BYTES:
+        response.close()
+        return False
+    response.release_conn()
+    return True
