--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -70,6 +70,7 @@
         instances: Number of instances of each service.
         route: Returns the address at which a source reaches a target, from the names
             of both and the target's own address. Lets a caller insert a proxy.
+        gateway_module: Module that runs a gateway.
     """
 
     def __init__(
@@ -78,8 +79,10 @@
         gateways: int = 3,
         instances: int = 4,
         route: Callable[[str, str, str], str] = lambda source, target, address: address,
+        gateway_module: str = "skylarktrail",
     ) -> None:
         self._output_dir = directory
+        self._gateway_module = gateway_module
         self._ports = Ports()
         self._route = route
         self.random = random.Random(1)
@@ -286,7 +289,7 @@
         path = self._output_dir / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.gateways[name] = self._make_process(
-            name, "skylarktrail", ["--settings", str(path)]
+            name, self._gateway_module, ["--settings", str(path)]
         )
 
     def _make_process(self, name: str, module: str, arguments: list[str]) -> Process:
