Detect that a daemon is cut off from all instances, and refuse at once

What callers saw: a daemon that had lost its links to the instances tried one after the other, each until its timeout, and refused or failed after a second or more.

Cause: each instance was judged by itself; nothing concluded that the fault is on this side.

A daemon tells the others, which leave it out when they divide the requests in flight at an instance.

--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -233,6 +233,11 @@
         self._suspension_count += 1
         self._suspended_until_ms = now_ms + suspension_ms
 
+    def end_suspension(self) -> None:
+        """Ends a suspension that was due to this daemon's links."""
+        self._suspension_count = 0
+        self._suspended_until_ms = -math.inf
+
     def occupancy(self, now_ms: float) -> float:
         """Estimates the number of requests of all daemons at the instance."""
         age_ms = now_ms - self._others_updated_ms
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -127,6 +127,8 @@
         daemons: Names of all recorded daemons.
         own_daemon: Name of this daemon.
         own_zone: Its availability zone.
+        is_cut: Whether this daemon can open no connections to instances.
+        cut_daemon_count: Number of other daemons that cannot.
     """
 
     find_owner: Callable[[str, int], str]
@@ -136,6 +138,8 @@
     daemons: frozenset[str]
     own_daemon: str
     own_zone: str
+    is_cut: bool = False
+    cut_daemon_count: int = 0
 
 
 class Scheduler:
@@ -333,9 +337,18 @@
     def _decide_without_instance(self, ticket: Ticket, now_ms: float) -> None:
         """Refuses a ticket without a usable instance.
 
-        Requests for a moving key range wait, as it gets its next owner soon.
+        Requests for a moving key range wait, as it gets its next owner soon. If this
+        daemon cannot reach an instance that others may reach, the reason says so.
         """
         key_hash = ticket.key_hash
+        is_keyed = key_hash is not None
+        candidates = self._find_candidates(ticket)
+        if self.view.is_cut and any(
+            not self.is_out_of_service(i, is_keyed, now_ms) for i in candidates
+        ):
+            ticket.refusal_reason = "cut_off"
+            ticket.backlog_ms = 0.0
+            return
         if key_hash is not None and self.view.is_moving(ticket.service, key_hash):
             if now_ms < ticket.submitted_ms + MAX_MOVE_WAIT_MS:
                 return
@@ -380,12 +393,7 @@
 
     def _usable_instances(self, ticket: Ticket, now_ms: float) -> Iterable[Instance]:
         """Returns the instances on which the ticket may be placed."""
-        if ticket.key_hash is not None:
-            name = self.view.find_owner(ticket.service, ticket.key_hash)
-            found = self.fleet.find(name) if name else None
-            candidates = [found] if found else []
-        else:
-            candidates = self.fleet.find_by_service(ticket.service)
+        candidates = self._find_candidates(ticket)
         is_keyed = ticket.key_hash is not None
         usable = [i for i in candidates if self._accepts_requests(i, is_keyed, now_ms)]
         if ticket.key_hash is None and ticket.avoided_instances:
@@ -395,12 +403,23 @@
             return others or usable
         return usable
 
+    def _find_candidates(self, ticket: Ticket) -> list[Instance]:
+        """Returns the owner of the ticket's key, or all instances of its service."""
+        if ticket.key_hash is None:
+            return self.fleet.find_by_service(ticket.service)
+        name = self.view.find_owner(ticket.service, ticket.key_hash)
+        found = self.fleet.find(name) if name else None
+        return [found] if found else []
+
     def _accepts_requests(
         self, instance: Instance, is_keyed: bool, now_ms: float
     ) -> bool:
         if self.is_out_of_service(instance, is_keyed, now_ms):
             return False
-        if instance.is_suspended(now_ms):
+        if self.view.is_cut:
+            if not self.view.has_idle_connection(instance.entry.instance):
+                return False
+        elif instance.is_suspended(now_ms):
             return False
         if self._uses_cold_bucket(instance, now_ms):
             return self._cold_bucket(instance, now_ms).has_token(now_ms)
@@ -443,7 +462,8 @@
         Requests of lower priority may only use a part of the queue, but all slots.
         """
         slots = max(1, instance.entry.slots)
-        own_limit = max(1.0, SITE_IN_FLIGHT_COUNT / max(1, len(self.view.daemons)))
+        sending_count = len(self.view.daemons) - self.view.cut_daemon_count
+        own_limit = max(1.0, SITE_IN_FLIGHT_COUNT / max(1, sending_count))
         if instance.in_flight >= own_limit:
             return False
         queue = QUEUE_LENGTH_RATIO / (1 + QUEUE_PRIORITY_RATIO * max(0, priority))
--- a/src/skylarktrail/errors/upstream.py
+++ b/src/skylarktrail/errors/upstream.py
@@ -97,3 +97,10 @@
     "Try again after the time given.",
     status=503,
 )
+DAEMON_CUT_OFF = declare(
+    5014,
+    "DAEMON_CUT_OFF",
+    "This daemon reaches no instance.",
+    "Try again after the time given, through another daemon.",
+    status=503,
+)
--- a/src/skylarktrail/gateway/connection_pool.py
+++ b/src/skylarktrail/gateway/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from typing import Callable
 
 from result import Ok, Result
 
@@ -26,6 +27,7 @@
 
     Attributes:
         opened_count: Number of connections opened so far.
+        on_connect: Called with an instance and whether a connection to it was opened.
     """
 
     def __init__(self, id_field: str) -> None:
@@ -33,6 +35,7 @@
         self._idle: dict[str, list[Connection]] = {}
         self._lock = threading.Lock()
         self.opened_count = 0
+        self.on_connect: Callable[[str, bool], None] = lambda instance, is_open: None
 
     def acquire(
         self, instance: str, address: str, timeout_ms: float, must_run_once: bool
@@ -54,8 +57,17 @@
         connection = Connection(address, self._id_field)
         open_result = connection.open(timeout_ms)
         self.opened_count += 1
+        self.on_connect(instance, open_result.is_ok())
         return open_result.map(lambda _: connection)
 
+    def can_connect(self, address: str, timeout_ms: float) -> bool:
+        """Returns whether a connection to `host:port` can be opened, and closes it."""
+        connection = Connection(address, self._id_field)
+        self.opened_count += 1
+        is_open = connection.open(timeout_ms).is_ok()
+        connection.close()
+        return is_open
+
     def release_connection(
         self, instance: str, connection: Connection, response: RawResponse
     ) -> None:
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -31,6 +31,7 @@
 from .job import Attempt, Job
 from .metrics import GatewayMetrics
 from .rate_limiter import RateLimiter
+from .reach_monitor import ReachMonitor
 from .site_state import SiteState
 
 QUEUE_POLL_MS = 20.0  # Longest time between two scheduling decisions for a request.
@@ -82,6 +83,7 @@
         site: State of the site.
         header_codec: Codec of the platform's header fields.
         connections: Pool of connections to instances.
+        reach_monitor: Decides whether this daemon reaches the instances.
         rate_limiter: Keeps the requests to an instance within the rate that it names.
         disconnect_monitor: Aborts requests whose callers disconnect.
         log: Receives a line for each request.
@@ -97,6 +99,7 @@
         site: SiteState,
         header_codec: HeaderCodec,
         connections: ConnectionPool,
+        reach_monitor: ReachMonitor,
         rate_limiter: RateLimiter,
         disconnect_monitor: DisconnectMonitor,
         log: EventLog,
@@ -105,6 +108,7 @@
         self._site = site
         self._header_codec = header_codec
         self._connections = connections
+        self._reach_monitor = reach_monitor
         self._rate_limiter = rate_limiter
         self._disconnect_monitor = disconnect_monitor
         self._log = log
@@ -275,6 +279,7 @@
         self, instance: str, connection: Connection, result: Result[RawResponse, Fault]
     ) -> None:
         if result.is_ok():
+            self._reach_monitor.record_response()
             self._connections.release_connection(instance, connection, result.unwrap())
         else:
             connection.close(is_reset=True)
@@ -429,6 +434,8 @@
 def _refusal_code(job: Job, ticket: Ticket) -> Code:
     if ticket.refusal_reason == "rate_limited":
         return codes.INSTANCE_LIMITED
+    if ticket.refusal_reason == "cut_off":
+        return codes.DAEMON_CUT_OFF
     if ticket.refusal_reason in ("overload", "shed", "timeout", "left"):
         return codes.WAIT_TOO_LONG
     if job.attempts and not job.attempts[-1].was_sent:
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -37,6 +37,7 @@
 from .metrics import GatewayMetrics
 from .overload_broadcaster import OverloadBroadcaster
 from .rate_limiter import RateLimiter
+from .reach_monitor import ReachMonitor
 from .role_transfer import RoleTransfer
 from .router import GatewayRouter
 from .site_state import SiteState
@@ -106,10 +107,18 @@
             self._on_term_end_request,
         )
         self._rate_limiter = RateLimiter(self._site, self._messenger, self._log)
+        self._reach_monitor = ReachMonitor(
+            self._site,
+            self._connections,
+            self._messenger,
+            self._log,
+            self._on_cut,
+        )
         self._router = GatewayRouter(
             self._site,
             header_codec,
             self._connections,
+            self._reach_monitor,
             self._rate_limiter,
             self._disconnect_monitor,
             self._log,
@@ -267,6 +276,7 @@
             "load-report": LoadReporter(self._messenger, site).run_once,
             "load-teller": self._overload_broadcaster.run_once,
             "rate-limits": self._rate_limiter.run_once,
+            "reachability": self._reach_monitor.run_once,
         }
         self._workers = [Worker(name, task, log) for name, task in tasks.items()]
         for worker in self._workers:
@@ -297,6 +307,9 @@
         self._shared.record_granter_position(shared)
         self._operators.record_granter_position(operators)
 
+    def _on_cut(self) -> None:
+        """Does nothing yet."""
+
     def _on_role_offer(self, term: int) -> None:
         if not self._is_draining:
             self._granter.tell(RoleOfferReceived(term, now_ms()))
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -72,6 +72,7 @@
         shared: Records that the daemons share.
         zones_out: When each evacuated zone was evacuated, in milliseconds.
         route_table: Routes of the configuration in force; None before the first.
+        is_cut: Whether this daemon can open no connections to instances.
         granter_listing_position: Position of the last listing received from the
             granter; negative if there is none or a change was missed.
     """
@@ -102,6 +103,8 @@
         self._listing_read_ms = 0.0
         self._key_counts: dict[tuple[str, int], int] = {}
         self.granter_listing_position = -1
+        self.is_cut = False
+        self._cut_daemons: frozenset[str] = frozenset()
         self.scheduler = Scheduler(self.fleet, self._view(), random.random)
 
     def apply_listing(self, listing: Listing, now_ms: float) -> list[FleetChange]:
@@ -266,6 +269,37 @@
         with self.lock:
             return self._get_retry_budget(service).try_acquire(now_ms)
 
+    def set_cut(self, is_cut: bool, now_ms: float) -> bool:
+        """Records whether this daemon is cut off; returns whether that changed."""
+        with self.lock:
+            if self.is_cut == is_cut:
+                return False
+            self.is_cut = is_cut
+            self.scheduler.view = self._view()
+            for instance in self.fleet.instances.values():
+                instance.end_suspension()
+            self._poll(now_ms)
+            return True
+
+    def set_cut_daemons(self, names: set[str]) -> None:
+        """Records which other daemons are cut off from the instances."""
+        with self.lock:
+            if names != self._cut_daemons:
+                self._cut_daemons = frozenset(names)
+                self.scheduler.view = self._view()
+
+    def addresses(self, instances: Iterable[str]) -> dict[str, str]:
+        """Returns the addresses of those instances that are listed."""
+        with self.lock:
+            found = {name: self.fleet.find(name) for name in instances}
+            return {name: i.entry.address for name, i in found.items() if i}
+
+    def oldest_request_ages_ms(self, now_ms: float) -> list[float]:
+        """Returns the age of the oldest request at each instance that has one."""
+        with self.lock:
+            instances = self.fleet.instances.values()
+            return [i.oldest_request_age_ms(now_ms) for i in instances if i.in_flight]
+
     def pop_permit_requests(self, now_ms: float) -> list[PermitRequest]:
         """Returns the requests for permits that are due, and records them as sent."""
         with self.lock:
@@ -454,4 +488,6 @@
             frozenset(self.shared.members) | {self.daemon},
             self.daemon,
             self.zone,
+            self.is_cut,
+            len(self._cut_daemons & set(self.shared.members)),
         )
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -258,3 +258,14 @@
     limit: RateLimitReport
     count: int
     wait_ms: float
+
+
+@message("gateway_reachability")
+class GatewayReachability(NamedTuple):
+    """A daemon tells whether it is cut off from the instances.
+
+    Attributes:
+        is_cut: Whether it reaches no instance.
+    """
+
+    is_cut: bool
--- a/tests/core/gateway/test_scheduler.py
+++ b/tests/core/gateway/test_scheduler.py
@@ -253,6 +253,26 @@
     assert simulation.request(50).refusal_reason == "no_instance"
 
 
+def test_a_cut_off_daemon_uses_open_connections_only(make_simulation):
+    simulation = make_simulation({"i-1": 1.0, "i-2": 1.0}, owners={7: "i-1", 8: "i-2"})
+    simulation.scheduler.view = simulation.scheduler.view._replace(is_cut=True)
+    simulation.idle.add("i-2")
+    simulation.fleet.find("i-2").suspend(0.0)
+    assert simulation.request(50, key_hash=7).refusal_reason == "cut_off"
+    assert simulation.request(50, key_hash=8).instance.entry.instance == "i-2"
+    assert simulation.request(50).instance.entry.instance == "i-2"
+
+
+def test_a_cut_off_daemon_refuses_requests_that_nobody_can_serve_as_usual(
+    make_simulation, make_entry
+):
+    simulation = make_simulation({"i-1": 1.0})
+    simulation.scheduler.view = simulation.scheduler.view._replace(is_cut=True)
+    assert simulation.request(50, key_hash=9).refusal_reason == "no_instance"
+    simulation.fleet.merge([make_entry("i-1", is_draining=True, sequence=2)], 0.0)
+    assert simulation.request(50).refusal_reason == "no_instance"
+
+
 def test_a_draining_owner_serves_its_keys_while_they_move(make_simulation, make_entry):
     simulation = make_simulation({"i-1": 1.0}, owners={7: "i-1"})
     simulation.fleet.merge([make_entry("i-1", is_draining=True, sequence=2)], 0.0)
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -67,6 +67,7 @@
     gateway_messages.GatewayPermits(
         gateway_messages.RateLimitReport("i-1", 1 << 41, False, 0.0, 1.5), 1, 0.0
     ),
+    gateway_messages.GatewayReachability(True),
     gateway_messages.GatewayTermEndRequest(5),
     gateway_messages.GatewayRoleOffer(5),
     gateway_messages.GatewayTermEnded(5),
