Hand over the granter's role when its daemon is cut off from the instances

Cause: the role was offered only if reads of the store failed or the daemon drained. A granter whose grants reach nobody went on reading and kept it, and the leases ran out.

A daemon that is cut off offers the role, as one that drains does, to daemons that are not, and neither claims nor accepts it while another one reaches the instances. Grants and releases without a response lead to probes, as a granter may have no callers; since instances may leave calls unanswered by themselves, they alone show no cut. A granter that is cut off gives no keys away, as it cannot tell which owners are lost.

--- a/src/skylarktrail/core/gateway/reachability.py
+++ b/src/skylarktrail/core/gateway/reachability.py
@@ -20,6 +20,7 @@
 # Responses come every few tens of milliseconds under load. So probes are sent if none
 # came for this time while requests to several instances are older than that.
 SILENCE_MS = 400.0
+RENEWED_DOUBT_MS = 1000.0  # Shortest time from an open connection to the next doubt.
 PROBE_INTERVAL_MS = 250.0  # A healed cut is noticed within this time.
 
 
@@ -51,6 +52,7 @@
         self._choose = choose
         self.state = LinkState.REACHING
         self._failures_ms: dict[str, float] = {}
+        self._unanswered_ms: dict[str, float] = {}
         self._responded_ms = -math.inf
         self._connected_ms = -math.inf
         self._probed_ms = -math.inf
@@ -64,6 +66,7 @@
         """Records that a new connection to an instance was opened."""
         self._connected_ms = now_ms
         self._failures_ms.clear()
+        self._unanswered_ms.clear()
         self.state = LinkState.REACHING
 
     def record_response(self, now_ms: float) -> None:
@@ -92,6 +95,23 @@
         elif failed_count >= DOUBT_COUNT and not self.is_cut:
             self.state = LinkState.DOUBTFUL
 
+    def record_unanswered_call(self, instance: str, now_ms: float) -> None:
+        """Records that a lease call to an instance got no response.
+
+        Instances may leave calls unanswered by themselves, so this leads to probes
+        only, and not sooner than a while after the last connection that was opened.
+        """
+        self._unanswered_ms = {
+            name: at_ms
+            for name, at_ms in self._unanswered_ms.items()
+            if now_ms - at_ms <= FAILURE_TTL_MS
+        }
+        self._unanswered_ms[instance] = now_ms
+        is_recent = now_ms - self._connected_ms < RENEWED_DOUBT_MS
+        is_doubtful = len(self._unanswered_ms) >= DOUBT_COUNT and not is_recent
+        if self.state is LinkState.REACHING and is_doubtful:
+            self.state = LinkState.DOUBTFUL
+
     def check_silence(self, request_ages_ms: Sequence[float], now_ms: float) -> None:
         """Doubts the links if requests to several instances get no response.
 
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -89,6 +89,7 @@
         is_granter_alive: Returns whether the current granter sends listings.
         request_term_end: Asks a former granter to stop granting and calls back when
             it has stopped.
+        on_unanswered_call: Called with an instance that did not respond to a call.
         superseding_term: Highest term whose granter asked this daemon to stop granting.
     """
 
@@ -106,6 +107,7 @@
         on_owners_written: Callable[[str, Sequence[OwnedRange], int], None],
         is_granter_alive: Callable[[], bool],
         request_term_end: Callable[[str, int, Callable[[], None]], None],
+        on_unanswered_call: Callable[[str], None],
         superseding_term: SupersedingTerm,
     ) -> None:
         super().__init__()
@@ -113,6 +115,7 @@
         self._request_term_end = request_term_end
         self._former_granters = FormerGranters(timings.authority_ms)
         self._fenced_at_ms = -1e18
+        self._on_unanswered_call = on_unanswered_call
         self._superseding_term = superseding_term
         self._on_owners_written = on_owners_written
         self._site = site
@@ -422,7 +425,10 @@
         with self._site.lock:
             instances = list(self._site.fleet.find_by_service(service))
             zones_out = set(self._site.zones_out)
-        staying = {id(i) for i in instances if _may_keep_ranges(i, zones_out, at_ms)}
+            is_cut = self._site.is_cut
+        staying = {
+            id(i) for i in instances if _may_keep_ranges(i, zones_out, is_cut, at_ms)
+        }
         warm = {id(i) for i in instances if id(i) in staying and not i.is_cold(at_ms)}
         kept = warm or staying
         capacities = self._capacities(service, instances, at_ms)
@@ -510,6 +516,8 @@
             self._fenced_at_ms = now_ms()
         elif outcome in ("refused", "unsent"):
             self._site.record_unreachable(completed.call.instance, now_ms())
+        if outcome in ("silent", "refused", "unsent"):
+            self._on_unanswered_call(completed.call.instance)
         if outcome != "done":
             lease_call = completed.call
             self._log.write(
@@ -537,7 +545,13 @@
             self._speeds.add(*sample)
 
 
-def _may_keep_ranges(instance: Instance, zones_out: set[str], at_ms: float) -> bool:
+def _may_keep_ranges(
+    instance: Instance, zones_out: set[str], is_cut: bool, at_ms: float
+) -> bool:
+    """Returns whether an instance may keep its ranges.
+
+    A granter that is cut off from all instances cannot tell which of them are lost.
+    """
     if instance.entry.is_draining or instance.entry.zone in zones_out:
         return False
-    return not instance.is_unreachable(at_ms)
+    return is_cut or not instance.is_unreachable(at_ms)
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -239,7 +239,8 @@
         granter = self._site.shared.granter.daemon
         if not granter:
             return
-        report = self._site.make_load_report()._replace(is_eligible=self._is_eligible)
+        is_eligible = self._is_eligible and not self._site.is_cut
+        report = self._site.make_load_report()._replace(is_eligible=is_eligible)
         if granter == self._site.daemon:
             self._on_load(granter, report)
         else:
--- a/src/skylarktrail/gateway/overload_broadcaster.py
+++ b/src/skylarktrail/gateway/overload_broadcaster.py
@@ -51,6 +51,8 @@
             self._in_flight_reports.record(daemon, in_flight, now_ms())
             if report.is_eligible:
                 self._eligible_ms[daemon] = now_ms()
+            else:
+                self._eligible_ms.pop(daemon, None)
 
     def eligible_daemons(self) -> list[str]:
         """Returns the daemons that recently reported that they may become granter."""
--- a/src/skylarktrail/gateway/reach_monitor.py
+++ b/src/skylarktrail/gateway/reach_monitor.py
@@ -72,6 +72,11 @@
         with self._lock:
             self._reachability.record_response(now_ms())
 
+    def record_unanswered_call(self, instance: str) -> None:
+        """Records that a grant or release to an instance got no response."""
+        with self._lock:
+            self._reachability.record_unanswered_call(instance, now_ms())
+
     def cut_daemons(self) -> set[str]:
         """Returns the other daemons that reported lately that they are cut off."""
         with self._lock:
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -230,6 +230,7 @@
             self._publish_owners,
             self._messenger.is_granter_alive,
             self._messenger.request_term_end,
+            self._reach_monitor.record_unanswered_call,
             self._superseding_term,
         )
         tell = self._granter.tell
@@ -308,10 +309,12 @@
         self._operators.record_granter_position(operators)
 
     def _on_cut(self) -> None:
-        """Does nothing yet."""
+        """Hands the granter's role over, as grants reach no instance from here."""
+        if self._messenger.is_granter():
+            self._role_transfer.offer_role("cut_off")
 
     def _on_role_offer(self, term: int) -> None:
-        if not self._is_draining:
+        if not self._is_draining and not self._site.is_cut:
             self._granter.tell(RoleOfferReceived(term, now_ms()))
             self._shared.trigger_read()
 
@@ -329,13 +332,18 @@
         It does not while a granter is alive. Lease renewals use part of a processor,
         so small VMs become candidates only if there is no granter for a while.
         """
-        if self._messenger.is_granter_alive():
+        if self._messenger.is_granter_alive() or self._is_cut_alone():
             self._granter_seen_ms = now_ms()
             return False
         if self._settings.processors >= MIN_GRANTER_PROCESSORS:
             return True
         return now_ms() - self._granter_seen_ms > SMALL_VM_WAIT_MS
 
+    def _is_cut_alone(self) -> bool:
+        """Returns whether this daemon is cut off and another one is not."""
+        others = set(self._site.shared.members) - {self._settings.daemon}
+        return self._site.is_cut and bool(others - self._reach_monitor.cut_daemons())
+
     def _make_store(self) -> SiteStore:
         return self._adapter.make_store(self._settings.store.address)
 
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -10,6 +10,7 @@
     CUT_COUNT,
     FAILURE_TTL_MS,
     PROBE_INTERVAL_MS,
+    RENEWED_DOUBT_MS,
     SILENCE_MS,
     LinkState,
     Reachability,
@@ -110,3 +111,19 @@
 def test_a_site_with_two_instances_is_cut_off_if_both_fail(links):
     fail(links, NAMES[:2], 0.0, count=2)
     assert links.is_cut
+
+
+def test_unanswered_calls_lead_to_probes_and_not_to_a_cut(links):
+    for name in NAMES:
+        links.record_unanswered_call(name, 5000.0)
+    assert links.state is LinkState.DOUBTFUL
+
+
+def test_instances_that_leave_calls_unanswered_cause_few_probes(links):
+    probe_count = 0
+    for now_ms in range(0, 10_000, 50):
+        links.record_unanswered_call(NAMES[now_ms // 50 % 12], now_ms)
+        if links.choose_probes(NAMES, now_ms):
+            probe_count += 1
+            links.record_connected(now_ms)
+    assert probe_count <= 10_000 / RENEWED_DOUBT_MS + 1
--- a/tests/gateway/test_granter_actor.py
+++ b/tests/gateway/test_granter_actor.py
@@ -90,6 +90,7 @@
         lambda service, ranges, position: None,
         lambda: False,
         lambda daemon, term, on_ended: None,
+        lambda instance: None,
         SupersedingTerm(),
     )
     yield actor
