Forward requests to another daemon when this one is cut off from the instances

Daemons cut off from all instances served 0 to 3 of about 1,000 first tries, while the store, their callers and the other daemons reached them.

Cause: a daemon had no way to a backend but its own links. Class: a fault of one daemon's links was passed on to its callers although others could serve them.

Mend: a cut-off daemon sends what it cannot place to one that reaches instances, over HTTP, to an address that each daemon records in the store; own zone first, the fewest in flight, at most two daemons, and one that is asked never forwards. What may have run is sent again only if it is idempotent, has an attempt left and the retry budget allows it; a forwarded request carries these counts and adds to no budget or load. Time left, callers that leave, versions and refusals are passed on truly.

The template gives the first internal port to forwarded requests; metrics stay on the ready address.

--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -284,6 +284,7 @@
             "caller_address": self.caller_addresses[name],
             "ready_address": self.ready_addresses[name],
             "peer_address": self._ports.address(),
+            "forward_address": self._ports.address(),
             "store": {"address": self._route(name, "store", self.store_address)},
         }
         path = self._output_dir / f"{name}.json"
--- a/src/skylarktrail/config/gateway_settings.py
+++ b/src/skylarktrail/config/gateway_settings.py
@@ -58,6 +58,8 @@
         peer_address: `host:port` where other daemons connect.
         store: The store of the site.
         bounds: Bounds of the site.
+        forward_address: `host:port` for requests that other daemons forward; empty to
+            accept none.
         metrics_address: `host:port` for metrics alone; empty for none.
         threads: Largest number of requests handled at once.
         processors: Processor time that the process may use, in processors of usual
@@ -74,6 +76,7 @@
     store: StoreSettings
     bounds: SiteBounds = SiteBounds()
     metrics_address: str = ""
+    forward_address: str = ""
     threads: int = 160
     processors: float = 1.0
     descriptors: int = 1024
--- a/src/skylarktrail/core/gateway/shared_state.py
+++ b/src/skylarktrail/core/gateway/shared_state.py
@@ -6,11 +6,13 @@
 
 import cbor2
 
+from .forward_targets import ForwardTarget
 from .ranges import OwnedRange, OwnerTable
 
 GRANTER_KEY = "granter"
 MEMBER_PREFIX = "member/"
 OWNERS_PREFIX = "owners/"
+FORWARD_PREFIX = "forward/"
 
 
 class GranterRecord(NamedTuple):
@@ -58,12 +60,18 @@
     return cbor2.dumps(list(member))
 
 
+def encode_forward_target(target: ForwardTarget) -> bytes:
+    """Encodes where a daemon accepts forwarded requests."""
+    return cbor2.dumps(list(target))
+
+
 class SharedState:
     """State that results from all shared records."""
 
     def __init__(self) -> None:
         self.granter = NO_GRANTER
         self.members: dict[str, Member] = {}
+        self.forward_targets: dict[str, ForwardTarget] = {}
         self.owners: dict[str, OwnerTable] = {}
 
     def apply(self, records: Iterable[tuple[str, bytes]], is_snapshot: bool) -> None:
@@ -80,6 +88,11 @@
             self.members = {
                 k: v for k, v in self.members.items() if MEMBER_PREFIX + k in names
             }
+            self.forward_targets = {
+                k: v
+                for k, v in self.forward_targets.items()
+                if FORWARD_PREFIX + k in names
+            }
         for key, value in records:
             self._apply_one(key, value)
 
@@ -92,6 +105,12 @@
                 self.members[name] = Member(*cbor2.loads(value))
             else:
                 self.members.pop(name, None)
+        elif key.startswith(FORWARD_PREFIX):
+            name = key.removeprefix(FORWARD_PREFIX)
+            if value:
+                self.forward_targets[name] = ForwardTarget(*cbor2.loads(value))
+            else:
+                self.forward_targets.pop(name, None)
         elif key.startswith(OWNERS_PREFIX) and value:
             ranges = [OwnedRange(*item) for item in cbor2.loads(value)]
             self.owners[key.removeprefix(OWNERS_PREFIX)] = OwnerTable(ranges)
--- a/src/skylarktrail/daemon/fields.py
+++ b/src/skylarktrail/daemon/fields.py
@@ -12,6 +12,7 @@
 FENCE = "Skylark-Fence"
 HOME_TERM = "Skylark-Home-Term"
 OUTCOME = "Skylark-Outcome"
+FORWARDED = "Skylark-Forwarded"
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 
@@ -30,7 +31,8 @@
     )
 )
 INTERNAL_REQUEST_FIELDS = frozenset(
-    name.lower() for name in (DEADLINE, REQUEST_ID, FENCE, HOME_TERM, OUTCOME)
+    name.lower()
+    for name in (DEADLINE, REQUEST_ID, FENCE, HOME_TERM, OUTCOME, FORWARDED)
 )
 REWRITTEN_FIELDS = frozenset(("content-length", "host"))
 
--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -64,6 +64,8 @@
         attempts: Attempts so far, in order.
         fallback_response: Response to forward if no later attempt brings a better one.
         refused: Ticket of the refusal; None unless the request was refused.
+        is_forwarded: Whether another daemon forwarded the request.
+        earlier_run_count: Attempts of that daemon that an instance may have run.
     """
 
     def __init__(
@@ -85,6 +87,8 @@
         self.attempts: list[Attempt] = []
         self.fallback_response: Response | None = None
         self.refused: Ticket | None = None
+        self.is_forwarded = False
+        self.earlier_run_count = 0
 
     def refusal_log_fields(self) -> dict[str, object]:
         """Returns the fields of the refusal in the request log."""
@@ -98,4 +102,10 @@
     @property
     def may_have_run(self) -> bool:
         """Returns whether an instance may have run the request in any attempt."""
-        return any(item.may_have_run for item in self.attempts)
+        return self.run_count > 0
+
+    @property
+    def run_count(self) -> int:
+        """Returns the number of attempts that an instance may have run."""
+        own_count = sum(1 for item in self.attempts if item.may_have_run)
+        return self.earlier_run_count + own_count
--- a/src/skylarktrail/gateway/metrics.py
+++ b/src/skylarktrail/gateway/metrics.py
@@ -18,6 +18,12 @@
     "attempts": ("Attempts at instances, by outcome.", ("service", "outcome")),
     "store_calls": ("Calls to the store, by call and outcome.", ("call", "outcome")),
     "lease_calls": ("Grants and releases, by outcome.", ("kind", "outcome")),
+    "forwards": (
+        "Requests forwarded to another daemon, by its zone (same, other; empty if it "
+        "was not served) and outcome.",
+        ("zone", "outcome"),
+    ),
+    "forwarded_bytes": ("Bytes of forwarded bodies and their answers.", ("zone",)),
     "moved_ranges": ("Key ranges given to another owner.", ("service",)),
 }
 
@@ -47,13 +53,13 @@
         gauge = Gauge(f"{METRIC_PREFIX}_{name}", doc, registry=self._registry)
         self._gauges[name] = (gauge, read)
 
-    def count(self, name: str, *labels: str) -> None:
-        """Increments a counter."""
+    def count(self, name: str, *labels: str, amount: int = 1) -> None:
+        """Adds to a counter."""
         with self._lock:
             counts = self._counts[name]
             if labels not in counts and len(counts) >= MAX_SERIES:
                 labels = (OTHER_LABEL,) * len(labels)
-            counts[labels] = counts.get(labels, 0) + 1
+            counts[labels] = counts.get(labels, 0) + amount
 
     def count_refusal(self, service: str, code: Code) -> None:
         """Counts a refused request."""
--- a/src/skylarktrail/gateway/reach_monitor.py
+++ b/src/skylarktrail/gateway/reach_monitor.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import random
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from typing import Callable, Sequence
 
-from ..core.gateway.reachability import CUT_COUNT, Reachability
+from ..core.gateway.reachability import CUT_COUNT, LinkState, Reachability
 from ..peer.gateway_messages import GatewayReachability
 from ..peer.hub import Responder
 from .clock import now_ms
@@ -16,10 +17,11 @@
 from .messenger import Messenger
 from .site_state import SiteState
 
-CHECK_INTERVAL_MS = 50.0
+CHECK_INTERVAL_MS = 100.0
 PROBE_TIMEOUT_MS = 300.0  # Instances accept connections within a few milliseconds.
-# A daemon that is cut off repeats so, for daemons that missed it or have just started.
-REPEAT_INTERVAL_MS = 1000.0
+# A daemon that is cut off says so again, for daemons that missed it or have just
+# started. As granter it offers its role again.
+REPEAT_INTERVAL_MS = 500.0
 REPORT_TTL_MS = 3000.0  # An older report that a daemon is cut off counts no more.
 
 
@@ -31,7 +33,7 @@
         connections: Pool of connections to instances.
         messenger: Sends messages to the other daemons and dispatches those received.
         log: Receives a line for each change.
-        on_cut: Called at regular intervals while this daemon is cut off.
+        on_cut: Called when this daemon is cut off, and regularly while it lasts.
     """
 
     def __init__(
@@ -50,7 +52,7 @@
         self._reachability = Reachability(random.sample)
         self._lock = threading.Lock()
         self._cut_daemons_ms: dict[str, float] = {}
-        self._told_ms = 0.0
+        self._repeated_ms = -math.inf
         self._probes = ThreadPoolExecutor(CUT_COUNT, "probes")
         connections.on_connect = self.record_connect
         messenger.add_handler(GatewayReachability, self._handle_report)
@@ -97,19 +99,24 @@
 
     def run_once(self) -> float:
         """Probes if needed; returns the milliseconds until the next run."""
+        self._site.set_cut_daemons(self.cut_daemons())
         ages_ms = self._site.oldest_request_ages_ms(now_ms())
-        instances = sorted(self._site.fleet.instances)
         with self._lock:
             self._reachability.check_silence(ages_ms, now_ms())
-            names = self._reachability.choose_probes(instances, now_ms())
-        if names:
-            self._probe(names)
+            is_reaching = self._reachability.state is LinkState.REACHING
+        if not is_reaching:
+            self._probe_links()
         if self._reachability.is_cut:
-            self._on_cut()
             self._repeat()
-        self._site.set_cut_daemons(self.cut_daemons())
         return CHECK_INTERVAL_MS
 
+    def _probe_links(self) -> None:
+        instances = self._site.list_instances()
+        with self._lock:
+            names = self._reachability.choose_probes(instances, now_ms())
+        if names:
+            self._probe(names)
+
     def _probe(self, names: Sequence[str]) -> None:
         """Opens a connection to each instance at the same time, and closes it."""
         addresses = self._site.addresses(names)
@@ -132,19 +139,21 @@
         if is_cut and are_silent:
             self._connections.keep_only(set())
         if is_changed:
-            self._told_ms = now_ms()
             self._messenger.broadcast(GatewayReachability(is_cut))
             event = "instances_cut_off" if is_cut else "instances_reached"
             self._log.state(event, are_open_connections_silent=are_silent)
 
     def _repeat(self) -> None:
-        if now_ms() - self._told_ms >= REPEAT_INTERVAL_MS:
-            self._told_ms = now_ms()
-            self._messenger.broadcast(GatewayReachability(True))
-            with self._lock:
-                are_silent = self._reachability.are_open_connections_silent(now_ms())
-            if are_silent:
-                self._connections.keep_only(set())
+        """Tells again that this daemon is cut off, and closes silent connections."""
+        if now_ms() - self._repeated_ms < REPEAT_INTERVAL_MS:
+            return
+        self._repeated_ms = now_ms()
+        self._on_cut()
+        self._messenger.broadcast(GatewayReachability(True))
+        with self._lock:
+            are_silent = self._reachability.are_open_connections_silent(now_ms())
+        if are_silent:
+            self._connections.keep_only(set())
 
     def _handle_report(
         self, daemon: str, message: GatewayReachability, _: Responder
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -28,8 +28,10 @@
     RawResponse,
     ResponseMetadata,
 )
+from .forwarding import ForwardedState, Forwarder, decode_state
 from .job import Attempt, Job
 from .metrics import GatewayMetrics
+from .outgoing import make_outgoing_request
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
 from .site_state import SiteState
@@ -43,8 +45,6 @@
 MISDIRECTED_STATUS = 421
 # These mean "not run", which an instance has to confirm by a header field.
 NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
-BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
-DROPPED_FIELDS = frozenset(("expect",))
 Reply = Response | Problem
 
 
@@ -83,6 +83,7 @@
         site: State of the site.
         header_codec: Codec of the platform's header fields.
         connections: Pool of connections to instances.
+        forwarder: Forwards requests to other daemons.
         reach_monitor: Decides whether this daemon reaches the instances.
         rate_limiter: Keeps the requests to an instance within the rate that it names.
         disconnect_monitor: Aborts requests whose callers disconnect.
@@ -99,6 +100,7 @@
         site: SiteState,
         header_codec: HeaderCodec,
         connections: ConnectionPool,
+        forwarder: Forwarder,
         reach_monitor: ReachMonitor,
         rate_limiter: RateLimiter,
         disconnect_monitor: DisconnectMonitor,
@@ -108,6 +110,7 @@
         self._site = site
         self._header_codec = header_codec
         self._connections = connections
+        self._forwarder = forwarder
         self._reach_monitor = reach_monitor
         self._rate_limiter = rate_limiter
         self._disconnect_monitor = disconnect_monitor
@@ -126,33 +129,58 @@
 
     def handle(self, request: CallerRequest) -> Reply:
         """Returns the instance's complete response or a refusal."""
+        return self._handle(request, None)
+
+    def handle_forwarded(self, request: CallerRequest) -> Reply:
+        """Handles a request that another daemon forwards; it is not forwarded again."""
+        state = decode_state(request.headers.get(fields.FORWARDED.lower(), ""))
+        if state is None:
+            return Problem(caller_codes.REQUEST_MALFORMED, fields.NOT_RUN)
+        return self._handle(request, state)
+
+    def _handle(self, request: CallerRequest, state: ForwardedState | None) -> Reply:
         with self._lock:
             self._open_count += 1
         try:
-            return self._handle(request)
+            return self._route(request, state)
         finally:
             with self._lock:
                 self._open_count -= 1
 
-    def _handle(self, request: CallerRequest) -> Reply:
+    def _route(self, request: CallerRequest, state: ForwardedState | None) -> Reply:
         metadata = self._header_codec.decode_caller(request.headers)
         if self.is_closed:
             problem = _make_refusal(caller_codes.DRAINING, CLOSED_RETRY_MS)
             return self._record_unrouted(request, metadata, problem)
-        if self._site.route_table is None:
+        if not self._is_configured(state):
             problem = _make_refusal(
                 caller_codes.NOT_CONFIGURED, NOT_CONFIGURED_RETRY_MS
             )
             return self._record_unrouted(request, metadata, problem)
+        if state is not None and self._site.is_cut:
+            problem = _make_refusal(codes.DAEMON_CUT_OFF, CLOSED_RETRY_MS)
+            return self._record_unrouted(request, metadata, problem)
         route = self._site.find_route(request.headers.get("host", ""), request.path)
         if route is None:
             problem = Problem(caller_codes.ROUTE_UNKNOWN, fields.NOT_RUN)
             return self._record_unrouted(request, metadata, problem)
-        job = self._make_job(request, metadata, route)
+        if state is None:
+            job = self._make_job(request, metadata, route)
+        else:
+            job = self._make_forwarded_job(request, metadata, route, state)
         reply = self._serve(job)
         self._record_reply(job, reply)
         return reply
 
+    def _is_configured(self, state: ForwardedState | None) -> bool:
+        """Returns whether there is a configuration.
+
+        For a forwarded request it must not be older than that of the other daemon.
+        """
+        table = self._site.route_table
+        oldest_version = state.config_version if state else 0
+        return table is not None and table.config.version >= oldest_version
+
     def _make_job(
         self, request: CallerRequest, metadata: CallerMetadata, route: Route
     ) -> Job:
@@ -170,6 +198,27 @@
             self._site.count_key(service, job.key_hash)
         return job
 
+    def _make_forwarded_job(
+        self,
+        request: CallerRequest,
+        metadata: CallerMetadata,
+        route: Route,
+        state: ForwardedState,
+    ) -> Job:
+        """Makes a job without counting the request again for budgets and loads."""
+        services = [item.service for item in route.weighted_services]
+        is_known = state.service in services
+        service = state.service if is_known else self._site.choose_service(route)
+        job = Job(request, metadata, route, service)
+        if self._site.service(service).is_keyed:
+            job.key_hash = metadata.key_hash
+        job.end_ms = job.start_ms + state.left_ms
+        job.target_end_ms = job.start_ms + state.target_left_ms
+        job.is_return = state.is_return
+        job.is_forwarded = True
+        job.earlier_run_count = state.run_count
+        return job
+
     def _estimate_spent_ms(self, route: Route, metadata: CallerMetadata) -> float:
         """Estimates how long the caller has been trying; 0 for a first attempt."""
         if not metadata.deadline_ms:
@@ -184,7 +233,7 @@
         while True:
             ticket = self._wait_for_instance(job, avoided)
             if ticket.instance is None:
-                return self._make_final_reply(job, ticket)
+                return self._forward(job, ticket) or self._make_final_reply(job, ticket)
             attempt = self._attempt(job, ticket)
             job.attempts.append(attempt)
             self._metrics.count("attempts", job.service, attempt.outcome)
@@ -195,6 +244,18 @@
             if not self._may_retry(job, attempt):
                 return self._make_final_reply(job, ticket)
 
+    def _forward(self, job: Job, ticket: Ticket) -> Reply | None:
+        """Forwards a request for which only another daemon reaches an instance.
+
+        Returns:
+            The reply, or None if the request is not forwarded or none can serve it.
+        """
+        if ticket.refusal_reason != "cut_off" or job.is_forwarded:
+            return None
+        reply = self._forwarder.forward(job, ticket)
+        is_refused = isinstance(reply, Problem)
+        return job.fallback_response or reply if is_refused else reply
+
     def _wait_for_instance(self, job: Job, avoided: set[str]) -> Ticket:
         decided = threading.Event()
         ticket = Ticket(
@@ -250,7 +311,8 @@
         not so for keyed requests, as a key has one owner. A draining daemon lets
         running attempts complete.
         """
-        is_last = len(job.attempts) + 1 >= job.route.max_attempts
+        attempt_count = job.earlier_run_count + len(job.attempts) + 1
+        is_last = attempt_count >= job.route.max_attempts
         must_keep_attempt = job.key_hash is not None or self.is_draining
         if not job.route.is_idempotent or is_last or must_keep_attempt:
             return job.end_ms
@@ -269,12 +331,15 @@
             return acquired
         connection = acquired.unwrap()
         with self._disconnect_monitor.watch(job.request.is_disconnected, connection):
-            result = connection.exchange(
-                self._make_outgoing_request(job, entry), get_end_ms
-            )
+            result = connection.exchange(self._make_request(job, entry), get_end_ms)
         self._release_connection(entry.instance, connection, result)
         return result
 
+    def _make_request(self, job: Job, entry: InstanceEntry) -> OutgoingRequest:
+        codec = self._header_codec
+        added = codec.encode_for_instance(entry, job.end_ms - now_ms())
+        return make_outgoing_request(job, entry.address, codec.REPLACED_FIELDS, added)
+
     def _release_connection(
         self, instance: str, connection: Connection, result: Result[RawResponse, Fault]
     ) -> None:
@@ -284,29 +349,6 @@
         else:
             connection.close(is_reset=True)
 
-    def _make_outgoing_request(self, job: Job, entry: InstanceEntry) -> OutgoingRequest:
-        request = job.request
-        forwarded = [
-            (name, value)
-            for name, value in fields.filter_request_fields(
-                list(request.headers.items())
-            )
-            if name not in self._header_codec.REPLACED_FIELDS
-            and name not in DROPPED_FIELDS
-        ]
-        framing = [("Host", request.headers.get("host", entry.address))]
-        if request.body or request.method not in BODILESS_METHODS:
-            framing.append(("Content-Length", str(len(request.body))))
-        added = self._header_codec.encode_for_instance(entry, job.end_ms - now_ms())
-        target = request.path + ("?" + request.query if request.query else "")
-        return OutgoingRequest(
-            request.method,
-            target,
-            framing + forwarded + added,
-            request.body,
-            job.metadata.request_id,
-        )
-
     def _handle_fault(self, job: Job, ticket: Ticket, fault: Fault) -> Attempt:
         instance = ticket.instance
         assert instance is not None
@@ -368,8 +410,8 @@
         if attempt.outcome == codes.ATTEMPT_CUT.name or job.request.is_disconnected():
             return False
         if attempt.may_have_run:
-            runs = sum(1 for item in job.attempts if item.may_have_run)
-            if not job.route.is_idempotent or runs >= job.route.max_attempts:
+            is_last = job.run_count >= job.route.max_attempts
+            if not job.route.is_idempotent or is_last:
                 return False
         if len(job.attempts) >= MAX_SENDS or now_ms() >= job.end_ms:
             return False
@@ -425,12 +467,28 @@
             took_ms=round(elapsed_ms, 1),
             time_ms=round(job.end_ms - job.start_ms),
             is_return=job.is_return,
+            is_forwarded=job.is_forwarded,
             **job.refusal_log_fields(),
             attempts=[item.log_fields() for item in job.attempts],
             **self._site.versions(now_ms())._asdict(),
         )
 
 
+class ForwardedHandler:
+    """Handles the requests that other daemons forward.
+
+    Args:
+        router: Serves the requests.
+    """
+
+    def __init__(self, router: GatewayRouter) -> None:
+        self._router = router
+
+    def handle(self, request: CallerRequest) -> Reply:
+        """Returns the instance's complete response or a refusal."""
+        return self._router.handle_forwarded(request)
+
+
 def _refusal_code(job: Job, ticket: Ticket) -> Code:
     if ticket.refusal_reason == "rate_limited":
         return codes.INSTANCE_LIMITED
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -12,6 +12,7 @@
 
 from ..config.gateway_settings import GatewaySettings, SiteBounds
 from ..config.settings import LimitSettings
+from ..core.gateway.forward_targets import ForwardTarget
 from ..core.gateway.ranges import OwnedRange, OwnerTable, changed_ranges
 from ..core.gateway.shared_state import Member
 from ..daemon.caller_app import CallerApp, make_caller_server
@@ -24,6 +25,7 @@
 from .connection_pool import ConnectionPool
 from .disconnect_monitor import DisconnectMonitor
 from .event_log import EventLog
+from .forwarding import Forwarder
 from .granter_actor import GranterActor
 from .granter_messages import (
     CandidacyUpdate,
@@ -39,7 +41,7 @@
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
 from .role_transfer import RoleTransfer
-from .router import GatewayRouter
+from .router import ForwardedHandler, GatewayRouter
 from .site_state import SiteState
 from .site_store import SiteStore
 from .watchers import (
@@ -114,10 +116,19 @@
             self._log,
             self._on_cut,
         )
+        forwarder = Forwarder(
+            self._site,
+            self._reach_monitor,
+            self._disconnect_monitor,
+            header_codec.REQUEST_ID.lower(),
+            header_codec.REPLACED_FIELDS,
+            self._metrics,
+        )
         self._router = GatewayRouter(
             self._site,
             header_codec,
             self._connections,
+            forwarder,
             self._reach_monitor,
             self._rate_limiter,
             self._disconnect_monitor,
@@ -134,6 +145,7 @@
             self._log,
         )
         self._app = CallerApp(self._router, self._metrics)
+        self._forward_app = CallerApp(ForwardedHandler(self._router), self._metrics)
         self._is_draining = False
         self._granter_seen_ms = now_ms()
         self._servers: list[BaseWSGIServer] = []
@@ -177,6 +189,7 @@
         self._log.state("draining", open_requests=self._router.open_requests)
         self._is_draining = True
         self._app.closes_connections = True
+        self._forward_app.closes_connections = True
         self._router.is_draining = True
         self._candidacy.withdraw()
         if self._messenger.is_granter():
@@ -211,7 +224,18 @@
         )
         health_app = HealthApp(self.is_ready, self._metrics)
         addresses = [settings.ready_address, settings.metrics_address]
-        self._servers = [caller_server] + [
+        self._servers = [caller_server]
+        if settings.forward_address:
+            self._servers.append(
+                make_caller_server(
+                    self._forward_app,
+                    settings.forward_address,
+                    settings.threads,
+                    limits,
+                    1,
+                )
+            )
+        self._servers += [
             create_server(health_app, listen=item, threads=READY_THREADS, ident=None)
             for item in addresses
             if item
@@ -255,6 +279,7 @@
             self._make_store(),
             site,
             Member(self._process, self._settings.peer_address),
+            self._forward_target(),
             self._make_call_monitor("shared"),
             lambda position, at_ms: tell(SharedRecordsRead(position, at_ms)),
             self._messenger.is_granter,
@@ -285,6 +310,11 @@
         self._ticker = Ticker([self._granter], TICK_MS)
         self._ticker.start()
 
+    def _forward_target(self) -> ForwardTarget | None:
+        """Returns where this daemon accepts forwarded requests, if it does."""
+        address = self._settings.forward_address
+        return ForwardTarget(self._settings.zone, address) if address else None
+
     def _publish_owners(
         self, service: str, ranges: Sequence[OwnedRange], position: int
     ) -> None:
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -10,6 +10,7 @@
 from ..config.gateway_settings import SiteBounds
 from ..core.gateway.budget import RetryBudget
 from ..core.gateway.fleet import Fleet, FleetChange
+from ..core.gateway.forward_targets import ForwardTarget
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
 from ..core.gateway.permits import (
     MAX_DENIAL_MS,
@@ -269,6 +270,13 @@
         with self.lock:
             return self._get_retry_budget(service).try_acquire(now_ms)
 
+    def forward_targets(self) -> dict[str, ForwardTarget]:
+        """Returns the other daemons that accept forwarded requests."""
+        with self.lock:
+            targets = dict(self.shared.forward_targets)
+            targets.pop(self.daemon, None)
+            return targets
+
     def set_cut(self, is_cut: bool, now_ms: float) -> bool:
         """Records whether this daemon is cut off; returns whether that changed."""
         with self.lock:
@@ -288,6 +296,11 @@
                 self._cut_daemons = frozenset(names)
                 self.scheduler.view = self._view()
 
+    def list_instances(self) -> list[str]:
+        """Returns the identifiers of all listed instances."""
+        with self.lock:
+            return list(self.fleet.instances)
+
     def addresses(self, instances: Iterable[str]) -> dict[str, str]:
         """Returns the addresses of those instances that are listed."""
         with self.lock:
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -7,10 +7,13 @@
 
 from result import Result
 
+from ..core.gateway.forward_targets import ForwardTarget
 from ..core.gateway.ranges import OwnedRange
 from ..core.gateway.shared_state import (
+    FORWARD_PREFIX,
     MEMBER_PREFIX,
     Member,
+    encode_forward_target,
     encode_member,
 )
 from ..errors import platform as codes
@@ -321,6 +324,8 @@
 
     Args:
         member: Record of this daemon.
+        forward_target: Where this daemon accepts forwarded requests; None if it does
+            not.
         on_read: Called with the position reached and the time when the read began.
         is_candidate: Returns whether the store chose this daemon as next granter.
         on_store_lost: Called after each failed read of the granter from the
@@ -334,6 +339,7 @@
         store: SiteStore,
         site: SiteState,
         member: Member,
+        forward_target: ForwardTarget | None,
         monitor: StoreCallMonitor,
         on_read: Callable[[int, float], None],
         is_granter: Callable[[], bool],
@@ -344,6 +350,7 @@
         super().__init__(store, site, monitor, messenger, is_granter)
         self._on_store_lost = on_store_lost
         self._member = member
+        self._forward_target = forward_target
         self._on_read = on_read
         self._is_candidate = is_candidate
 
@@ -408,10 +415,16 @@
         return BATCHING_PAUSE_MS if update.records and not is_urgent else 0.0
 
     def _register_member(self) -> None:
-        if self._site.shared.members.get(self._site.daemon) == self._member:
-            return
-        key = MEMBER_PREFIX + self._site.daemon
-        self._monitor.check(self._store.share(key, encode_member(self._member), None))
+        """Writes the records of this daemon that the store does not have yet."""
+        name, shared = self._site.daemon, self._site.shared
+        if shared.members.get(name) != self._member:
+            self._write(MEMBER_PREFIX + name, encode_member(self._member))
+        target = self._forward_target
+        if target is not None and shared.forward_targets.get(name) != target:
+            self._write(FORWARD_PREFIX + name, encode_forward_target(target))
+
+    def _write(self, key: str, value: bytes) -> None:
+        self._monitor.check(self._store.share(key, value, None))
 
 
 class CandidacyRenewer:
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -182,6 +182,7 @@
         store,
         site,
         MEMBER,
+        None,
         StoreCallMonitor("shared", log, GatewayMetrics()),
         lambda position, at_ms: None,
         lambda: role == "granter",
