--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -94,6 +94,7 @@
         )
         self.instances: dict[str, Process] = {}
         self.instance_addresses: dict[str, str] = {}
+        self.advertised_addresses: dict[str, str] = {}
         self._add_instances(instances)
         self.gateways: dict[str, Process] = {}
         self.caller_addresses: dict[str, str] = {}
@@ -122,6 +123,10 @@
     def __exit__(self, *_: object) -> None:
         kill_all([*self.gateways.values(), *self.instances.values(), self.store])
 
+    def settings_path(self, gateway: str) -> Path:
+        """Returns the settings file of a gateway."""
+        return self._output_dir / f"{gateway}.json"
+
     def wait_for(
         self, address: str, path: str, timeout_s: float = START_TIMEOUT_S
     ) -> None:
@@ -262,10 +267,12 @@
                 name = f"{kind.service}-{index + 1}"
                 address = self._ports.address()
                 self.instance_addresses[name] = address
+                advertised = self._route("gateways", name, address)
+                self.advertised_addresses[name] = advertised
                 arguments = [
                     *("--name", name, "--service", kind.service),
                     *("--address", address, "--zone", ZONES[index % len(ZONES)]),
-                    *("--advertise", self._route("gateways", name, address)),
+                    *("--advertise", advertised),
                     *("--store", self._route(name, "store", self.store_address)),
                 ]
                 if kind.is_keyed:
@@ -287,7 +294,7 @@
             "forward_address": self._ports.address(),
             "store": {"address": self._route(name, "store", self.store_address)},
         }
-        path = self._output_dir / f"{name}.json"
+        path = self.settings_path(name)
         path.write_text(json.dumps(settings))
         self.gateways[name] = self._make_process(
             name, self._gateway_module, ["--settings", str(path)]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,12 +18,21 @@
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument(
+        "--cuts", action="store_true", help="cut gateways off from all instances too"
+    )
     arguments = parser.parse_args()
     # Exits through the context managers, which end the processes of the current run.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     status = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
-        run = SoakRun(seed, arguments.seconds, arguments.gateways, arguments.instances)
+        run = SoakRun(
+            seed,
+            arguments.seconds,
+            arguments.gateways,
+            arguments.instances,
+            arguments.cuts,
+        )
         outcome = run.execute()
         print(
             f"seed {seed}: {outcome.served} of {outcome.requests} served, "
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,18 +9,21 @@
 from demo.gateway_site import ZONES, GatewaySite
 from demo.process import Process
 
+from .instance_links import impair_links, restore_links
 from .proxy import UNIMPAIRED, LinkImpairment, Proxies
 
 Undo = Callable[[], None]
 Fault = Callable[[GatewaySite, Proxies, random.Random], Undo]
 FAULTS: dict[str, Fault] = {}
+# Drawn only in runs with cuts, so that the seeds of other runs keep their meaning.
+CUT_FAULTS: dict[str, Fault] = {}
 
 
-def fault(name: str) -> Callable[[Fault], Fault]:
+def fault(name: str, registry: dict[str, Fault] = FAULTS) -> Callable[[Fault], Fault]:
     """Returns a decorator that registers a fault under a name."""
 
     def register(begin: Fault) -> Fault:
-        FAULTS[name] = begin
+        registry[name] = begin
         return begin
 
     return register
@@ -174,3 +177,12 @@
     zone = rng.choice(ZONES)
     site.set_zone_out(zone, True)
     return lambda: site.set_zone_out(zone, False)
+
+
+@fault("gateways_cut_off", CUT_FAULTS)
+def _cut_gateways_off(site: GatewaySite, proxies: Proxies, rng: random.Random) -> Undo:
+    """Cuts one or more gateways, at times all, off from all instances."""
+    count = rng.randrange(1, len(site.gateways) + 1)
+    names = rng.sample(sorted(site.gateways), count)
+    impair_links(site, names, rng.choice(("hang", "reset", "refuse")))
+    return lambda: restore_links(site, names)
--- a/tests/processes/impaired_gateway.py
+++ b/soak/impaired_gateway.py
@@ -13,6 +13,7 @@
 import enum
 import functools
 import json
+import os
 import socket
 import sys
 import time
@@ -21,8 +22,10 @@
 import urllib3.connection
 import urllib3.util.connection
 
+from skylarktrail.__main__ import main  # First, as it sets how SIGHUP is handled.
 from skylarktrail.gateway import exchange
-from skylarktrail.run import main
+
+from .instance_links import SUFFIX
 
 SLICE_S = 0.05
 
@@ -104,5 +107,7 @@
 
 if __name__ == "__main__":
     settings_path = Path(sys.argv[sys.argv.index("--settings") + 1])
-    impair(ImpairedLinks(settings_path.with_suffix(".links")))
-    raise SystemExit(main())
+    impair(ImpairedLinks(settings_path.with_suffix(SUFFIX)))
+    status = main()
+    sys.stdout.flush()
+    os._exit(status)  # Like the daemon, without waiting for its threads.
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,8 @@
 from demo.gateway_site import REQUEST_KINDS, GatewaySite
 
 from .checks import RequestRecord, check_response, find_shared_keys, find_wrong_runs
-from .faults import FAULTS, Undo
+from .faults import CUT_FAULTS, FAULTS, Undo
+from .instance_links import MODULE
 from .proxy import Proxies
 
 CLIENT_COUNT = 6
@@ -48,14 +49,29 @@
         seconds: Time for which faults are injected.
         gateways: Number of gateway daemons.
         instances: Number of instances of each service.
+        has_cuts: Whether gateways may be cut off from all instances.
     """
 
-    def __init__(self, seed: int, seconds: float, gateways: int, instances: int):
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        gateways: int,
+        instances: int,
+        has_cuts: bool = False,
+    ):
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._proxies = Proxies()
         self._directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        self._site = GatewaySite(self._directory, gateways, instances, self._add_proxy)
+        self._site = GatewaySite(
+            self._directory,
+            gateways,
+            instances,
+            self._add_proxy,
+            MODULE if has_cuts else "skylarktrail",
+        )
+        self._fault_by_name = FAULTS | CUT_FAULTS if has_cuts else FAULTS
         self._records: list[RequestRecord] = []
         self._findings: list[str] = []
         self._faults: list[str] = []
@@ -110,9 +126,10 @@
             for undo in expired:
                 undo()
             if len(active) < MAX_CONCURRENT_FAULTS:
-                name = self._rng.choice(sorted(FAULTS))
+                name = self._rng.choice(sorted(self._fault_by_name))
                 self._faults.append(name)
-                undo = FAULTS[name](self._site, self._proxies, self._rng)
+                begin = self._fault_by_name[name]
+                undo = begin(self._site, self._proxies, self._rng)
                 duration_s = self._rng.uniform(0.3, MAX_FAULT_DURATION_S)
                 active.append((time.monotonic() + duration_s, undo))
             time.sleep(self._rng.uniform(0.05, 0.8))
--- a/tests/processes/test_cut_daemons.py
+++ b/tests/processes/test_cut_daemons.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import threading
 import time
 from collections import Counter
@@ -10,6 +9,7 @@
 import pytest
 
 from demo.gateway_site import REQUEST_KINDS, GatewaySite
+from soak.instance_links import MODULE, impair_links, restore_links
 
 STOCK, BOOKING = REQUEST_KINDS
 # From this time on after a cut, callers have to be served again.
@@ -24,21 +24,13 @@
 class CutSite(GatewaySite):
     """A site whose daemons can be cut off from all instances."""
 
-    def __init__(self, directory, **options) -> None:
-        self._directory = directory
-        module = "tests.processes.impaired_gateway"
-        super().__init__(directory, gateway_module=module, **options)
-
     def cut(self, names, mode):
         """Impairs the links of some daemons to all instances."""
-        document = {"mode": mode, "addresses": list(self.instance_addresses.values())}
-        for name in names:
-            (self._directory / f"{name}.links").write_text(json.dumps(document))
+        impair_links(self, names, mode)
 
     def heal(self):
         """Restores all links."""
-        for name in self.gateways:
-            (self._directory / f"{name}.links").unlink(missing_ok=True)
+        restore_links(self, self.gateways)
 
     def offer(self, names, count=REQUEST_COUNT):
         """Sends requests of both kinds to some daemons and returns the responses."""
@@ -69,7 +61,8 @@
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
-    with CutSite(tmp_path_factory.mktemp("gateways"), gateways=4) as site:
+    directory = tmp_path_factory.mktemp("gateways")
+    with CutSite(directory, gateways=4, gateway_module=MODULE) as site:
         wait_until_served(site)
         yield site
 
