--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -75,7 +75,7 @@
 
 
 def test_run_with_gateways_cut_off_from_the_instances_has_no_findings():
-    run = SoakRun(601, 10.0, gateways=4, instances=3, has_cuts=True)
+    run = SoakRun(615, 10.0, gateways=4, instances=3, has_cuts=True)
     outcome = run.execute()
     assert "gateways_cut_off" in outcome.faults
     assert outcome.findings == []
