Test a store that comes back from an older copy

The stand-in keeps a copy of its records, goes back to it with a new era in each answer, refuses reads beyond its end with 410, and writes the operators' and instances' records again.

--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -152,6 +152,15 @@
             "POST", f"http://{address}/control", {}, json.dumps(values).encode(), 2.0
         )
 
+    def copy_store(self) -> None:
+        """Lets the store keep a copy of its records."""
+        self._send("POST", f"http://{self.store_address}/operator/copy", {}, b"", 2.0)
+
+    def restore_store(self) -> None:
+        """Lets the store go back to its copy; later records of daemons are lost."""
+        address = f"http://{self.store_address}/operator/restore"
+        self._send("POST", address, {}, b"", 2.0)
+
     def publish(self, **changes: Any) -> int:
         """Writes a new configuration to the store and returns its version."""
         self.version += 1
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -4,6 +4,7 @@
 
 import argparse
 import base64
+import copy
 import json
 import threading
 import time
@@ -23,6 +24,7 @@
 THREAD_COUNT = 96
 KEYED_TOPIC_PREFIX = "keyed."
 SERVERS_TOPIC = "keyed.servers"
+OPERATORS_TOPIC = "keyed.op"
 FRAME_LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 GROUP_PARTITION_COUNT = 4
@@ -78,7 +80,7 @@
 
     def read_from(self, offset: int) -> list[bytes] | None:
         """Returns the records starting at an offset; None if some were dropped."""
-        if offset < self.first:
+        if not self.first <= offset <= self.end:
             return None
         return [data for _, data in list(self.records)[offset - self.first :]]
 
@@ -123,6 +125,9 @@
         mode: `up`; `silent` delays responses until the mode changes; `busy` refuses.
         delay_ms: Delay of each response.
         lost_share: Share of the writes whose response is truncated.
+
+    `POST /operator/copy` keeps a copy of all records, and `POST /operator/restore` goes
+    back to it. What operators and instances wrote is then written again.
     """
 
     def __init__(self, keep_ms: float, key_ttl_ms: float) -> None:
@@ -135,6 +140,8 @@
         self._logs: dict[str, PartitionLog] = {}
         self._groups: dict[str, ConsumerGroup] = {}
         self._changed = threading.Condition()
+        self._era = 1
+        self._copy: dict[str, PartitionLog] = {}
         self._call_count = 0
         self._loss_accumulator = 0.0
         route = self.application.route
@@ -144,6 +151,8 @@
         route("POST", "/api/log-join")(self._with_controls(self._handle_join))
         route("POST", "/api/log-leave")(self._with_controls(self._handle_leave))
         route("POST", "/operator/put")(self._handle_operator_put)
+        route("POST", "/operator/copy")(self._handle_copy)
+        route("POST", "/operator/restore")(self._handle_restore)
         route("GET", "/calls")(lambda _: json_response({"calls": self._call_count}))
 
     def _with_controls(self, handler):
@@ -156,6 +165,8 @@
                 return json_response({}, 503)
             time.sleep(self.controls["delay_ms"] / 1000)
             response = handler(request)
+            era = (("Store-Era", str(self._era)),)
+            response = response._replace(headers=response.headers + era)
             return self._truncate_some_writes(request, response)
 
         return handle
@@ -202,6 +213,22 @@
             self._changed.notify_all()
         return json_response({})
 
+    def _handle_copy(self, _: Request) -> Response:
+        with self._changed:
+            self._copy = copy.deepcopy(self._logs)
+        return json_response({})
+
+    def _handle_restore(self, _: Request) -> Response:
+        with self._changed:
+            lost, self._logs = self._logs, copy.deepcopy(self._copy)
+            self._era += 1
+            for topic in (OPERATORS_TOPIC, SERVERS_TOPIC):
+                log = self._get_log(topic)
+                for key, (value, _, _) in lost[topic].newest_by_key.items():
+                    log.append(bytes([len(key.encode())]) + key.encode() + value)
+            self._changed.notify_all()
+        return json_response({"era": self._era})
+
     def _handle_read(self, request: Request) -> Response:
         query = request.parameters()
         offset = int(query["from"])
