--- a/benchmarks/capacity_log.py
+++ b/benchmarks/capacity_log.py
@@ -45,8 +45,8 @@
 
 def _update_after_assign(directory: OwnerDirectory, state: State) -> None:
     group = f"{SERVICE}/0"
-    tenure = state.tenures[group]
-    state.tenures[group] = tenure._replace(seq=tenure.seq + 1)
+    granter_term = state.granter_terms[group]
+    state.granter_terms[group] = granter_term._replace(seq=granter_term.seq + 1)
     directory.update(state)
 
 
@@ -93,20 +93,20 @@
 def _make_assign_records(state: State, count: int) -> list[tuple[int, Envelope]]:
     """Returns offsets and records that each assign one slice of the first group."""
     start = next(iter(state.tables[SERVICE])).start
-    tenure = state.tenures[f"{SERVICE}/0"]
-    first_seq = state.members[tenure.granter].last_seq
+    granter_term = state.granter_terms[f"{SERVICE}/0"]
+    first_seq = state.members[granter_term.granter].last_seq
     first_offset = state.next_offset
     return [
         (
             first_offset + index,
             Envelope(
-                tenure.granter,
+                granter_term.granter,
                 INCARNATION,
                 first_seq + 1 + index,
                 Assign(
                     f"{SERVICE}/0",
-                    tenure.term,
-                    tenure.seq + 1 + index,
+                    granter_term.term,
+                    granter_term.seq + 1 + index,
                     (Placement(start, "server-1"),),
                 ),
             ),
@@ -139,16 +139,18 @@
     return min(_handle_read_once_us(state) for _ in range(REPEATS))
 
 
-def _record_tenures_us(state: State) -> float:
-    terms = {group: tenure.term for group, tenure in state.tenures.items()}
+def _record_terms_us(state: State) -> float:
+    terms = {
+        group: granter_term.term for group, granter_term in state.granter_terms.items()
+    }
     controller = SimpleNamespace(_state=state, _recorded_terms=terms, _changes=None)
     call_count = 200
 
-    def record_tenures() -> None:
+    def record_terms() -> None:
         for _ in range(call_count):
-            Controller._record_tenures(controller)
+            Controller._record_terms(controller)
 
-    return cpu_us(record_tenures, call_count)
+    return cpu_us(record_terms, call_count)
 
 
 @section("records")
@@ -162,7 +164,7 @@
         values = {
             "State.apply of one Assign, time": _apply_us(state),
             "LogFollower.handle_read, each record, time": _handle_read_us(state),
-            "Controller._record_tenures, each event, time": _record_tenures_us(state),
+            "Controller._record_terms, each event, time": _record_terms_us(state),
             "decode of one Assign, time": cpu_us(
                 lambda: [decode(data) for _ in range(RECORD_COUNT)], RECORD_COUNT
             ),
--- a/benchmarks/capacity_site.py
+++ b/benchmarks/capacity_site.py
@@ -111,7 +111,7 @@
         starts.setdefault(current.group, []).append(current.start)
     for group, slice_starts in starts.items():
         candidates = rank_candidates(group, servers)[:MAX_SERVERS_PER_GROUP]
-        granter = log.state.tenures[group].granter
+        granter = log.state.granter_terms[group].granter
         placements = tuple(
             Placement(start, candidates[index % len(candidates)])
             for index, start in enumerate(slice_starts)
--- a/benchmarks/capacity_target.py
+++ b/benchmarks/capacity_target.py
@@ -165,8 +165,8 @@
     role = "peer links"
     heartbeats_per_s = (DAEMON_COUNT - 1) * 1000 / HEARTBEAT_MS
     wire_bytes = 2 * heartbeats_per_s * value_at("heartbeat on the wire")
-    tenures_us = value_at("Controller._record_tenures, each event, time", DAEMON_COUNT)
-    handle_us = heartbeats_per_s * (tenures_us + value_at("tell to an actor, time"))
+    terms_us = value_at("Controller._record_terms, each event, time", DAEMON_COUNT)
+    handle_us = heartbeats_per_s * (terms_us + value_at("tell to an actor, time"))
     ticks_per_s = 1000 / TICK_MS
     alive_us = ticks_per_s * value_at(
         "Peering._report_alive, each tick, time", DAEMON_COUNT
--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -276,7 +276,7 @@
 
 def measure(site: Site, file: dict[str, Any], name: str, runs: int) -> FailureSummary:
     """Injects one kind of failure a number of times into a running site."""
-    # The homes of idempotency keys reject keys generated before their tenures began.
+    # The homes of idempotency keys reject keys generated before their terms began.
     time.sleep(SETTLE_S)
     probe = LoadProbe(site, file, seed=1)
     time.sleep(SETTLE_S)
--- a/benchmarks/home_table.py
+++ b/benchmarks/home_table.py
@@ -12,13 +12,13 @@
     Attempt,
     IdempotencyTable,
     TableLimits,
-    TenureView,
+    TermView,
 )
 from skylarktrail.core.idempotency.verdicts import Answered
 
 KEY_COUNTS = (1_000, 10_000, 100_000)
 START_WALL_MS = 1_700_000_000_000
-TENURE = TenureView(True, START_WALL_MS - 3_600_000, 1)
+TERM = TermView(True, START_WALL_MS - 3_600_000, 1)
 BODY_BYTES = 400
 HEADERS = (("Content-Type", "application/json"), ("Location", "/orders/1"))
 
@@ -55,7 +55,7 @@
         attempt_id = index.to_bytes(16, "big")
         digest = attempt_id[::-1]
         attempt = Attempt(key, digest, attempt_id, 2000, wall_ms)
-        table.begin(index, wall_ms, attempt, TENURE)
+        table.begin(index, wall_ms, attempt, TERM)
         headers = tuple((str(name), str(value)) for name, value in HEADERS)
         table.finish(key, attempt_id, Answered(201, headers, bytes(BODY_BYTES)))
     return table
--- a/benchmarks/ownership_world.py
+++ b/benchmarks/ownership_world.py
@@ -762,14 +762,16 @@
     def granter_of(self, index: int) -> int:
         """Returns the index of the granter of a group; `index` if it has none."""
         group = GROUP_NAMES[index % len(GROUP_NAMES)]
-        tenure = self.log.state.tenures.get(group)
-        return int(tenure.granter[1:]) if tenure else index
+        granter_term = self.log.state.granter_terms.get(group)
+        return int(granter_term.granter[1:]) if granter_term else index
 
     def heir_of(self, index: int) -> int:
         """Returns the index of the heir of a group; `index` if it has none."""
         group = GROUP_NAMES[index % len(GROUP_NAMES)]
-        tenure = self.log.state.tenures.get(group)
-        return int(tenure.heir[1:]) if tenure and tenure.heir else index
+        granter_term = self.log.state.granter_terms.get(group)
+        return (
+            int(granter_term.heir[1:]) if granter_term and granter_term.heir else index
+        )
 
     def pause(self, index: int, span_ms: float) -> None:
         self.daemon_at(index).paused_until_ms = self.now_ms + span_ms
--- a/demo/client.py
+++ b/demo/client.py
@@ -101,7 +101,7 @@
     ) -> tuple[str, CallerResponse]:
         """Sends a POST request with a new idempotency key until it is answered.
 
-        A home refuses keys older than its tenure; the request is then retried with
+        A home refuses keys older than its term; the request is then retried with
         another key.
 
         Returns:
--- a/src/skylarktrail/core/idempotency/home.py
+++ b/src/skylarktrail/core/idempotency/home.py
@@ -1,10 +1,10 @@
-"""The home of one home group in this process, across its tenures."""
+"""The home of one home group in this process, across its terms."""
 
 from __future__ import annotations
 
 import uuid
 
-from .table import Attempt, IdempotencyTable, TableLimits, TableSnapshot, TenureView
+from .table import Attempt, IdempotencyTable, TableLimits, TableSnapshot, TermView
 from .verdicts import NotHome, Outcome, Verdict
 
 
@@ -12,9 +12,9 @@
     """The idempotency table of one home group and its barrier.
 
     The barrier is the timestamp up to which keys may have run at previous homes; a key
-    up to it that has no entry is refused. The table is kept across tenures: its entries
+    up to it that has no entry is refused. The table is kept across terms: its entries
     stay valid, and keys that another home may have run in between are below the barrier
-    of the new tenure. If this process claims the term directly after its own, no other
+    of the new term. If this process claims the term directly after its own, no other
     home acted in between and the barrier stays. A home that has stopped may hand over a
     snapshot of its table to the home of the next term, which also takes over the
     barrier.
@@ -35,34 +35,36 @@
         self._acting_since_wall_ms = 0
 
     def begin(
-        self, now_ms: int, wall_ms: int, attempt: Attempt, tenure: TenureView
+        self, now_ms: int, wall_ms: int, attempt: Attempt, granter_term: TermView
     ) -> Verdict:
         """Decides whether an attempt may run; see `IdempotencyTable.begin`."""
-        if not self.update_tenure(tenure):
+        if not self.update_term(granter_term):
             return NotHome()
         since_ms = self._acting_since_wall_ms
-        known = tenure._replace(acting_since_wall_ms=since_ms)
+        known = granter_term._replace(acting_since_wall_ms=since_ms)
         return self.table.begin(now_ms, wall_ms, attempt, known)
 
     def finish(self, key: uuid.UUID, attempt_id: bytes, outcome: Outcome) -> bool:
         """Records the outcome of an attempt; see `IdempotencyTable.finish`."""
         return self.table.finish(key, attempt_id, outcome)
 
-    def update_tenure(self, tenure: TenureView) -> bool:
-        """Applies a tenure; returns False if this home may not act in it."""
-        if not tenure.is_confirmed or tenure.term <= self._closed_term:
+    def update_term(self, granter_term: TermView) -> bool:
+        """Applies a term; returns False if this home may not act in it."""
+        if not granter_term.is_confirmed or granter_term.term <= self._closed_term:
             return False
-        if tenure.term != self.term and not self._is_next_term(tenure.term):
-            self._barrier_term = tenure.term
-            self._acting_since_wall_ms = tenure.acting_since_wall_ms
-        self.term = tenure.term
-        self._update_barrier(tenure)
+        if granter_term.term != self.term and not self._is_next_term(granter_term.term):
+            self._barrier_term = granter_term.term
+            self._acting_since_wall_ms = granter_term.acting_since_wall_ms
+        self.term = granter_term.term
+        self._update_barrier(granter_term)
         return True
 
-    def _update_barrier(self, tenure: TenureView) -> None:
+    def _update_barrier(self, granter_term: TermView) -> None:
         """Raises the barrier if the wall clock was stepped in the term that set it."""
-        if tenure.term == self._barrier_term:
-            since_ms = max(self._acting_since_wall_ms, tenure.acting_since_wall_ms)
+        if granter_term.term == self._barrier_term:
+            since_ms = max(
+                self._acting_since_wall_ms, granter_term.acting_since_wall_ms
+            )
             self._acting_since_wall_ms = since_ms
             self.table.raise_barrier(since_ms)
 
--- a/src/skylarktrail/core/idempotency/table.py
+++ b/src/skylarktrail/core/idempotency/table.py
@@ -53,13 +53,13 @@
     max_answer_bytes: int = 64 << 10
 
 
-class TenureView(NamedTuple):
-    """Tenure of a home as known after it received the attempt.
+class TermView(NamedTuple):
+    """Term of a home as known after it received the attempt.
 
     Attributes:
         is_confirmed: Whether the home may act now.
         acting_since_wall_ms: Wall clock time from which no previous home acts.
-        term: Term of the tenure.
+        term: Term of the term.
     """
 
     is_confirmed: bool
@@ -137,7 +137,7 @@
     """Outcomes of the keys of one home group.
 
     A key without an entry may run only if no home can have run it. So its timestamp
-    must be after the start of the tenure and above the watermark of dropped keys.
+    must be after the start of the term and above the watermark of dropped keys.
 
     Attributes:
         size_bytes: Estimated memory of all entries.
@@ -155,7 +155,7 @@
         return len(self._entries)
 
     def begin(
-        self, now_ms: int, wall_ms: int, attempt: Attempt, tenure: TenureView
+        self, now_ms: int, wall_ms: int, attempt: Attempt, granter_term: TermView
     ) -> Verdict:
         """Decides whether an attempt may run.
 
@@ -163,22 +163,22 @@
             now_ms: Monotonic time of the home.
             wall_ms: Wall clock time of the home.
             attempt: The attempt.
-            tenure: State of the tenure, read after the attempt was received.
+            term: State of the term, read after the attempt was received.
         """
         if not is_well_formed(attempt.key):
             return Malformed()
-        if not tenure.is_confirmed or wall_ms < tenure.acting_since_wall_ms:
+        if not granter_term.is_confirmed or wall_ms < granter_term.acting_since_wall_ms:
             return NotHome()
         self._drop_expired(wall_ms)
         entry = self._entries.get(attempt.key.int)
         if entry is not None:
             return self._verdict_for_retry(entry, now_ms, attempt)
-        fault = self._check_new_key(wall_ms, attempt, tenure)
+        fault = self._check_new_key(wall_ms, attempt, granter_term)
         if fault is not None:
             return fault
         ends_ms = now_ms + attempt.time_left_ms + FINISH_MARGIN_MS
         self._put(attempt.key, Entry(attempt.digest, attempt.id, ends_ms, None))
-        return Run(tenure.term)
+        return Run(granter_term.term)
 
     def finish(self, key: uuid.UUID, attempt_id: bytes, outcome: Outcome) -> bool:
         """Records the outcome of an attempt.
@@ -261,12 +261,12 @@
         return ExecutionUnknown()
 
     def _check_new_key(
-        self, wall_ms: int, attempt: Attempt, tenure: TenureView
+        self, wall_ms: int, attempt: Attempt, granter_term: TermView
     ) -> Verdict | None:
         """Returns why a key without an entry may not run, or None if it may."""
         skew_ms = self._limits.skew_ms
         timestamp_ms = key_timestamp_ms(attempt.key)
-        self.raise_barrier(tenure.acting_since_wall_ms)
+        self.raise_barrier(granter_term.acting_since_wall_ms)
         barrier_or_watermark_ms = max(self._barrier_ms, self.watermark_ms)
         if timestamp_ms <= barrier_or_watermark_ms:
             return Forgotten(max(0, barrier_or_watermark_ms - wall_ms))
--- a/src/skylarktrail/core/owner_directory.py
+++ b/src/skylarktrail/core/owner_directory.py
@@ -71,7 +71,10 @@
 
     def update(self, state: State) -> None:
         """Updates the owners from the state; cheap when no table has changed."""
-        self._terms = {group: tenure.term for group, tenure in state.tenures.items()}
+        self._terms = {
+            group: granter_term.term
+            for group, granter_term in state.granter_terms.items()
+        }
         for service in set(self._snapshots) - set(state.tables):
             del self._snapshots[service]
             del self._table_versions[service]
@@ -137,8 +140,8 @@
 def _table_versions(state: State) -> dict[str, tuple]:
     """Returns a value for each service that changes whenever its table changes."""
     versions: dict[str, tuple] = {}
-    for group, tenure in state.tenures.items():
-        part = (group, tenure.term, tenure.seq)
+    for group, granter_term in state.granter_terms.items():
+        part = (group, granter_term.term, granter_term.seq)
         service = service_of(group)
         versions[service] = versions.get(service, ()) + (part,)
     return versions
--- a/src/skylarktrail/core/ownership/agent.py
+++ b/src/skylarktrail/core/ownership/agent.py
@@ -5,7 +5,7 @@
 from typing import Callable, NamedTuple
 
 from ..records import Claim, Record, Resign
-from ..state import HOME_PREFIX, State, Tenure
+from ..state import HOME_PREFIX, GranterTerm, State
 from .claimants import choose_heir
 from .confirmation import Confirmation
 from .granter import Authority, Granter
@@ -80,7 +80,7 @@
 
     Attributes:
         group: Granter group.
-        granter: Assigns the slices in the tenures of this process; always None for a
+        granter: Assigns the slices in the terms of this process; always None for a
             home group, which has no slices.
     """
 
@@ -93,7 +93,7 @@
         context: LocalContext,
         append: Callable[[Record], int],
     ) -> None:
-        """Starts without a role; `update_tenure` has to be called next.
+        """Starts without a role; `update_term` has to be called next.
 
         Args:
             group: Granter group.
@@ -125,9 +125,9 @@
 
     # Roles according to the log
 
-    def tenure(self) -> Tenure | None:
-        """Returns the current tenure of the group; None before the first claim."""
-        return self._state.tenures.get(self.group)
+    def granter_term(self) -> GranterTerm | None:
+        """Returns the current term of the group; None before the first claim."""
+        return self._state.granter_terms.get(self.group)
 
     def is_joined(self) -> bool:
         """Tells whether the join of this process was read back."""
@@ -141,45 +141,47 @@
         process claimed it: the leases were lost with the former agent. The process
         claims the next term instead.
         """
-        tenure = self.tenure()
-        if tenure is None or tenure.resigned or not self.is_joined():
+        granter_term = self.granter_term()
+        if granter_term is None or granter_term.resigned or not self.is_joined():
             return False
-        if tenure.term == self._initial_term:
+        if granter_term.term == self._initial_term:
             return False
-        holder = (tenure.granter, tenure.incarnation)
+        holder = (granter_term.granter, granter_term.incarnation)
         return holder == (self._identity.daemon, self._identity.incarnation)
 
     def is_heir(self) -> bool:
         """Tells whether this daemon is the heir of the current term."""
-        tenure = self.tenure()
-        if tenure is None or self.is_granter() or not self.is_joined():
+        granter_term = self.granter_term()
+        if granter_term is None or self.is_granter() or not self.is_joined():
             return False
-        return tenure.heir == self._identity.daemon
+        return granter_term.heir == self._identity.daemon
 
     def is_vacant(self) -> bool:
         """Tells whether any daemon may claim the group."""
-        tenure = self.tenure()
-        return tenure is None or tenure.resigned
+        granter_term = self.granter_term()
+        return granter_term is None or granter_term.resigned
 
     def may_be_abandoned(self) -> bool:
         """Tells whether granter and heir are both missing from the platform's list."""
-        tenure = self.tenure()
-        if tenure is None or not self._context.is_listed:
+        granter_term = self.granter_term()
+        if granter_term is None or not self._context.is_listed:
             return False
         gone = self._context.gone_ms
-        return tenure.granter in gone and (not tenure.heir or tenure.heir in gone)
+        return granter_term.granter in gone and (
+            not granter_term.heir or granter_term.heir in gone
+        )
 
-    def update_tenure(self, now_ms: float) -> None:
+    def update_term(self, now_ms: float) -> None:
         """Updates the role of this daemon to the current term of the state."""
-        tenure = self.tenure()
-        term = tenure.term if tenure else 0
+        granter_term = self.granter_term()
+        term = granter_term.term if granter_term else 0
         if self._claim is not None and term >= self._claim.term:
             self._claim = None
         if term == self._last_term:
             return
         if self._last_term is None:
             self._initial_term = term
-        continues_tenure = (
+        continues_term = (
             self._acting_since_ms is not None and term - 1 == self._last_term
         )
         first = term == 1 and self._last_term == 0
@@ -191,18 +193,20 @@
         if not self.is_granter():
             self._acting_since_ms = None
             self.granter = None
-        elif not continues_tenure:
-            self._begin_tenure(now_ms, tenure, first)
+        elif not continues_term:
+            self._begin_term(now_ms, granter_term, first)
         elif self.granter is not None:
             self.granter.begin_next_term()
 
-    def _begin_tenure(self, now_ms: float, tenure: Tenure, first: bool) -> None:
+    def _begin_term(
+        self, now_ms: float, granter_term: GranterTerm, first: bool
+    ) -> None:
         """Starts acting as granter, or as home after the former home has stopped."""
-        wait_ms = self._timings.add_drift_margin(tenure.longest_authority_ms)
+        wait_ms = self._timings.add_drift_margin(granter_term.longest_authority_ms)
         self._acting_since_ms = now_ms if first else now_ms + wait_ms
         if not self._is_home:
             self.granter = Granter(self.group, self._timings, self._state, self._append)
-            self.granter.begin_tenure(now_ms, tenure, first)
+            self.granter.begin_term(now_ms, granter_term, first)
 
     # Confirmation
 
@@ -221,7 +225,7 @@
         return self._confirmation.is_valid(now_ms)
 
     def acting_since_ms(self) -> float | None:
-        """Returns from when this daemon may act in its tenure; None without one."""
+        """Returns from when this daemon may act in its term; None without one."""
         return self._acting_since_ms if self.is_granter() else None
 
     def handle_promise(self, event: PromiseGiven) -> None:
@@ -230,10 +234,10 @@
         Promises are ignored while a claim of this daemon is pending: the claim may
         name another heir, which has not promised anything.
         """
-        tenure = self.tenure()
+        granter_term = self.granter_term()
         if not self.is_granter() or self._claim is not None:
             return
-        if (event.daemon, event.term) == (tenure.heir, tenure.term):
+        if (event.daemon, event.term) == (granter_term.heir, granter_term.term):
             self._confirmation.record_promise(event.ask_id)
 
     def handle_promise_ask(self, now_ms: float, event: PromiseAsked) -> list[Command]:
@@ -241,26 +245,34 @@
 
         The heir gives none while its own claim is pending.
         """
-        tenure = self.tenure()
-        if self._claim is not None or not self.is_heir() or tenure.resigned:
+        granter_term = self.granter_term()
+        if self._claim is not None or not self.is_heir() or granter_term.resigned:
             return []
-        if (event.daemon, event.term) != (tenure.granter, tenure.term):
+        if (event.daemon, event.term) != (granter_term.granter, granter_term.term):
             return []
         self._last_promise_ms = now_ms
         return [GivePromise(event.daemon, self.group, event.term, event.ask_id)]
 
     def _ask_promise(self, now_ms: float) -> list[Command]:
         """Returns a request for a promise while reads of the log do not succeed."""
-        tenure = self.tenure()
+        granter_term = self.granter_term()
         age_ms = self._context.log_age_ms(now_ms)
-        if not tenure.heir or self._claim is not None or now_ms < self._next_ask_ms:
+        if (
+            not granter_term.heir
+            or self._claim is not None
+            or now_ms < self._next_ask_ms
+        ):
             return []
         if age_ms is not None and age_ms < self._timings.promise_ms:
             return []
         self._next_ask_ms = now_ms + self._timings.promise_ms
         self._last_ask_id += 1
         self._confirmation.record_ask(self._last_ask_id, now_ms)
-        return [AskPromise(tenure.heir, self.group, tenure.term, self._last_ask_id)]
+        return [
+            AskPromise(
+                granter_term.heir, self.group, granter_term.term, self._last_ask_id
+            )
+        ]
 
     # Claims
 
@@ -272,7 +284,7 @@
             self._resign_token = 0
 
     def is_released(self) -> bool:
-        """Tells whether this daemon has neither a tenure nor a pending claim."""
+        """Tells whether this daemon has neither a term nor a pending claim."""
         return self._claim is None and not self.is_granter()
 
     def release(self, now_ms: float) -> None:
@@ -283,7 +295,9 @@
     def resign(self) -> None:
         """Stops acting and appends the resignation to the log."""
         if not self._resign_token and self._claim is None and self.is_granter():
-            self._resign_token = self._append(Resign(self.group, self.tenure().term))
+            self._resign_token = self._append(
+                Resign(self.group, self.granter_term().term)
+            )
 
     def _is_log_fresh(self, now_ms: float) -> bool:
         age_ms = self._context.log_age_ms(now_ms)
@@ -302,8 +316,8 @@
             now_ms: Monotonic time.
             predecessors_gone: Whether the VMs of granter and heir were removed.
         """
-        tenure = self.tenure()
-        term = tenure.term + 1 if tenure else 1
+        granter_term = self.granter_term()
+        term = granter_term.term + 1 if granter_term else 1
         reachable = self._context.reachable_daemons(self._timings.suspect_ms, now_ms)
         heir = choose_heir(
             self.group,
@@ -331,7 +345,7 @@
             rank: Position of this daemon in the order in which daemons claim a vacant
                 or abandoned group; None when unknown or when it may not claim.
         """
-        self.update_tenure(now_ms)
+        self.update_term(now_ms)
         if self.is_granter():
             return self._step_granter(now_ms)
         if not self._may_claim(now_ms):
@@ -369,18 +383,20 @@
         """
         if not self._may_claim(now_ms):
             return False
-        tenure = self.tenure()
+        granter_term = self.granter_term()
         reachable = self._context.reachable_daemons(self._timings.suspect_ms, now_ms)
         others = reachable.intersection(self._state.members) - {self._identity.daemon}
-        if not others - {tenure.heir}:
+        if not others - {granter_term.heir}:
             return False
-        if not tenure.heir:
+        if not granter_term.heir:
             return True
         if now_ms - self._term_seen_ms < self._timings.heir_silence_ms:
             return False
-        if tenure.heir not in self._state.members:
+        if granter_term.heir not in self._state.members:
             return True
-        silence_ms = self._context.silence_ms(tenure.heir, self._term_seen_ms, now_ms)
+        silence_ms = self._context.silence_ms(
+            granter_term.heir, self._term_seen_ms, now_ms
+        )
         return silence_ms > self._timings.heir_silence_ms
 
     def _is_entitled_to_claim(self, now_ms: float) -> bool:
@@ -388,20 +404,21 @@
 
         These are the heir and a new process of the granter's daemon.
         """
-        tenure = self.tenure()
-        if tenure is None or tenure.resigned:
+        granter_term = self.granter_term()
+        if granter_term is None or granter_term.resigned:
             return False
-        if tenure.granter == self._identity.daemon:
+        if granter_term.granter == self._identity.daemon:
             return True
-        if tenure.heir != self._identity.daemon or not self._have_promises_expired(
-            now_ms
+        if (
+            granter_term.heir != self._identity.daemon
+            or not self._have_promises_expired(now_ms)
         ):
             return False
-        member = self._state.members.get(tenure.granter)
-        if member is None or member.incarnation != tenure.incarnation:
+        member = self._state.members.get(granter_term.granter)
+        if member is None or member.incarnation != granter_term.incarnation:
             return True
         since_ms = self._term_seen_ms
-        silence_ms = self._context.silence_ms(tenure.granter, since_ms, now_ms)
+        silence_ms = self._context.silence_ms(granter_term.granter, since_ms, now_ms)
         return silence_ms > self._timings.suspect_ms
 
     def _have_promises_expired(self, now_ms: float) -> bool:
@@ -414,7 +431,9 @@
         last_ms = self._term_seen_ms
         if self._last_promise_ms is not None:
             last_ms = max(last_ms, self._last_promise_ms)
-        wait_ms = self._timings.add_drift_margin(self.tenure().longest_authority_ms)
+        wait_ms = self._timings.add_drift_margin(
+            self.granter_term().longest_authority_ms
+        )
         return now_ms - last_ms > wait_ms
 
     def _is_turn_to_claim(self, now_ms: float, rank: int | None) -> bool:
@@ -424,10 +443,10 @@
         if self._vacant_since_ms is None:
             self._vacant_since_ms = now_ms
         stagger_ms = self._timings.claim_stagger_ms
-        if self.tenure() is not None:
+        if self.granter_term() is not None:
             stagger_ms = self._timings.resigned_stagger_ms
         wait_ms = rank * stagger_ms
-        if self.tenure() is None and not self._is_roster_complete(now_ms):
+        if self.granter_term() is None and not self._is_roster_complete(now_ms):
             wait_ms += self._timings.roster_ms
         return now_ms - self._vacant_since_ms >= wait_ms
 
@@ -442,10 +461,10 @@
 
     def _is_abandoned(self, now_ms: float, rank: int | None) -> bool:
         """Tells whether granter and heir were gone and silent for long enough."""
-        tenure = self.tenure()
+        granter_term = self.granter_term()
         if rank is None:
             return False
-        for daemon in filter(None, (tenure.granter, tenure.heir)):
+        for daemon in filter(None, (granter_term.granter, granter_term.heir)):
             wait_ms = self._timings.gone_ms + rank * self._timings.claim_stagger_ms
             if now_ms - self._context.gone_ms.get(daemon, now_ms) < wait_ms:
                 return False
@@ -456,15 +475,15 @@
 
     def status(self, now_ms: float) -> GroupStatus:
         """Returns the state of the group for the status page."""
-        tenure = self.tenure()
+        granter_term = self.granter_term()
         role = "granter" if self.is_granter() else "heir" if self.is_heir() else "none"
         granter = self.granter
         return GroupStatus(
             self.group,
-            tenure.term if tenure else 0,
+            granter_term.term if granter_term else 0,
             role,
-            tenure.granter if tenure and not tenure.resigned else "",
-            tenure.heir if tenure else "",
+            granter_term.granter if granter_term and not granter_term.resigned else "",
+            granter_term.heir if granter_term else "",
             self.is_confirmed(now_ms),
             self._claim is not None,
             granter.count_waiting() if granter else 0,
--- a/src/skylarktrail/core/ownership/claimants.py
+++ b/src/skylarktrail/core/ownership/claimants.py
@@ -8,13 +8,13 @@
 from ..state import Member, State
 
 
-def count_tenures(state: State, groups: Iterable[str]) -> dict[str, int]:
+def count_terms(state: State, groups: Iterable[str]) -> dict[str, int]:
     """Returns for how many of the groups each daemon is the granter."""
     counts: dict[str, int] = {}
     for group in groups:
-        tenure = state.tenures.get(group)
-        if tenure and not tenure.resigned:
-            counts[tenure.granter] = counts.get(tenure.granter, 0) + 1
+        granter_term = state.granter_terms.get(group)
+        if granter_term and not granter_term.resigned:
+            counts[granter_term.granter] = counts.get(granter_term.granter, 0) + 1
     return counts
 
 
--- a/src/skylarktrail/core/ownership/granter.py
+++ b/src/skylarktrail/core/ownership/granter.py
@@ -14,7 +14,7 @@
 from ..hashing import rank_candidates
 from ..records import Assign, Merge, Placement, Record, Split
 from ..slices import FENCE_TERM_SHIFT, Slice, SliceTable, make_fence
-from ..state import State, Tenure, service_of
+from ..state import GranterTerm, State, service_of
 from .messages import (
     BroadcastPlacements,
     Command,
@@ -73,7 +73,7 @@
     def __init__(
         self, group: str, timings: Timings, state: State, append: AppendRecord
     ) -> None:
-        """Creates the granter; `begin_tenure` has to be called next.
+        """Creates the granter; `begin_term` has to be called next.
 
         Args:
             group: Granter group.
@@ -92,20 +92,20 @@
         self._plan: list[tuple[int, str]] = []
         self._loads: Mapping[int, float] = {}
 
-    def begin_tenure(self, now_ms: float, tenure: Tenure, first: bool) -> None:
+    def begin_term(self, now_ms: float, granter_term: GranterTerm, first: bool) -> None:
         """Starts without knowledge of the grants of the former granter.
 
         Args:
             now_ms: Time at which the claim was read back, or later.
-            tenure: Tenure of this granter.
+            term: Term of this granter.
             first: Whether no other process can have been granter of the group.
         """
-        wait_ms = tenure.longest_authority_ms + tenure.longest_lease_ms
+        wait_ms = granter_term.longest_authority_ms + granter_term.longest_lease_ms
         self._former_leases_end_ms = (
             now_ms if first else now_ms + self._timings.add_drift_margin(wait_ms)
         )
-        self._first_term = tenure.term
-        self._longest_lease_ms = tenure.longest_lease_ms
+        self._first_term = granter_term.term
+        self._longest_lease_ms = granter_term.longest_lease_ms
         self._leases: dict[str, ServerLease] = {}
         # By first hash of the slice: the server with a lease on it, its assignment
         # that was not read back, the lowest fence of its next grant, the target of its
@@ -192,7 +192,7 @@
         accepted = lease.handle_answer(answer, sent_ms, now_ms)
         if accepted and answer.held is not None and self._awaits_former_leases(now_ms):
             self._adopt_slices(lease, answer.held)
-        if answer.reason == "term" and answer.term > self._tenure().term:
+        if answer.reason == "term" and answer.term > self._granter_term().term:
             return [ReadLog(self._group)]
         return []
 
@@ -209,8 +209,8 @@
         commands += self._send_grants(now_ms)
         return commands
 
-    def _tenure(self) -> Tenure:
-        return self._state.tenures[self._group]
+    def _granter_term(self) -> GranterTerm:
+        return self._state.granter_terms[self._group]
 
     def _awaits_former_leases(self, now_ms: float) -> bool:
         """Tells whether a lease of the former granter may still be valid."""
@@ -230,9 +230,9 @@
         # The table is another object after the service was removed and added again, or
         # after a checkpoint was loaded.
         if table is not self._table:
-            self.begin_tenure(now_ms, self._tenure(), first=False)
-        tenure = self._tenure()
-        version = (tenure.term, tenure.seq)
+            self.begin_term(now_ms, self._granter_term(), first=False)
+        granter_term = self._granter_term()
+        version = (granter_term.term, granter_term.seq)
         if version == self._synced_version:
             return True
         self._synced_version = version
@@ -543,9 +543,9 @@
             self._pending[placement.start] = pending
 
     def _next_seq(self) -> tuple[int, int]:
-        tenure = self._tenure()
-        self._seq = max(self._seq, tenure.seq) + 1
-        return tenure.term, self._seq
+        granter_term = self._granter_term()
+        self._seq = max(self._seq, granter_term.seq) + 1
+        return granter_term.term, self._seq
 
     # Moves
 
@@ -659,7 +659,7 @@
                 del self._leases[server]
 
     def _send_grants(self, now_ms: float) -> list[Command]:
-        term = self._tenure().term
+        term = self._granter_term().term
         return [
             SendGrant(server, lease.make_grant(self._group, term, now_ms), now_ms)
             for server, lease in self._leases.items()
@@ -686,7 +686,7 @@
         placements = self.provisional()
         if not placements:
             return []
-        return [BroadcastPlacements(self._group, self._tenure().term, placements)]
+        return [BroadcastPlacements(self._group, self._granter_term().term, placements)]
 
     def count_waiting(self) -> int:
         """Returns the number of slices without a holder."""
--- a/src/skylarktrail/core/ownership/ownership.py
+++ b/src/skylarktrail/core/ownership/ownership.py
@@ -13,7 +13,7 @@
 from ..state import State, service_of
 from .agent import GroupAgent, LocalContext
 from .balancing import LoadTracker, balance, measure_load
-from .claimants import count_tenures, order_claimants
+from .claimants import count_terms, order_claimants
 from .granter import Granter
 from .messages import (
     Append,
@@ -120,7 +120,7 @@
         return agent is not None and agent.is_confirmed(now_ms)
 
     def acting_since_ms(self, group: str) -> float | None:
-        """Returns from when this daemon may act in its tenure; None without one."""
+        """Returns from when this daemon may act in its term; None without one."""
         agent = self._agents.get(group)
         return agent.acting_since_ms() if agent else None
 
@@ -190,11 +190,14 @@
         self._rank_claimants(now_ms)
 
     def _is_active(self, agent: GroupAgent) -> bool:
-        tenure = agent.tenure()
-        if tenure is None or tenure.resigned or not agent.is_released():
+        granter_term = agent.granter_term()
+        if granter_term is None or granter_term.resigned or not agent.is_released():
             return True
         daemon = self._identity.daemon
-        return daemon in (tenure.granter, tenure.heir) or agent.may_be_abandoned()
+        return (
+            daemon in (granter_term.granter, granter_term.heir)
+            or agent.may_be_abandoned()
+        )
 
     def _rank_claimants(self, now_ms: float) -> None:
         """Updates the rank of this daemon for vacant and abandoned groups."""
@@ -212,7 +215,7 @@
         if rank_inputs == self._last_rank_inputs:
             return
         self._last_rank_inputs = rank_inputs
-        counts = count_tenures(self._state, self._agents)
+        counts = count_terms(self._state, self._agents)
         orders = order_claimants(vacant, candidates, counts)
         self._ranks = {
             group: self._own_rank(group, order) for group, order in orders.items()
@@ -229,10 +232,10 @@
         daemon = self._identity.daemon
         if daemon not in order:
             return None
-        tenure = self._state.tenures.get(group)
-        if tenure is not None and tenure.granter in order:
-            order = [name for name in order if name != tenure.granter]
-            order.append(tenure.granter)
+        granter_term = self._state.granter_terms.get(group)
+        if granter_term is not None and granter_term.granter in order:
+            order = [name for name in order if name != granter_term.granter]
+            order.append(granter_term.granter)
         return order.index(daemon)
 
     def _step_agents(self, now_ms: float) -> list[Command]:
@@ -257,7 +260,7 @@
         if now_ms < self._next_release_ms or self._context.draining:
             return
         self._next_release_ms = now_ms + self._timings.give_ms
-        counts = count_tenures(self._state, self._agents)
+        counts = count_terms(self._state, self._agents)
         fewest = min(
             (counts.get(name, 0) for name in self._candidates(now_ms)), default=0
         )
@@ -344,7 +347,7 @@
     ownership._update_active_groups(now_ms)
     for group in sorted(ownership._active_groups):
         agent = ownership._agents[group]
-        agent.update_tenure(now_ms)
+        agent.update_term(now_ms)
         agent.record_log_read(event.started_ms)
         ownership._update_servers(agent)
     return ownership._step_agents(now_ms)
@@ -357,7 +360,7 @@
     agent = ownership._agents.get(ownership._token_groups.pop(event.token, ""))
     if agent is None:
         return []
-    agent.update_tenure(now_ms)
+    agent.update_term(now_ms)
     agent.handle_settled(event.token)
     if agent.granter is not None:
         agent.granter.handle_settled(event.token, event.code)
@@ -382,8 +385,8 @@
     context.daemons = event.daemons
     role_holders = {
         daemon
-        for tenure in ownership._state.tenures.values()
-        for daemon in (tenure.granter, tenure.heir)
+        for granter_term in ownership._state.granter_terms.values()
+        for daemon in (granter_term.granter, granter_term.heir)
     }
     gone = {}
     for daemon in (role_holders | ownership._seen_listed) - event.daemons:
@@ -405,7 +408,7 @@
     agent = ownership._agents.get(event.group)
     if agent is None or agent.granter is None:
         return []
-    agent.update_tenure(now_ms)
+    agent.update_term(now_ms)
     if agent.granter is None:
         return []
     commands = agent.granter.handle_grant_answer(
@@ -431,7 +434,7 @@
     agent = ownership._agents.get(event.group)
     if agent is None:
         return []
-    agent.update_tenure(now_ms)
+    agent.update_term(now_ms)
     return agent.handle_promise_ask(now_ms, event)
 
 
@@ -442,7 +445,7 @@
     agent = ownership._agents.get(event.group)
     if agent is None:
         return []
-    agent.update_tenure(now_ms)
+    agent.update_term(now_ms)
     agent.handle_promise(event)
     return ownership._step_agent(now_ms, event.group)
 
--- a/src/skylarktrail/core/state.py
+++ b/src/skylarktrail/core/state.py
@@ -45,7 +45,7 @@
     last_seq: int
 
 
-class Tenure(NamedTuple):
+class GranterTerm(NamedTuple):
     """The term of a granter group and its granter.
 
     Attributes:
@@ -96,7 +96,7 @@
         members: Members of the roster by daemon name.
         departed: The `MAX_DEPARTED` members that left most recently, by daemon name.
             A late copy of one of their records is still recognized as a repeat.
-        tenures: Tenures by granter group.
+        terms: Terms by granter group.
         tables: Slice tables by keyed service.
         shapes: Number of slices and of granter groups by keyed service, also of
             services that were removed.
@@ -109,7 +109,7 @@
         self.file: dict[str, Any] = {}
         self.members: dict[str, Member] = {}
         self.departed: dict[str, Member] = {}
-        self.tenures: dict[str, Tenure] = {}
+        self.granter_terms: dict[str, GranterTerm] = {}
         self.tables: dict[str, SliceTable] = {}
         self.shapes: dict[str, tuple[int, int]] = {}
 
@@ -152,7 +152,7 @@
             "file": self.file,
             "members": {name: list(m) for name, m in self.members.items()},
             "departed": {name: list(m) for name, m in self.departed.items()},
-            "tenures": {name: list(t) for name, t in self.tenures.items()},
+            "tenures": {name: list(t) for name, t in self.granter_terms.items()},
             "tables": {name: t.dump() for name, t in self.tables.items()},
             "shapes": {name: list(shape) for name, shape in self.shapes.items()},
         }
@@ -164,7 +164,9 @@
         self.file = plain["file"]
         self.members = {name: Member(*m) for name, m in plain["members"].items()}
         self.departed = {name: Member(*m) for name, m in plain["departed"].items()}
-        self.tenures = {name: Tenure(*t) for name, t in plain["tenures"].items()}
+        self.granter_terms = {
+            name: GranterTerm(*t) for name, t in plain["tenures"].items()
+        }
         self.tables = {name: SliceTable.load(t) for name, t in plain["tables"].items()}
         self.shapes = {name: tuple(shape) for name, shape in plain["shapes"].items()}
 
@@ -191,11 +193,11 @@
         fault = self.check_writer(envelope)
         if fault is not None:
             return fault
-        tenure = self.tenures.get(group)
+        granter_term = self.granter_terms.get(group)
         holder = (envelope.writer, envelope.incarnation)
-        if tenure is None or tenure.term != term or tenure.resigned:
+        if granter_term is None or granter_term.term != term or granter_term.resigned:
             return codes.TERM_STALE
-        if (tenure.granter, tenure.incarnation) != holder:
+        if (granter_term.granter, granter_term.incarnation) != holder:
             return codes.TERM_STALE
         return None
 
@@ -311,13 +313,13 @@
     fault = state.check_writer(envelope)
     if fault is not None:
         return fault
-    tenure = state.tenures.get(claim.group)
-    term = tenure.term if tenure else 0
+    granter_term = state.granter_terms.get(claim.group)
+    term = granter_term.term if granter_term else 0
     if claim.term != term + 1:
         return codes.TERM_STALE
-    if tenure and not _is_entitled(tenure, envelope.writer, claim):
+    if granter_term and not _is_entitled(granter_term, envelope.writer, claim):
         return codes.CLAIM_NOT_ENTITLED
-    state.tenures[claim.group] = Tenure(
+    state.granter_terms[claim.group] = GranterTerm(
         claim.term,
         envelope.writer,
         envelope.incarnation,
@@ -327,17 +329,19 @@
         0,
         False,
         offset,
-        max(claim.authority_ms, tenure.longest_authority_ms if tenure else 0),
-        max(claim.lease_ms, tenure.longest_lease_ms if tenure else 0),
+        max(
+            claim.authority_ms, granter_term.longest_authority_ms if granter_term else 0
+        ),
+        max(claim.lease_ms, granter_term.longest_lease_ms if granter_term else 0),
     )
     return codes.RECORD_ACCEPTED
 
 
-def _is_entitled(tenure: Tenure, writer: str, claim: Claim) -> bool:
-    """Tells whether a daemon may claim the term after a tenure."""
-    if tenure.resigned or claim.predecessors_gone:
+def _is_entitled(granter_term: GranterTerm, writer: str, claim: Claim) -> bool:
+    """Tells whether a daemon may claim the term after a known one."""
+    if granter_term.resigned or claim.predecessors_gone:
         return True
-    return writer in (tenure.granter, tenure.heir)
+    return writer in (granter_term.granter, granter_term.heir)
 
 
 @handles(Resign)
@@ -346,8 +350,8 @@
     fault = state.check_granter(envelope, resign.group, resign.term)
     if fault is not None:
         return fault
-    tenure = state.tenures[resign.group]
-    state.tenures[resign.group] = tenure._replace(resigned=True)
+    granter_term = state.granter_terms[resign.group]
+    state.granter_terms[resign.group] = granter_term._replace(resigned=True)
     return codes.RECORD_ACCEPTED
 
 
@@ -357,10 +361,10 @@
     Returns:
         Whether the number is higher than all before in the term.
     """
-    tenure = state.tenures[group]
-    if seq <= tenure.seq:
+    granter_term = state.granter_terms[group]
+    if seq <= granter_term.seq:
         return False
-    state.tenures[group] = tenure._replace(seq=seq)
+    state.granter_terms[group] = granter_term._replace(seq=seq)
     return True
 
 
--- a/src/skylarktrail/daemon/controller.py
+++ b/src/skylarktrail/daemon/controller.py
@@ -194,7 +194,7 @@
         if result.applied or result.has_loaded_checkpoint:
             self._publisher.publish_rosters(self._state, result)
             self._publish()
-            self._record_tenures()
+            self._record_terms()
         if result.is_at_end:
             self._handle_end_of_log(read)
 
@@ -343,9 +343,9 @@
 
     def _find_granters(self, service: str) -> set[str]:
         return {
-            tenure.granter
-            for group, tenure in self._state.tenures.items()
-            if service_of(group) == service and not tenure.resigned
+            granter_term.granter
+            for group, granter_term in self._state.granter_terms.items()
+            if service_of(group) == service and not granter_term.resigned
         }
 
     @handles_message(VmListRead)
@@ -495,17 +495,17 @@
 
     # Status.
 
-    def _record_tenures(self) -> None:
-        for group, tenure in self._state.tenures.items():
-            if self._recorded_terms.get(group) == tenure.term:
+    def _record_terms(self) -> None:
+        for group, granter_term in self._state.granter_terms.items():
+            if self._recorded_terms.get(group) == granter_term.term:
                 continue
-            self._recorded_terms[group] = tenure.term
+            self._recorded_terms[group] = granter_term.term
             self._changes.record(
                 "tenure",
                 group=group,
-                term=tenure.term,
-                granter=tenure.granter,
-                heir=tenure.heir,
+                term=granter_term.term,
+                granter=granter_term.granter,
+                heir=granter_term.heir,
             )
 
     @handles_message(StatusRequested)
--- a/src/skylarktrail/daemon/home_client.py
+++ b/src/skylarktrail/daemon/home_client.py
@@ -204,8 +204,8 @@
         if not homes:
             return StartedAttempt(NoHomes(), key)
         group = home_group_of(key, homes)
-        tenure = state.tenures.get(group)
-        if tenure is None or tenure.resigned:
+        granter_term = state.granter_terms.get(group)
+        if granter_term is None or granter_term.resigned:
             return StartedAttempt(NotHome(), key)
         time_left_ms = min(int(deadline_ms - self._clocks.now_ms()), MAX_TIME_LEFT_MS)
         if time_left_ms <= 0:
@@ -213,9 +213,9 @@
         attempt_id = secrets.token_bytes(ATTEMPT_ID_BYTES)
         wall_ms = self._clocks.wall_ms()
         attempt = Attempt(key, digest, attempt_id, time_left_ms, wall_ms)
-        verdict = self._request_verdict(group, tenure.granter, attempt)
+        verdict = self._request_verdict(group, granter_term.granter, attempt)
         started_attempt = StartedAttempt(
-            verdict, key, attempt_id, group, tenure.granter
+            verdict, key, attempt_id, group, granter_term.granter
         )
         if isinstance(verdict, Run) and self._clocks.now_ms() >= deadline_ms:
             self.finish(started_attempt, NotRun())
--- a/src/skylarktrail/daemon/home_handler.py
+++ b/src/skylarktrail/daemon/home_handler.py
@@ -13,7 +13,7 @@
 
 from ..core.idempotency.home import Home
 from ..core.idempotency.keys import home_group_of
-from ..core.idempotency.table import Attempt, TableLimits, TableSnapshot, TenureView
+from ..core.idempotency.table import Attempt, TableLimits, TableSnapshot, TermView
 from ..core.idempotency.verdicts import NotHome, Outcome, Verdict
 from ..core.state import HOME_PREFIX, State
 from ..peer.hub import Responder
@@ -29,7 +29,7 @@
 HANDOVER_MAX_BYTES = 768 << 10
 TABLE_FREE_DELAY_MS = 30_000
 MAX_TIME_LEFT_MS = 600_000
-UNCONFIRMED_TENURE = TenureView(False, 0, 0)
+UNCONFIRMED_TERM = TermView(False, 0, 0)
 
 
 class Clocks(NamedTuple):
@@ -59,29 +59,29 @@
         """Returns the monotonic time from which no other daemon acts."""
 
 
-def make_tenure_view(
+def make_term_view(
     authority: Authority, state: Callable[[], State], clocks: Clocks = SYSTEM_CLOCKS
-) -> Callable[[str], TenureView]:
-    """Returns a function that reads this daemon's tenure of a group.
+) -> Callable[[str], TermView]:
+    """Returns a function that reads this daemon's term of a group.
 
-    Any thread may call the function. The start of the tenure is converted with the
+    Any thread may call the function. The start of the term is converted with the
     current offset of the wall clock, so that it follows a step of that clock.
     """
 
     def term_of(group: str) -> int:
-        tenure = state().tenures.get(group)
-        return tenure.term if tenure else 0
+        granter_term = state().granter_terms.get(group)
+        return granter_term.term if granter_term else 0
 
-    def view(group: str) -> TenureView:
+    def view(group: str) -> TermView:
         term = term_of(group)
         now_ms = clocks.now_ms()
         since_ms = authority.acting_since_ms(group)
         if since_ms is None or not authority.is_confirmed(group, now_ms):
-            return UNCONFIRMED_TENURE
+            return UNCONFIRMED_TERM
         if term_of(group) != term:
-            return UNCONFIRMED_TENURE
+            return UNCONFIRMED_TERM
         since_wall_ms = clocks.wall_ms() - int(now_ms - since_ms)
-        return TenureView(True, since_wall_ms, term)
+        return TermView(True, since_wall_ms, term)
 
     return view
 
@@ -98,7 +98,7 @@
         self,
         daemon_name: str,
         state: Callable[[], State],
-        tenure_view: Callable[[str], TenureView],
+        term_view: Callable[[str], TermView],
         limits: Callable[[], TableLimits],
         clocks: Clocks = SYSTEM_CLOCKS,
     ) -> None:
@@ -107,14 +107,14 @@
         Args:
             daemon_name: Name of this daemon.
             state: Returns the folded state.
-            tenure_view: Returns what this daemon currently knows of its own tenure
+            term_view: Returns what this daemon currently knows of its own term
                 of a group.
             limits: Returns the limits of the tables of all groups together.
             clocks: Sources of time.
         """
         self._daemon_name = daemon_name
         self._state = state
-        self._tenure_view = tenure_view
+        self._term_view = term_view
         self._limits = limits
         self._clocks = clocks
         self._lock = threading.Lock()
@@ -135,13 +135,13 @@
     def decide(self, group: str, attempt: Attempt) -> Verdict:
         """Returns the verdict on an attempt that has been received.
 
-        The tenure is read after the attempt was received. A pause between this check
+        The term is read after the attempt was received. A pause between this check
         and the arrival of the verdict is harmless, since it affects only keys that no
-        other home lets run: they are below the barrier of the next tenure.
+        other home lets run: they are below the barrier of the next term.
         """
         with self._lock:
             wall_ms = self._clocks.wall_ms()
-            view = self._tenure_view(group)
+            view = self._term_view(group)
             if not view.is_confirmed or view.term <= self._closed_terms.get(group, 0):
                 verdict: Verdict = NotHome()
             else:
@@ -168,8 +168,8 @@
             Whether the keys were loaded.
         """
         with self._lock:
-            tenure = self._state().tenures.get(group)
-            if tenure is None or (tenure.granter, tenure.term) != (
+            granter_term = self._state().granter_terms.get(group)
+            if granter_term is None or (granter_term.granter, granter_term.term) != (
                 self._daemon_name,
                 term,
             ):
@@ -179,11 +179,14 @@
             self._evict_over_limits()
             return is_loaded
 
-    def enter_own_tenures(self) -> None:
-        """Enters this daemon's tenures, also those without any attempt yet."""
-        for group, tenure in list(self._state().tenures.items()):
-            if group.startswith(HOME_PREFIX) and tenure.granter == self._daemon_name:
-                self._enter_tenure(group)
+    def enter_own_terms(self) -> None:
+        """Enters this daemon's terms, also those without any attempt yet."""
+        for group, granter_term in list(self._state().granter_terms.items()):
+            if (
+                group.startswith(HOME_PREFIX)
+                and granter_term.granter == self._daemon_name
+            ):
+                self._enter_term(group)
 
     def sweep(self) -> None:
         """Frees the tables of groups whose home is another daemon now.
@@ -191,18 +194,18 @@
         A table is freed after a delay, since the new home may request its keys. It is
         not created again in the same term, since keys would be missing from it.
         """
-        tenures = self._state().tenures
+        granter_terms = self._state().granter_terms
         now_ms = self._clocks.now_ms()
         with self._lock:
             for group in list(self._homes):
-                tenure = tenures.get(group)
-                if tenure is None or tenure.granter == self._daemon_name:
+                granter_term = granter_terms.get(group)
+                if granter_term is None or granter_term.granter == self._daemon_name:
                     self._lost_since_ms.pop(group, None)
                 elif (
                     now_ms - self._lost_since_ms.setdefault(group, now_ms)
                     >= TABLE_FREE_DELAY_MS
                 ):
-                    self._close_term(group, tenure.term)
+                    self._close_term(group, granter_term.term)
                     del self._homes[group], self._lost_since_ms[group]
 
     def size_bytes(self) -> int:
@@ -244,18 +247,18 @@
     def _close_term(self, group: str, term: int) -> None:
         self._closed_terms[group] = max(term, self._closed_terms.get(group, 0))
 
-    def _enter_tenure(self, group: str) -> None:
+    def _enter_term(self, group: str) -> None:
         with self._lock:
-            view = self._tenure_view(group)
+            view = self._term_view(group)
             if view.is_confirmed and view.term > self._closed_terms.get(group, 0):
-                self._get_or_create_home(group).update_tenure(view)
+                self._get_or_create_home(group).update_term(view)
 
     def _hand_over_table(self, ask: HomeTableRequest) -> HomeTable:
         """Closes a term that is over and returns the keys of its home."""
         refusal = HomeTable(ask.group, ask.term, False)
         with self._lock:
-            tenure = self._state().tenures.get(ask.group)
-            if tenure is None or tenure.term <= ask.term:
+            granter_term = self._state().granter_terms.get(ask.group)
+            if granter_term is None or granter_term.term <= ask.term:
                 return refusal
             self._close_term(ask.group, ask.term)
             home = self._homes.get(ask.group)
--- a/src/skylarktrail/daemon/home_transfer.py
+++ b/src/skylarktrail/daemon/home_transfer.py
@@ -9,7 +9,7 @@
 
 from result import Result
 
-from ..core.state import HOME_PREFIX, State, Tenure
+from ..core.state import HOME_PREFIX, GranterTerm, State
 from ..errors.code import Fault
 from ..peer.messages import HomeTable, HomeTableRequest, Message
 from ..peer.verdicts import message_to_table_snapshot
@@ -74,34 +74,34 @@
         self._state = state
         self._links = links
         self._handler = handler
-        self._last_tenures: dict[str, Tenure] = {}
+        self._last_terms: dict[str, GranterTerm] = {}
         self._table_requests: dict[str, TableRequest] = {}
         self._in_flight: set[str] = set()
         self._replies: queue.SimpleQueue[TableReply] = queue.SimpleQueue()
         self.counters: Counter[str] = Counter()
 
     def tick(self) -> None:
-        """Tracks the tenures, requests tables and frees tables of other homes."""
-        for group, tenure in list(self._state().tenures.items()):
+        """Tracks the terms, requests tables and frees tables of other homes."""
+        for group, granter_term in list(self._state().granter_terms.items()):
             if group.startswith(HOME_PREFIX):
-                self._track_tenure(group, tenure)
+                self._track_term(group, granter_term)
         while not self._replies.empty():
             self._handle_reply(self._replies.get())
         for group in set(self._table_requests) - self._in_flight:
             self._request_table(group)
-        self._handler.enter_own_tenures()
+        self._handler.enter_own_terms()
         self._handler.sweep()
 
-    def _track_tenure(self, group: str, tenure: Tenure) -> None:
-        before = self._last_tenures.get(group)
-        self._last_tenures[group] = tenure
-        if before is None or before.term == tenure.term:
+    def _track_term(self, group: str, granter_term: GranterTerm) -> None:
+        before = self._last_terms.get(group)
+        self._last_terms[group] = granter_term
+        if before is None or before.term == granter_term.term:
             return
         self._table_requests.pop(group, None)
-        is_next_term = before.term + 1 == tenure.term
-        if is_next_term and tenure.granter == self._daemon_name != before.granter:
+        is_next_term = before.term + 1 == granter_term.term
+        if is_next_term and granter_term.granter == self._daemon_name != before.granter:
             self._table_requests[group] = TableRequest(
-                before.granter, tenure.term, MAX_REQUEST_ATTEMPTS
+                before.granter, granter_term.term, MAX_REQUEST_ATTEMPTS
             )
 
     def _request_table(self, group: str) -> None:
--- a/src/skylarktrail/daemon/service.py
+++ b/src/skylarktrail/daemon/service.py
@@ -34,7 +34,7 @@
 from .dispatch import Dispatcher
 from .grant_sender import GrantSender
 from .home_client import HomeClient
-from .home_handler import HomeHandler, make_tenure_view
+from .home_handler import HomeHandler, make_term_view
 from .home_transfer import HomeTransfer
 from .loads import LoadMeters
 from .log_reader import LogReader
@@ -107,7 +107,7 @@
         self._home_handler = HomeHandler(
             self._identity.daemon,
             lambda: self._state,
-            make_tenure_view(self._ownership, lambda: self._state),
+            make_term_view(self._ownership, lambda: self._state),
             self._table_limits,
         )
         self._loads = LoadMeters(settings.daemon)
--- a/src/skylarktrail/daemon/summaries.py
+++ b/src/skylarktrail/daemon/summaries.py
@@ -49,12 +49,12 @@
 def _summarize_group(
     state: State, name: str, own_group: GroupStatus | None
 ) -> GroupSummary:
-    tenure = state.tenures.get(name)
+    granter_term = state.granter_terms.get(name)
     return GroupSummary(
         name,
-        tenure.term if tenure else 0,
-        tenure.granter if tenure and not tenure.resigned else "",
-        tenure.heir if tenure else "",
+        granter_term.term if granter_term else 0,
+        granter_term.granter if granter_term and not granter_term.resigned else "",
+        granter_term.heir if granter_term else "",
         own_group.role if own_group else "none",
         own_group.confirmed if own_group else False,
         own_group.waiting if own_group else 0,
@@ -116,7 +116,7 @@
         return None
     key_hash = hash_key(key)
     key_slice = provisional or table.find(key_hash)
-    tenure = state.tenures.get(key_slice.group)
+    granter_term = state.granter_terms.get(key_slice.group)
     return KeyExplanation(
         service,
         key,
@@ -124,8 +124,8 @@
         key_slice.start,
         key_slice.end,
         key_slice.group,
-        tenure.granter if tenure else "",
-        tenure.term if tenure else 0,
+        granter_term.granter if granter_term else "",
+        granter_term.term if granter_term else 0,
         key_slice.server,
         key_slice.fence,
         provisional is not None,
--- a/tests/core/idempotency/simulation.py
+++ b/tests/core/idempotency/simulation.py
@@ -18,7 +18,7 @@
     IdempotencyTable,
     TableLimits,
     TableSnapshot,
-    TenureView,
+    TermView,
 )
 from skylarktrail.core.idempotency.verdicts import (
     NOT_RUN,
@@ -121,11 +121,11 @@
 
 
 class PausedAttempt(NamedTuple):
-    """An attempt whose home was paused after it had read its tenure."""
+    """An attempt whose home was paused after it had read its term."""
 
     attempt: Attempt
     wall_ms: int
-    view: TenureView
+    view: TermView
 
 
 class EntryAttempt:
@@ -177,7 +177,7 @@
         self.answers: dict[uuid.UUID, Answered] = {}
         self.verdicts: dict[str, int] = {}
         self.handed_over_count = 0
-        self._start_tenure(0, START_MS)
+        self._start_term(0, START_MS)
 
     def step(self, choose: Choose) -> None:
         """Runs one random action and checks the invariants."""
@@ -211,9 +211,9 @@
         home.table = self.table_type(LIMITS)
         return home
 
-    # Actions of tenures.
+    # Actions of terms.
 
-    def _start_tenure(self, index: int, acting_since_ms: int) -> None:
+    def _start_term(self, index: int, acting_since_ms: int) -> None:
         daemon = self.daemons[index]
         self.term += 1
         self.granter = index
@@ -229,12 +229,12 @@
         """
         return max(self.now_ms, self.daemons[self.granter].acting_since_ms)
 
-    def view(self, index: int) -> TenureView:
-        """Returns the tenure of a daemon as the daemon knows it now."""
+    def view(self, index: int) -> TermView:
+        """Returns the term of a daemon as the daemon knows it now."""
         daemon = self.daemons[index]
         is_confirmed = daemon.acting_since_ms <= self.now_ms < daemon.confirmed_until_ms
         since_ms = daemon.acting_since_ms + daemon.clock_error_ms
-        return TenureView(is_confirmed and daemon.term > 0, since_ms, daemon.term)
+        return TermView(is_confirmed and daemon.term > 0, since_ms, daemon.term)
 
     @action(20)
     def pass_time(self, choose: Choose) -> None:
@@ -264,7 +264,7 @@
         is_own = index == self.granter
         since_ms = self._earliest_acting_ms() if is_own else self.now_ms + AUTHORITY_MS
         self.daemons[index].confirmation_requested_ms = self.now_ms
-        self._start_tenure(index, since_ms)
+        self._start_term(index, since_ms)
 
     @action(2)
     def resign(self, choose: Choose) -> None:
@@ -273,11 +273,11 @@
         if self.daemons[self.granter].paused_attempt is None:
             index = choose(DAEMON_COUNT)
             self.daemons[index].confirmation_requested_ms = self.now_ms
-            self._start_tenure(index, self._earliest_acting_ms())
+            self._start_term(index, self._earliest_acting_ms())
 
     @action(1)
     def restart(self, choose: Choose) -> None:
-        """A process restarts without its state; its tenure ends."""
+        """A process restarts without its state; its term ends."""
         index = choose(DAEMON_COUNT)
         self.daemons[index] = Daemon(
             self.daemons[index].clock_error_ms, self._make_home
@@ -292,7 +292,7 @@
             if entry_attempt.entry != index
         ]
         if self.granter == index:
-            self._start_tenure((index + 1) % DAEMON_COUNT, self.now_ms + AUTHORITY_MS)
+            self._start_term((index + 1) % DAEMON_COUNT, self.now_ms + AUTHORITY_MS)
 
     @action(12)
     def hand_over(self, choose: Choose) -> None:
@@ -402,7 +402,7 @@
 
     @action(10)
     def deliver_and_pause(self, choose: Choose) -> None:
-        """Delivers a message and pauses the home after it has read its tenure."""
+        """Delivers a message and pauses the home after it has read its term."""
         if self.network:
             self._receive(self.network.pop(choose(len(self.network))), True)
 
@@ -418,7 +418,7 @@
 
     @action(6)
     def resume_home(self, choose: Choose) -> None:
-        """A paused home continues with the tenure that it read before."""
+        """A paused home continues with the term that it read before."""
         daemon = self.daemons[choose(DAEMON_COUNT)]
         if daemon.paused_attempt is not None:
             paused_attempt, daemon.paused_attempt = daemon.paused_attempt, None
--- a/tests/core/idempotency/test_machine.py
+++ b/tests/core/idempotency/test_machine.py
@@ -1,4 +1,4 @@
-"""At-most-once execution under tenure changes, pauses, clock skew and message loss.
+"""At-most-once execution under term changes, pauses, clock skew and message loss.
 
 The mutation tests remove one rule at a time and expect an invariant violation.
 """
@@ -18,7 +18,7 @@
     Attempt,
     Entry,
     IdempotencyTable,
-    TenureView,
+    TermView,
 )
 from skylarktrail.core.idempotency.verdicts import (
     NOT_RUN,
@@ -95,7 +95,7 @@
 
 
 class WithoutBarrier(IdempotencyTable):
-    """Treats a key from before the tenure as new."""
+    """Treats a key from before the term as new."""
 
     def raise_barrier(self, acting_since_wall_ms: int) -> None:
         pass
@@ -134,17 +134,19 @@
 class WithoutFutureCheck(IdempotencyTable):
     """Accepts keys with a timestamp in the future."""
 
-    def _check_new_key(self, wall_ms, attempt, tenure):
+    def _check_new_key(self, wall_ms, attempt, granter_term):
         far_ms = wall_ms + 10**9
-        return super()._check_new_key(far_ms, attempt._replace(wall_ms=far_ms), tenure)
+        return super()._check_new_key(
+            far_ms, attempt._replace(wall_ms=far_ms), granter_term
+        )
 
 
 class TrustsOwnClock(IdempotencyTable):
     """Checks a key only by the clock of the home, read after a pause."""
 
-    def _check_new_key(self, wall_ms, attempt, tenure):
+    def _check_new_key(self, wall_ms, attempt, granter_term):
         return super()._check_new_key(
-            wall_ms, attempt._replace(wall_ms=wall_ms), tenure
+            wall_ms, attempt._replace(wall_ms=wall_ms), granter_term
         )
 
 
@@ -171,11 +173,11 @@
 class RunsAgainAfterSilence(IdempotencyTable):
     """Treats an attempt without an outcome as not run."""
 
-    def begin(self, now_ms, wall_ms, attempt, tenure):
-        verdict = super().begin(now_ms, wall_ms, attempt, tenure)
+    def begin(self, now_ms, wall_ms, attempt, granter_term):
+        verdict = super().begin(now_ms, wall_ms, attempt, granter_term)
         if isinstance(verdict, ExecutionUnknown) and attempt.key.int in self._entries:
             self._remove(attempt.key.int)
-            return super().begin(now_ms, wall_ms, attempt, tenure)
+            return super().begin(now_ms, wall_ms, attempt, granter_term)
         return verdict
 
 
@@ -214,14 +216,14 @@
 
 
 class IgnoresConfirmation(Home):
-    """Acts in an unconfirmed tenure."""
+    """Acts in an unconfirmed term."""
 
-    def begin(self, now_ms, wall_ms, attempt, tenure):
-        confirmed = tenure._replace(is_confirmed=True)
+    def begin(self, now_ms, wall_ms, attempt, granter_term):
+        confirmed = granter_term._replace(is_confirmed=True)
         return super().begin(now_ms, wall_ms, attempt, confirmed)
 
 
-class ContinuesAnyTenure(Home):
+class ContinuesAnyTerm(Home):
     """Keeps its barrier although another home acted in between."""
 
     def _is_next_term(self, term: int) -> bool:
@@ -280,7 +282,7 @@
     site = type("Mutated", (Simulation,), {"home_type": home})()
     site.now_ms += 5000
     simulation.ACTIONS["renew_confirmation"](site, lambda bound: 0)
-    site.daemons[0].home.update_tenure(site.view(0))
+    site.daemons[0].home.update_term(site.view(0))
     simulation.ACTIONS["claim"](site, lambda bound: 1)
     simulation.ACTIONS["hand_over"](site, lambda bound: 0)
     hand_over_message = site.network.pop()
@@ -307,7 +309,7 @@
 
 HOME_MUTATIONS = [
     IgnoresConfirmation,
-    ContinuesAnyTenure,
+    ContinuesAnyTerm,
     OmitsWatermark,
     TakesOverFromAnyTerm,
 ]
@@ -328,13 +330,13 @@
         super()._handle_verdict(message)
 
 
-class ReadsTenureTooEarly(Simulation):
-    """A home reads its tenure before it receives the attempt."""
+class ReadsTermTooEarly(Simulation):
+    """A home reads its term before it receives the attempt."""
 
     def __init__(self) -> None:
         super().__init__()
         self._received_count = 0
-        self._views: list[TenureView] = []
+        self._views: list[TermView] = []
 
     def _receive(self, message, is_paused):
         if self._received_count % VIEW_REFRESH_MESSAGES == 0:
@@ -344,11 +346,11 @@
         self._received_count += 1
         super()._receive(message, is_paused)
 
-    def view(self, index: int) -> TenureView:
+    def view(self, index: int) -> TermView:
         return self._views[index] if self._views else super().view(index)
 
 
-@pytest.mark.parametrize("mutation", [RunsAfterGivingUp, ReadsTenureTooEarly])
+@pytest.mark.parametrize("mutation", [RunsAfterGivingUp, ReadsTermTooEarly])
 def test_removing_a_rule_of_the_daemon_violates_an_invariant(mutation):
     assert find_violation(mutation) is not None
 
--- a/tests/core/idempotency/test_table.py
+++ b/tests/core/idempotency/test_table.py
@@ -20,7 +20,7 @@
     Attempt,
     IdempotencyTable,
     TableLimits,
-    TenureView,
+    TermView,
 )
 from skylarktrail.errors import idempotency as codes
 
@@ -30,7 +30,7 @@
 LIMITS = TableLimits(
     max_bytes=100_000, max_entries=100, keep_ms=60_000, skew_ms=SKEW_MS
 )
-TENURE = TenureView(True, WALL_MS - 10_000, 3)
+TERM = TermView(True, WALL_MS - 10_000, 3)
 ANSWER = verdicts.Answered(201, (("Location", "/orders/1"),), b"booked")
 
 
@@ -48,8 +48,8 @@
     return IdempotencyTable(LIMITS)
 
 
-def begin(table, attempt=None, now_ms=NOW_MS, wall_ms=WALL_MS, tenure=TENURE):
-    return table.begin(now_ms, wall_ms, attempt or make_attempt(), tenure)
+def begin(table, attempt=None, now_ms=NOW_MS, wall_ms=WALL_MS, granter_term=TERM):
+    return table.begin(now_ms, wall_ms, attempt or make_attempt(), granter_term)
 
 
 def test_first_attempt_runs_and_its_retry_is_in_progress(table):
@@ -108,9 +108,9 @@
         (uuid.uuid4(), verdicts.Malformed()),
         (make_key(WALL_MS + SKEW_MS), verdicts.Run(3)),
         (make_key(WALL_MS + SKEW_MS + 1), verdicts.FromFuture()),
-        (make_key(TENURE.acting_since_wall_ms), verdicts.Forgotten(0)),
-        (make_key(TENURE.acting_since_wall_ms + 2 * SKEW_MS), verdicts.Forgotten(0)),
-        (make_key(TENURE.acting_since_wall_ms + 2 * SKEW_MS + 1), verdicts.Run(3)),
+        (make_key(TERM.acting_since_wall_ms), verdicts.Forgotten(0)),
+        (make_key(TERM.acting_since_wall_ms + 2 * SKEW_MS), verdicts.Forgotten(0)),
+        (make_key(TERM.acting_since_wall_ms + 2 * SKEW_MS + 1), verdicts.Run(3)),
     ],
 )
 def test_timestamp_decides_whether_a_new_key_may_run(table, key, verdict):
@@ -118,10 +118,10 @@
 
 
 def test_unconfirmed_home_refuses_every_attempt(table):
-    unconfirmed = TENURE._replace(is_confirmed=False)
-    assert begin(table, tenure=unconfirmed) == verdicts.NotHome()
-    early = TENURE._replace(acting_since_wall_ms=WALL_MS + 1)
-    assert begin(table, tenure=early) == verdicts.NotHome()
+    unconfirmed = TERM._replace(is_confirmed=False)
+    assert begin(table, granter_term=unconfirmed) == verdicts.NotHome()
+    early = TERM._replace(acting_since_wall_ms=WALL_MS + 1)
+    assert begin(table, granter_term=early) == verdicts.NotHome()
 
 
 def test_home_whose_clock_is_behind_refuses(table):
@@ -169,20 +169,20 @@
 def test_next_term_of_the_same_home_keeps_its_entries():
     home = Home(LIMITS)
     begin(home)
-    following = TenureView(True, WALL_MS, 4)
+    following = TermView(True, WALL_MS, 4)
     fresh = make_key(WALL_MS, number=2)
-    assert begin(home, make_attempt(fresh), tenure=following) == verdicts.Run(4)
+    assert begin(home, make_attempt(fresh), granter_term=following) == verdicts.Run(4)
 
 
 def test_term_after_another_daemons_term_raises_the_barrier():
     home = Home(LIMITS)
     begin(home)
     home.finish(make_key(), b"first", ANSWER)
-    later = TenureView(True, WALL_MS, 5)
+    later = TermView(True, WALL_MS, 5)
     fresh = make_key(WALL_MS, number=2)
     forgotten = verdicts.Forgotten(2 * SKEW_MS)
-    assert begin(home, make_attempt(fresh), tenure=later) == forgotten
-    assert begin(home, tenure=later) == verdicts.Recorded(ANSWER)
+    assert begin(home, make_attempt(fresh), granter_term=later) == forgotten
+    assert begin(home, granter_term=later) == verdicts.Recorded(ANSWER)
 
 
 def test_keys_are_parsed_and_divided_among_the_home_groups():
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -16,7 +16,10 @@
 
 
 def count_groups(simulation: Simulation) -> Counter[str]:
-    return Counter(tenure.granter for tenure in simulation.log.state.tenures.values())
+    return Counter(
+        granter_term.granter
+        for granter_term in simulation.log.state.granter_terms.values()
+    )
 
 
 def count_slices(simulation: Simulation) -> Counter[str]:
@@ -111,7 +114,10 @@
     simulation.kill(granter, 0)
     for _ in range(100):
         simulation.advance(50)
-        assert all(tenure.heir for tenure in simulation.log.state.tenures.values())
+        assert all(
+            granter_term.heir
+            for granter_term in simulation.log.state.granter_terms.values()
+        )
 
 
 @pytest.mark.parametrize("seed", range(1, 6))
@@ -120,9 +126,15 @@
     for index in range(1, 5):
         simulation.kill(index, 8000)
     simulation.advance(8000)
-    assert not any(tenure.heir for tenure in simulation.log.state.tenures.values())
+    assert not any(
+        granter_term.heir
+        for granter_term in simulation.log.state.granter_terms.values()
+    )
     simulation.advance(2500)
-    assert all(tenure.heir for tenure in simulation.log.state.tenures.values())
+    assert all(
+        granter_term.heir
+        for granter_term in simulation.log.state.granter_terms.values()
+    )
 
 
 @pytest.mark.parametrize("seed", range(1, 6))
@@ -130,15 +142,16 @@
     simulation = Simulation(seed)
     simulation.advance(8000)
     terms = {
-        group: tenure.term for group, tenure in simulation.log.state.tenures.items()
+        group: granter_term.term
+        for group, granter_term in simulation.log.state.granter_terms.items()
     }
     simulation.withdraw_service(0, 600)
     simulation.advance(300)
     assert SERVICE not in simulation.log.state.tables
     simulation.advance(8000)
     assert not simulation.find_unserved(list(simulation.servers.values()))
-    for group, tenure in simulation.log.state.tenures.items():
-        assert tenure.term > terms[group] or not group.startswith(SERVICE)
+    for group, granter_term in simulation.log.state.granter_terms.items():
+        assert granter_term.term > terms[group] or not group.startswith(SERVICE)
 
 
 @pytest.mark.parametrize("seed", range(1, 6))
@@ -156,7 +169,7 @@
         simulation.advance(20)
     claimed_ms = simulation.now_ms
     simulation.advance(8000)
-    term = simulation.log.state.tenures[f"{SERVICE}/0"].term
+    term = simulation.log.state.granter_terms[f"{SERVICE}/0"].term
     recorded = [
         (at_ms, body)
         for at_ms, body in simulation.log.assignments
--- a/tests/core/test_ownership_mutations.py
+++ b/tests/core/test_ownership_mutations.py
@@ -78,23 +78,25 @@
 
 @mutation
 def home_acts_without_authority_wait(patch):
-    original = agent.GroupAgent._begin_tenure
+    original = agent.GroupAgent._begin_term
 
-    def begin_at_once(self, now_ms, tenure, first):
-        original(self, now_ms, tenure, first)
+    def begin_at_once(self, now_ms, granter_term, first):
+        original(self, now_ms, granter_term, first)
         self._acting_since_ms = now_ms
 
-    patch.setattr(agent.GroupAgent, "_begin_tenure", begin_at_once)
+    patch.setattr(agent.GroupAgent, "_begin_term", begin_at_once)
     return {}
 
 
 @mutation
 def new_granter_assigns_before_former_leases_end(patch):
-    begin_tenure = granter.Granter.begin_tenure
+    begin_term = granter.Granter.begin_term
     patch.setattr(
         granter.Granter,
-        "begin_tenure",
-        lambda self, now, tenure, first: begin_tenure(self, now, tenure, True),
+        "begin_term",
+        lambda self, now, granter_term, first: begin_term(
+            self, now, granter_term, True
+        ),
     )
     return {}
 
--- a/tests/core/test_state.py
+++ b/tests/core/test_state.py
@@ -115,15 +115,18 @@
     assert state.members["d2"].last_seq == 5
 
 
-def test_tenure_keeps_the_longest_durations_of_all_terms():
+def test_term_keeps_the_longest_durations_of_all_terms():
     state = make_state(publish(0, FILE), join("d1"))
     long = Claim("catalogo/0", 1, "", 3000, 9000)
     short = Claim("catalogo/0", 2, "", 500, 1000)
     state.apply(3, Envelope("d1", "i1", 2, long))
     state.apply(4, Envelope("d1", "i1", 3, short))
-    tenure = state.tenures["catalogo/0"]
-    assert (tenure.longest_authority_ms, tenure.longest_lease_ms) == (3000, 9000)
-    assert (tenure.authority_ms, tenure.lease_ms) == (500, 1000)
+    granter_term = state.granter_terms["catalogo/0"]
+    assert (granter_term.longest_authority_ms, granter_term.longest_lease_ms) == (
+        3000,
+        9000,
+    )
+    assert (granter_term.authority_ms, granter_term.lease_ms) == (500, 1000)
 
 
 def test_resigned_group_accepts_any_claim_but_no_late_assignment():
--- a/tests/daemon/test_home_client.py
+++ b/tests/daemon/test_home_client.py
@@ -11,8 +11,8 @@
 
 from skylarktrail.core.idempotency import verdicts
 from skylarktrail.core.idempotency.keys import home_group_of
-from skylarktrail.core.idempotency.table import Attempt, TableLimits, TenureView
-from skylarktrail.core.state import Member, State, Tenure
+from skylarktrail.core.idempotency.table import Attempt, TableLimits, TermView
+from skylarktrail.core.state import GranterTerm, Member, State
 from skylarktrail.core.traffic.messages import Outcome
 from skylarktrail.daemon.dispatch import DispatchResult
 from skylarktrail.daemon.home_client import MAX_RECORDED_BYTES, HomeClient, read_verdict
@@ -21,7 +21,7 @@
     TABLE_FREE_DELAY_MS,
     Clocks,
     HomeHandler,
-    make_tenure_view,
+    make_term_view,
 )
 from skylarktrail.daemon.home_transfer import HomeTransfer
 from skylarktrail.daemon.problem import Problem
@@ -65,7 +65,7 @@
     homes: HomeClient
     handler: HomeHandler
     links: PeerLinks
-    tenure_views: dict[str, TenureView]
+    term_views: dict[str, TermView]
     pending: queue.Queue
 
 
@@ -73,15 +73,15 @@
 def site() -> Site:
     state = State(lambda file: True)
     state.file = {"idempotency": {"homes": 1}}
-    state.tenures["home/0"] = make_tenure("b", 3)
+    state.granter_terms["home/0"] = make_term("b", 3)
     readings = {"now_ms": 10_000, "wall_ms": WALL_MS}
     clocks = Clocks(lambda: readings["now_ms"], lambda: readings["wall_ms"])
     return Site(state, readings, clocks)
 
 
-def make_tenure(granter: str, term: int) -> Tenure:
-    fields = dict.fromkeys(Tenure._fields, 0)
-    return Tenure(**fields)._replace(granter=granter, term=term)
+def make_term(granter: str, term: int) -> GranterTerm:
+    fields = dict.fromkeys(GranterTerm._fields, 0)
+    return GranterTerm(**fields)._replace(granter=granter, term=term)
 
 
 @pytest.fixture
@@ -93,12 +93,12 @@
     nodes: list[Node] = []
 
     def make(name: str, holds_messages: bool = False) -> Node:
-        tenure_views = {"home/0": TenureView(True, WALL_MS - 60_000, 3)}
+        term_views = {"home/0": TermView(True, WALL_MS - 60_000, 3)}
         pending: queue.Queue = queue.Queue()
         handler = HomeHandler(
             name,
             lambda: site.state,
-            tenure_views.__getitem__,
+            term_views.__getitem__,
             lambda: LIMITS,
             site.clocks,
         )
@@ -118,7 +118,7 @@
         homes = HomeClient(
             name, lambda: site.state, links, handler, site.clocks, TIMEOUT_MS
         )
-        nodes.append(Node(name, homes, handler, links, tenure_views, pending))
+        nodes.append(Node(name, homes, handler, links, term_views, pending))
         site.state.members[name] = Member("i1", "z", links.start().unwrap(), 0)
         for node in nodes:
             node.links.set_peers(
@@ -266,7 +266,7 @@
 
 def test_home_that_lost_its_authority_refuses_attempts(make_node):
     a, b = make_node("a"), make_node("b")
-    b.tenure_views["home/0"] = TenureView(False, 0, 3)
+    b.term_views["home/0"] = TermView(False, 0, 3)
     assert request_verdict(a) == verdicts.NotHome()
     assert request_verdict(b) == verdicts.NotHome()
 
@@ -275,8 +275,8 @@
     a, b, c = make_node("a"), make_node("b"), make_node("c")
     assert request_verdict(a) == verdicts.Run(3)
     b.links.stop()
-    site.state.tenures["home/0"] = make_tenure("c", 4)
-    c.tenure_views["home/0"] = TenureView(True, WALL_MS, 4)
+    site.state.granter_terms["home/0"] = make_term("c", 4)
+    c.term_views["home/0"] = TermView(True, WALL_MS, 4)
     assert request_verdict(a) == verdicts.Forgotten(2 * LIMITS.skew_ms)
     refusal = run_once(a, make_dispatch_result(RESPONSE))
     assert (refusal.code, refusal.outcome) == (codes.KEY_FORGOTTEN, "unknown")
@@ -285,16 +285,16 @@
 
 def test_attempt_with_a_verdict_after_its_deadline_does_not_run(make_node, site):
     b = make_node("b")
-    view = b.tenure_views["home/0"]
+    view = b.term_views["home/0"]
 
-    class LateTenureViews(dict):
-        """Lets the deadline pass while the tenure is read."""
+    class LateTermViews(dict):
+        """Lets the deadline pass while the term is read."""
 
         def __getitem__(self, group):
             site.readings["now_ms"] = DEADLINE_MS
             return view
 
-    b.handler._tenure_view = LateTenureViews().__getitem__
+    b.handler._term_view = LateTermViews().__getitem__
     assert request_verdict(b) == verdicts.AllowedTooLate()
     assert request_verdict(b, deadline_ms=DEADLINE_MS + 1000) == verdicts.Run(3)
     refusal = run_once(b, make_dispatch_result(RESPONSE))
@@ -336,15 +336,15 @@
 def test_freed_table_is_not_recreated_in_its_term(make_node, site):
     b = make_node("b")
     assert request_verdict(b) == verdicts.Run(3)
-    site.state.tenures["home/0"] = make_tenure("c", 4)
+    site.state.granter_terms["home/0"] = make_term("c", 4)
     b.handler.sweep()
     assert b.handler.size_bytes() > 0
     site.readings["now_ms"] += TABLE_FREE_DELAY_MS
     b.handler.sweep()
     assert b.handler.size_bytes() == 0
-    site.state.tenures["home/0"] = make_tenure("b", 5)
+    site.state.granter_terms["home/0"] = make_term("b", 5)
     assert request_verdict(b) == verdicts.NotHome()
-    b.tenure_views["home/0"] = TenureView(True, WALL_MS - 1, 5)
+    b.term_views["home/0"] = TermView(True, WALL_MS - 1, 5)
     assert request_verdict(b) == verdicts.Forgotten(2 * LIMITS.skew_ms - 1)
 
 
@@ -356,8 +356,8 @@
     b.handler._limits = lambda: bounds
     groups = [f"home/{index}" for index in range(8)]
     for index, group in enumerate(groups):
-        site.state.tenures[group] = make_tenure("b", 3)
-        b.tenure_views[group] = b.tenure_views["home/0"]
+        site.state.granter_terms[group] = make_term("b", 3)
+        b.term_views[group] = b.term_views["home/0"]
     for index in range(200):
         attempt = Attempt(make_key(WALL_MS - 1000 + index), DIGEST, b"a", 1000, WALL_MS)
         verdict = b.handler.decide(groups[index % 8], attempt)
@@ -378,8 +378,8 @@
 def change_home(site: Site, transfer: HomeTransfer, node: Node) -> None:
     """Makes a daemon the home in the next term, after it has seen the current one."""
     transfer.tick()
-    site.state.tenures["home/0"] = make_tenure(node.name, 4)
-    node.tenure_views["home/0"] = TenureView(True, WALL_MS, 4)
+    site.state.granter_terms["home/0"] = make_term(node.name, 4)
+    node.term_views["home/0"] = TermView(True, WALL_MS, 4)
 
 
 def wait_for_table(transfer: HomeTransfer, outcome: str) -> None:
@@ -406,7 +406,7 @@
 
 def test_previous_home_refuses_attempts_after_its_handover(make_node, site):
     b, c = make_node("b"), make_node("c")
-    b.handler.enter_own_tenures()
+    b.handler.enter_own_terms()
     transfer = make_transfer(site, c)
     change_home(site, transfer, c)
     wait_for_table(transfer, "loaded")
@@ -416,7 +416,7 @@
 
 def test_current_home_does_not_hand_over(make_node, site):
     a, b = make_node("a"), make_node("b")
-    b.handler.enter_own_tenures()
+    b.handler.enter_own_terms()
     for term in (3, 4):
         ask = HomeTableRequest("home/0", term)
         reply = a.links.request("b", ask, TIMEOUT_MS).result().unwrap()
@@ -462,8 +462,8 @@
         return self.since_ms
 
 
-def test_tenure_view_converts_its_start_to_the_wall_clock(site):
-    view = make_tenure_view(FakeAuthority(7000.5), lambda: site.state, site.clocks)
-    assert view("home/0") == TenureView(True, WALL_MS - 2999, 3)
-    absent = make_tenure_view(FakeAuthority(None), lambda: site.state, site.clocks)
+def test_term_view_converts_its_start_to_the_wall_clock(site):
+    view = make_term_view(FakeAuthority(7000.5), lambda: site.state, site.clocks)
+    assert view("home/0") == TermView(True, WALL_MS - 2999, 3)
+    absent = make_term_view(FakeAuthority(None), lambda: site.state, site.clocks)
     assert not absent("home/0").is_confirmed
