Conclude that a daemon is cut off from probes alone, in its own zone and others

Four instances that refuse connections within three seconds, with no other connection opened meanwhile, counted as a cut, so the loss of a zone's instances made daemons forward requests for some tenths of a second, and the probe that ended it lifted the suspensions of the lost ones. A zone cut from the others could draw four instances of other zones.

Failed connections and unanswered calls now only lead to probes, at most each second after one that was opened, and only a round of probes that all fail shows a cut; two of its four instances lie in the daemon's own zone.

--- a/src/skylarktrail/core/gateway/reachability.py
+++ b/src/skylarktrail/core/gateway/reachability.py
@@ -9,13 +9,12 @@
 
 import enum
 import math
-from typing import Callable, Sequence
+from typing import Callable, Mapping, Sequence
 
 # Failed connections to different instances from which on probes are sent.
 DOUBT_COUNT = 2
-# Different instances that have to fail, without a success, before the daemon counts as
-# cut off; all of them if there are fewer.
-CUT_COUNT = 4
+# Instances that are probed at once in the zone of this daemon, and as many in others.
+ZONE_PROBE_COUNT = 2
 FAILURE_TTL_MS = 3000.0  # Older failures count no more.
 # Responses come every few tens of milliseconds under load. So probes are sent if none
 # came for this time while requests to several instances are older than that.
@@ -30,7 +29,7 @@
     Attributes:
         REACHING: It does, as far as is known.
         DOUBTFUL: Several instances failed; probes decide.
-        CUT: New connections to all probed instances fail.
+        CUT: New connections to all probed instances failed.
     """
 
     REACHING = "reaching"
@@ -73,44 +72,29 @@
         """Records that an instance responded over any connection."""
         self._responded_ms = now_ms
 
-    def record_connect_failure(
-        self, instance: str, instance_count: int, now_ms: float
-    ) -> None:
+    def record_connect_failure(self, instance: str, now_ms: float) -> None:
         """Records that a new connection to an instance failed.
 
-        Args:
-            instance: The instance.
-            instance_count: Number of listed instances.
-            now_ms: Present time.
+        Many instances may be lost at once, so this leads to probes only.
         """
-        self._failures_ms = {
-            name: at_ms
-            for name, at_ms in self._failures_ms.items()
-            if self.is_cut or now_ms - at_ms <= FAILURE_TTL_MS
-        }
-        self._failures_ms[instance] = now_ms
-        failed_count = len(self._failures_ms)
-        if failed_count >= max(1, min(CUT_COUNT, instance_count)):
-            self.state = LinkState.CUT
-        elif failed_count >= DOUBT_COUNT and not self.is_cut:
-            self.state = LinkState.DOUBTFUL
+        self._record_failure(self._failures_ms, instance, now_ms)
 
     def record_unanswered_call(self, instance: str, now_ms: float) -> None:
         """Records that a lease call to an instance got no response.
 
-        Instances may leave calls unanswered by themselves, so this leads to probes
-        only, and not sooner than a while after the last connection that was opened.
+        Instances may leave calls unanswered by themselves, so this too leads to probes
+        only.
         """
-        self._unanswered_ms = {
-            name: at_ms
-            for name, at_ms in self._unanswered_ms.items()
-            if now_ms - at_ms <= FAILURE_TTL_MS
-        }
-        self._unanswered_ms[instance] = now_ms
-        is_recent = now_ms - self._connected_ms < RENEWED_DOUBT_MS
-        is_doubtful = len(self._unanswered_ms) >= DOUBT_COUNT and not is_recent
-        if self.state is LinkState.REACHING and is_doubtful:
-            self.state = LinkState.DOUBTFUL
+        self._record_failure(self._unanswered_ms, instance, now_ms)
+
+    def record_probes(
+        self, is_open_by_instance: Mapping[str, bool], now_ms: float
+    ) -> None:
+        """Concludes from the connections that `choose_probes` asked for."""
+        if any(is_open_by_instance.values()):
+            self.record_connected(now_ms)
+        elif is_open_by_instance:
+            self.state = LinkState.CUT
 
     def check_silence(self, request_ages_ms: Sequence[float], now_ms: float) -> None:
         """Doubts the links if requests to several instances get no response.
@@ -130,12 +114,40 @@
         """Returns whether open connections get no responses either."""
         return self.is_cut and now_ms - self._responded_ms >= SILENCE_MS
 
-    def choose_probes(self, instances: Sequence[str], now_ms: float) -> list[str]:
-        """Returns the instances to which connections are to be probed now."""
+    def choose_probes(
+        self, near: Sequence[str], far: Sequence[str], now_ms: float
+    ) -> list[str]:
+        """Returns the instances to which connections are to be probed now.
+
+        Args:
+            near: Instances in the zone of this daemon, which it may reach alone.
+            far: All other instances.
+            now_ms: Present time.
+        """
         is_due = now_ms - self._probed_ms >= PROBE_INTERVAL_MS
-        if self.state is LinkState.REACHING or not is_due or not instances:
+        if self.state is LinkState.REACHING or not is_due:
             return []
         self._probed_ms = now_ms
+        return self._choose_untried(near) + self._choose_untried(far)
+
+    def _choose_untried(self, instances: Sequence[str]) -> list[str]:
+        """Chooses among the instances that have not failed, if there are enough."""
         untried = [name for name in instances if name not in self._failures_ms]
-        pool = untried if len(untried) >= CUT_COUNT else list(instances)
-        return self._choose(pool, min(CUT_COUNT, len(pool)))
+        pool = untried if len(untried) >= ZONE_PROBE_COUNT else instances
+        return self._choose(pool, min(ZONE_PROBE_COUNT, len(pool)))
+
+    def _record_failure(
+        self, failures_ms: dict[str, float], instance: str, now_ms: float
+    ) -> None:
+        """Records a failure and doubts the links if there are several.
+
+        Right after a connection was opened there is no doubt.
+        """
+        for name, at_ms in list(failures_ms.items()):
+            if now_ms - at_ms > FAILURE_TTL_MS:
+                del failures_ms[name]
+        failures_ms[instance] = now_ms
+        is_recent = now_ms - self._connected_ms < RENEWED_DOUBT_MS
+        is_doubtful = len(failures_ms) >= DOUBT_COUNT and not is_recent
+        if self.state is LinkState.REACHING and is_doubtful:
+            self.state = LinkState.DOUBTFUL
--- a/src/skylarktrail/gateway/reach_monitor.py
+++ b/src/skylarktrail/gateway/reach_monitor.py
@@ -8,7 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Callable, Sequence
 
-from ..core.gateway.reachability import CUT_COUNT, LinkState, Reachability
+from ..core.gateway.reachability import ZONE_PROBE_COUNT, LinkState, Reachability
 from ..peer.gateway_messages import GatewayReachability
 from ..peer.hub import Responder
 from .clock import now_ms
@@ -53,20 +53,17 @@
         self._lock = threading.Lock()
         self._cut_daemons_ms: dict[str, float] = {}
         self._repeated_ms = -math.inf
-        self._probes = ThreadPoolExecutor(CUT_COUNT, "probes")
+        self._probes = ThreadPoolExecutor(2 * ZONE_PROBE_COUNT, "probes")
         connections.on_connect = self.record_connect
         messenger.add_handler(GatewayReachability, self._handle_report)
 
     def record_connect(self, instance: str, is_open: bool) -> None:
         """Records whether a new connection to an instance could be opened."""
-        instance_count = len(self._site.fleet.instances)
         with self._lock:
             if is_open:
                 self._reachability.record_connected(now_ms())
             else:
-                self._reachability.record_connect_failure(
-                    instance, instance_count, now_ms()
-                )
+                self._reachability.record_connect_failure(instance, now_ms())
         self._apply()
 
     def record_response(self) -> None:
@@ -111,9 +108,9 @@
         return CHECK_INTERVAL_MS
 
     def _probe_links(self) -> None:
-        instances = self._site.list_instances()
+        near, far = self._site.list_instances_by_distance()
         with self._lock:
-            names = self._reachability.choose_probes(instances, now_ms())
+            names = self._reachability.choose_probes(near, far, now_ms())
         if names:
             self._probe(names)
 
@@ -125,10 +122,9 @@
             addresses.values(),
         )
         is_open_by_name = dict(zip(addresses, outcomes))
-        is_reached = any(is_open_by_name.values())
-        for name, is_open in is_open_by_name.items():
-            if is_open or not is_reached:
-                self.record_connect(name, is_open)
+        with self._lock:
+            self._reachability.record_probes(is_open_by_name, now_ms())
+        self._apply()
 
     def _apply(self) -> None:
         """Applies a changed conclusion to the site."""
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -296,10 +296,13 @@
                 self._cut_daemons = frozenset(names)
                 self.scheduler.view = self._view()
 
-    def list_instances(self) -> list[str]:
-        """Returns the identifiers of all listed instances."""
+    def list_instances_by_distance(self) -> tuple[list[str], list[str]]:
+        """Returns the listed instances of this daemon's zone, and all others."""
         with self.lock:
-            return list(self.fleet.instances)
+            instances = self.fleet.instances.values()
+            near = [i.entry.instance for i in instances if i.entry.zone == self.zone]
+            far = [i.entry.instance for i in instances if i.entry.zone != self.zone]
+            return near, far
 
     def addresses(self, instances: Iterable[str]) -> dict[str, str]:
         """Returns the addresses of those instances that are listed."""
