--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -21,6 +21,7 @@
     GranterAction,
     KeyedInstance,
     LeaseTimings,
+    LostRange,
     RecordOwners,
     ReleaseCall,
 )
@@ -74,6 +75,7 @@
         self._recorded = list(recorded.ranges)
         self._ranges_being_recorded: list[OwnedRange] = []
         self._moves_being_recorded: list[LeasedRange] = []
+        self._lost_ranges: list[LostRange] = []
 
     @staticmethod
     def _max_lease_ms(lease_ms: float) -> float:
@@ -125,6 +127,11 @@
         record = self._make_record(now_ms)
         return actions + ([record] if record else [])
 
+    def pop_lost_ranges(self) -> list[LostRange]:
+        """Returns the ranges that owners have lost since the last call."""
+        lost, self._lost_ranges = self._lost_ranges, []
+        return lost
+
     def rebalance(
         self, distribution: LoadDistribution, should_balance: bool
     ) -> list[RangeMove]:
@@ -256,7 +263,7 @@
     ) -> None:
         if result.outcome == "done":
             item.handover = result.handover
-            self._mark_released(item)
+            self._mark_released(item, "released", now_ms)
             return
         item.next_call_ms = now_ms + RETRY_DELAY_MS
         if result.outcome == "refused":
@@ -360,13 +367,28 @@
             is_idle = item.is_releasing and not item.call_id
             end_ms = max(item.lease_end_ms, item.inherited_lease_end_ms)
             is_expired = is_idle and now_ms >= end_ms
-            if is_other_incarnation or is_ended or is_expired:
-                self._mark_released(item)
+            if is_other_incarnation:
+                self._mark_released(item, "incarnation_ended", now_ms)
+            elif is_ended:
+                self._mark_released(item, "process_ended", now_ms)
+            elif is_expired:
+                self._mark_released(item, "lease_expired", now_ms)
             elif owner is None:
                 item.is_releasing = True
 
-    def _mark_released(self, item: LeasedRange) -> None:
+    def _mark_released(self, item: LeasedRange, reason: str, now_ms: float) -> None:
         """Handles that the owner of a range holds no lease any more."""
+        owned = item.owned
+        self._lost_ranges.append(
+            LostRange(
+                owned.first,
+                owned.last,
+                owned.owner,
+                reason,
+                bool(item.call_id),
+                now_ms < item.unanswered_grant_end_ms,
+            )
+        )
         if item.is_target_recorded:
             self._transfer_to_target(item)
         else:
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -94,6 +94,28 @@
 GranterAction = GrantCall | ReleaseCall | RecordOwners
 
 
+class LostRange(NamedTuple):
+    """A range that its owner does not hold any more, for the log.
+
+    Attributes:
+        first: First hash.
+        last: Last hash, inclusive.
+        owner: Identifier of the owner.
+        reason: `released`, if the owner confirmed it; `incarnation_ended`, if another
+            incarnation is listed; `process_ended`, if the owner is not listed and its
+            process has ended; `lease_expired`.
+        is_call_pending: Whether a call about the range was in flight.
+        is_grant_unanswered: Whether a grant without an answer could still take effect.
+    """
+
+    first: int
+    last: int
+    owner: str
+    reason: str
+    is_call_pending: bool
+    is_grant_unanswered: bool
+
+
 class CallResult(NamedTuple):
     """Result of a grant or release.
 
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -377,6 +377,13 @@
             authority_end_ms = self._former_granters.authority_end_ms(self._site.daemon)
             granter = Granter(self._timings, self._term, recorded, authority_end_ms)
             self._granters[spec.name] = granter
+            self._log.state(
+                "granting_begins",
+                service=spec.name,
+                term=self._term,
+                ranges=len(recorded.ranges),
+                former_authority_left_ms=round(authority_end_ms - at_ms),
+            )
         owners = self._list_keyed_instances(spec.name, at_ms)
         if not owners:
             return
@@ -386,9 +393,16 @@
         actions = granter.step(owners, at_ms, addresses)
         self._plan_moves(spec.name, granter, at_ms)
         actions += granter.step(owners, at_ms, addresses)
+        self._log_lost_ranges(spec.name, granter)
         for action in actions:
             self._execute(spec.name, action)
 
+    def _log_lost_ranges(self, service: str, granter: Granter) -> None:
+        for lost in granter.pop_lost_ranges():
+            self._log.write(
+                "range_lost", service=service, term=self._term, **lost._asdict()
+            )
+
     def _plan_moves(self, service: str, granter: Granter, at_ms: float) -> None:
         load = self._loads.setdefault(service, KeyLoad())
         is_new_service = service not in self._site.shared.owners
