Take an owner's incarnation for ended only if a later one is listed

Callers could have seen two owners: a new granter whose listing is older than the records lists the owner's former incarnation, took it for a newer one, and gave the range away at once. Cause: incarnations were compared for being different.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -362,12 +362,12 @@
             if item.is_released:
                 continue
             owner = self._owners.get(item.owned.owner)
-            is_other_incarnation = self._is_other_incarnation(item)
+            has_restarted = owner and owner.start_ms > item.owned.start_ms
             is_ended = owner is None and self._has_owner_ended(item)
             is_idle = item.is_releasing and not item.call_id
             end_ms = max(item.lease_end_ms, item.inherited_lease_end_ms)
             is_expired = is_idle and now_ms >= end_ms
-            if is_other_incarnation:
+            if has_restarted:
                 self._mark_released(item, "incarnation_ended", now_ms)
             elif is_ended:
                 self._mark_released(item, "process_ended", now_ms)
