Ask a restarted owner for the release before its keys go to others

Cause: a later incarnation in the listing was taken as proof that no lease is left. Renewals name the instance, not its incarnation, and go on until the new entry is read, so they reach the new process, answered or not. Class: knowledge about one process applied to another one that answers in its place. Now the new process is asked for the release like any owner: after a call in flight, after a fencing grant if a grant may still take effect, or when the leases have expired. A process that holds nothing answers at once, so the keys of a restarted owner wait for one more call. test_a_restarted_owner_that_got_renewals_is_released_first failed before (two holders 50 ms after the new entry was read); test_keys_of_a_restarted_owner_are_served_within_the_target passes before and after.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -5,8 +5,9 @@
 a fence of a newer granter refuses the grants of a former one. A move is recorded, with
 both instances, before the owner is asked to release the range, so that an outage of the
 store in between leaves no hash without an owner. A range moves when its owner has
-confirmed the release, when the owner's incarnation has ended, or when the longest lease
-that any granter may have granted has expired.
+confirmed the release, when its process has ended, or when the longest lease that any
+granter may have granted has expired. A new incarnation of the owner is asked for the
+release too, as it may have received renewals.
 """
 
 from __future__ import annotations
@@ -285,7 +286,7 @@
                 and not item.is_released
                 and now_ms >= item.next_call_ms
             )
-            if not is_due or not address or self._is_other_incarnation(item):
+            if not is_due or not address or not self._reaches_known_process(item):
                 continue
             if item.is_inherited_move:  # Either of two instances may hold a lease.
                 continue
@@ -304,9 +305,13 @@
         at_address = self._addresses.get(item.address, item.owned.owner)
         return at_address != item.owned.owner or item.refusals >= PROOF_REFUSAL_COUNT
 
-    def _is_other_incarnation(self, item: LeasedRange) -> bool:
+    def _reaches_known_process(self, item: LeasedRange) -> bool:
+        """Returns whether calls to an owner reach the process that is known of it.
+
+        They may reach another one while the listing is older than the records.
+        """
         owner = self._owners.get(item.owned.owner)
-        return owner is not None and owner.start_ms != item.owned.start_ms
+        return owner is None or owner.start_ms == item.process_start_ms
 
     def _address_of(self, item: LeasedRange) -> str:
         """Returns the address of the owner; the last known one if it is unlisted."""
@@ -337,7 +342,8 @@
             if not is_due or now_ms < item.next_call_ms:
                 continue
             address = self._address_of(item)
-            if address and item.can_release(now_ms):
+            is_reachable = address and self._reaches_known_process(item)
+            if is_reachable and item.can_release(now_ms):
                 actions.append(self._make_release(item, address))
         return actions
 
@@ -362,14 +368,13 @@
             if item.is_released:
                 continue
             owner = self._owners.get(item.owned.owner)
-            has_restarted = owner and owner.start_ms > item.owned.start_ms
+            if owner is not None and owner.start_ms > item.process_start_ms:
+                item.observe_incarnation(owner.start_ms, now_ms)
             is_ended = owner is None and self._has_owner_ended(item)
             is_idle = item.is_releasing and not item.call_id
             end_ms = max(item.lease_end_ms, item.inherited_lease_end_ms)
             is_expired = is_idle and now_ms >= end_ms
-            if has_restarted:
-                self._mark_released(item, "incarnation_ended", now_ms)
-            elif is_ended:
+            if is_ended:
                 self._mark_released(item, "process_ended", now_ms)
             elif is_expired:
                 self._mark_released(item, "lease_expired", now_ms)
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -101,9 +101,8 @@
         first: First hash.
         last: Last hash, inclusive.
         owner: Identifier of the owner.
-        reason: `released`, if the owner confirmed it; `incarnation_ended`, if another
-            incarnation is listed; `process_ended`, if the owner is not listed and its
-            process has ended; `lease_expired`.
+        reason: `released`, if the owner confirmed it; `process_ended`, if the owner is
+            not listed and its process has ended; `lease_expired`.
         is_call_pending: Whether a call about the range was in flight.
         is_grant_unanswered: Whether a grant without an answer could still take effect.
     """
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -14,6 +14,8 @@
     Attributes:
         owned: The range and its owner, the only instance that may hold a lease for it;
             in an inherited move the target may hold one too.
+        process_start_ms: Start of the process that calls to the owner reach, as far as
+            it is known: the owner's incarnation or a later one.
         address: `host:port` of the owner.
         inherited_lease_end_ms: When leases of former granters have expired.
         fence: Fence of the present grant; 0 if there is none.
@@ -39,6 +41,7 @@
         self, owned: OwnedRange, address: str, inherited_lease_end_ms: float
     ) -> None:
         self.owned = owned._replace(next_owner="", next_start_ms=0)
+        self.process_start_ms = owned.start_ms
         self.address = address
         self.inherited_lease_end_ms = inherited_lease_end_ms
         self.fence = 0
@@ -75,6 +78,7 @@
         self.owned = self.owned._replace(
             owner=self.target, start_ms=self.target_start_ms
         )
+        self.process_start_ms = self.target_start_ms
         self.address = address
         self.fence = 0
         self.is_acknowledged = self.is_releasing = self.is_released = False
@@ -94,6 +98,19 @@
         self.set_target("", 0)
         self.is_target_recorded = False
 
+    def observe_incarnation(self, start_ms: int, now_ms: float) -> None:
+        """Takes the range from a new incarnation of its owner.
+
+        Renewals may have reached the new process before its entry was read, and calls
+        in flight may still do so. What an earlier process has acknowledged does not
+        fence the grants of former granters there.
+        """
+        self.process_start_ms = start_ms
+        self.is_releasing = True
+        self.next_call_ms = now_ms
+        if now_ms < self.inherited_lease_end_ms:
+            self.is_acknowledged = False
+
     def needs_fencing(self, now_ms: float) -> bool:
         """Returns whether an earlier grant could still take effect after a release."""
         return not self.is_acknowledged or now_ms < self.unanswered_grant_end_ms
