Do not take refused connections for the end of an owner's process

Cause: a refused connection says what this daemon's link does, not what the process does. Class: an error of the observer's own path taken for a fact about the other side. Proof is now only that another process answers at the address (or is listed there); else the leases have to expire, which costs about a second more for an owner that crashed and is not listed. test_refused_connections_do_not_end_the_lease_of_an_unlisted_owner failed before; test_keys_of_an_owner_that_refuses_connections_are_served_within_the_target (5 s) passes.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -37,8 +37,8 @@
 RECORD_INTERVAL_MS = 60.0  # Changes within this time are recorded together.
 FENCING_LEASE_MS = 1000.0  # Lease of a grant that only fences earlier grants.
 GRANT, FENCING, RELEASE = "grant", "fencing", "release"
-# Refused calls that prove that the process of an unlisted owner has ended.
-PROOF_REFUSAL_COUNT = 2
+# Answers of another process at its address that prove that an unlisted owner has ended.
+PROOF_ANSWER_COUNT = 2
 
 
 class Granter:
@@ -241,7 +241,7 @@
         lease_end_ms = now_ms + self._max_lease_ms(lease_ms)
         if result.outcome == "done":
             item.is_acknowledged = True
-            item.refusals = 0
+            item.replaced_answers = 0
             item.lease_end_ms = max(item.lease_end_ms, lease_end_ms)
             item.next_call_ms = now_ms + self._timings.renew_ms
             if item.is_releasing:
@@ -253,8 +253,8 @@
         if result.outcome == "fenced":
             item.is_acknowledged = False
             item.fence = 0
-        elif result.outcome == "refused":
-            item.refusals += 1
+        elif result.outcome == "replaced":
+            item.replaced_answers += 1
         elif result.outcome == "silent":
             item.unanswered_grant_end_ms = lease_end_ms
             item.lease_end_ms = max(item.lease_end_ms, lease_end_ms)
@@ -267,8 +267,8 @@
             self._mark_released(item, "released", now_ms)
             return
         item.next_call_ms = now_ms + RETRY_DELAY_MS
-        if result.outcome == "refused":
-            item.refusals += 1
+        if result.outcome == "replaced":
+            item.replaced_answers += 1
 
     def _current_fence(self) -> int:
         return self._term * FENCES_PER_TERM + self._fence_count
@@ -303,7 +303,8 @@
     def _has_owner_ended(self, item: LeasedRange) -> bool:
         """Returns whether the process of an unlisted owner has ended for certain."""
         at_address = self._addresses.get(item.address, item.owned.owner)
-        return at_address != item.owned.owner or item.refusals >= PROOF_REFUSAL_COUNT
+        is_replaced = item.replaced_answers >= PROOF_ANSWER_COUNT
+        return at_address != item.owned.owner or is_replaced
 
     def _reaches_known_process(self, item: LeasedRange) -> bool:
         """Returns whether calls to an owner reach the process that is known of it.
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -26,7 +26,7 @@
         lease_end_ms: When the longest lease of this granter expires.
         next_call_ms: When the next call about the range is due.
         call_id: Number of the call in flight; 0 if there is none.
-        refusals: Consecutive calls that were refused.
+        replaced_answers: Consecutive calls that another process answered.
         handover: State handed over by the previous owner.
         target: Instance that gets the range next; empty for none.
         target_start_ms: Start of the target's incarnation.
@@ -52,7 +52,7 @@
         self.lease_end_ms = -math.inf
         self.next_call_ms = 0.0
         self.call_id = 0
-        self.refusals = 0
+        self.replaced_answers = 0
         self.handover = ""
         self.target = owned.next_owner
         self.target_start_ms = owned.next_start_ms
@@ -84,7 +84,7 @@
         self.is_acknowledged = self.is_releasing = self.is_released = False
         self.unanswered_grant_end_ms = self.lease_end_ms = -math.inf
         self.next_call_ms = 0.0
-        self.refusals = 0
+        self.replaced_answers = 0
         self.is_inherited_move = False
         self.clear_target()
 
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -528,7 +528,7 @@
         granter.handle_result(completed.result, now_ms())
         if outcome == "fenced":
             self._fenced_at_ms = now_ms()
-        elif outcome in ("refused", "unsent"):
+        elif outcome in ("replaced", "refused", "unsent"):
             self._site.record_unreachable(completed.call.instance, now_ms())
         if outcome in ("silent", "refused", "unsent"):
             self._on_unanswered_call(completed.call.instance)
--- a/src/skylarktrail/platform/lease_client.py
+++ b/src/skylarktrail/platform/lease_client.py
@@ -16,10 +16,10 @@
 MAX_POOLS = 256
 # Responses to these calls have short bodies. A server in trouble may never end one.
 MAX_BODY_BYTES = 4096
-DONE, FENCED, REFUSED = "done", "fenced", "refused"
-UNSENT, SILENT = "unsent", "silent"
+DONE, FENCED, REPLACED = "done", "fenced", "replaced"
+REFUSED, UNSENT, SILENT = "refused", "unsent", "silent"
 # 400, 404 and 421 show that another process has taken over the instance's address.
-OUTCOMES = {200: DONE, 409: FENCED, 400: REFUSED, 404: REFUSED, 421: REFUSED}
+OUTCOMES = {200: DONE, 409: FENCED, 400: REPLACED, 404: REPLACED, 421: REPLACED}
 
 
 class HttpLeaseClient:
