Send a restarted owner grants only after the term was confirmed

A granter that has lost the store goes on within its authority. An owner that restarts has forgotten the fences of the successor, so it accepted the fencing grant of the former granter for a range that the successor had moved elsewhere.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -70,6 +70,7 @@
             item.is_releasing = item.is_inherited_move
             item.former_calls_end_ms = former_authority_end_ms
         self._owners: dict[str, KeyedInstance] = {}
+        self._confirmed_ms = math.inf
         self._addresses: Mapping[str, str] = {}
         self._is_recording = False
         self._last_record_ms = -math.inf
@@ -111,13 +112,16 @@
         owners: Mapping[str, KeyedInstance],
         now_ms: float,
         addresses: Mapping[str, str] | None = None,
+        confirmed_ms: float = math.inf,
     ) -> list[GranterAction]:
         """Updates the ranges and returns the actions that are due.
 
         Args:
             owners: All listed instances of the service by identifier.
             addresses: Identifiers of the listed instances of all services by address.
+            confirmed_ms: When the last read began that confirmed the term.
         """
+        self._confirmed_ms = confirmed_ms
         self._owners = dict(owners)
         self._addresses = addresses or {}
         self._release_ended(now_ms)
@@ -292,6 +296,8 @@
                 continue
             if item.is_releasing and not item.needs_fencing(now_ms):
                 continue
+            if item.process_observed_ms > self._confirmed_ms:
+                continue
             if not item.fence or item.is_releasing:
                 item.fence = self._next_fence()
             lease_ms = self._timings.lease_ms
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -16,6 +16,8 @@
             in an inherited move the target may hold one too.
         process_start_ms: Start of the process that calls to the owner reach, as far as
             it is known: the owner's incarnation or a later one.
+        process_observed_ms: When a later incarnation was listed. It has forgotten all
+            fences, so only a granter that was confirmed after this may send it grants.
         address: `host:port` of the owner.
         inherited_lease_end_ms: When leases of former granters have expired.
         fence: Fence of the present grant; 0 if there is none.
@@ -42,6 +44,7 @@
     ) -> None:
         self.owned = owned._replace(next_owner="", next_start_ms=0)
         self.process_start_ms = owned.start_ms
+        self.process_observed_ms = -math.inf
         self.address = address
         self.inherited_lease_end_ms = inherited_lease_end_ms
         self.fence = 0
@@ -79,6 +82,7 @@
             owner=self.target, start_ms=self.target_start_ms
         )
         self.process_start_ms = self.target_start_ms
+        self.process_observed_ms = -math.inf
         self.address = address
         self.fence = 0
         self.is_acknowledged = self.is_releasing = self.is_released = False
@@ -106,6 +110,7 @@
         fence the grants of former granters there.
         """
         self.process_start_ms = start_ms
+        self.process_observed_ms = now_ms
         self.is_releasing = True
         self.next_call_ms = now_ms
         if now_ms < self.inherited_lease_end_ms:
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -390,9 +390,9 @@
         with self._site.lock:
             instances = self._site.fleet.instances
             addresses = {i.entry.address: name for name, i in instances.items()}
-        actions = granter.step(owners, at_ms, addresses)
+        actions = granter.step(owners, at_ms, addresses, self._term_confirmed_ms)
         self._plan_moves(spec.name, granter, at_ms)
-        actions += granter.step(owners, at_ms, addresses)
+        actions += granter.step(owners, at_ms, addresses, self._term_confirmed_ms)
         self._log_lost_ranges(spec.name, granter)
         for action in actions:
             self._execute(spec.name, action)
--- a/tests/core/gateway/simulation.py
+++ b/tests/core/gateway/simulation.py
@@ -212,10 +212,14 @@
         owners = self.instances_seen_by(daemon)
         if not owners:
             return
-        actions = daemon.granter.step(owners, self.now_ms)
+        actions = daemon.granter.step(
+            owners, self.now_ms, confirmed_ms=daemon.confirmed_ms
+        )
         if daemon.granter.has_unassigned_hashes() or self.random.random() < 0.1:
             daemon.granter.rebalance(self.distribution, True)
-        actions += daemon.granter.step(owners, self.now_ms)
+        actions += daemon.granter.step(
+            owners, self.now_ms, confirmed_ms=daemon.confirmed_ms
+        )
         if self.random.random() < 0.1:
             daemon.granter.merge_adjacent_ranges(self.now_ms)
         for action in actions:
--- a/tests/core/gateway/test_two_owners.py
+++ b/tests/core/gateway/test_two_owners.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from skylarktrail.core.gateway.key_load import LoadDistribution
 from skylarktrail.core.gateway.lease_calls import GrantCall
 from skylarktrail.core.gateway.ranges import OwnedRange, OwnerTable
 
@@ -116,3 +117,20 @@
         shared_ms += STEP_MS * bool(simulation.find_shared_hashes())
     assert simulation.count_unheld() == 0
     assert shared_ms <= MAX_SHARED_MS
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_former_granter_sends_no_grants_to_a_restarted_owner(seed):
+    """The owner has forgotten the successor's fences together with the moved keys."""
+    simulation = Simulation(SERVER_COUNT, seed)
+    simulation.advance(1000)
+    simulation.daemons[-1].can_reach_store = False
+    simulation.replace_granter()
+    first = next(i.first for i in simulation.recorded_owners.ranges if i.owner == "s1")
+    hot = range(first, first + 9000, 50)
+    simulation.distribution = LoadDistribution({key: 5.0 for key in hot}, 0.1, 900.0)
+    while not simulation.daemons[-1].release_count:
+        simulation.advance(STEP_MS)
+    simulation.advance(500)
+    simulation.restart("s1")
+    simulation.advance(WATCH_MS)
