Let no fencing grant outlast the leases that it waits for

Keys without an owner: an owner that accepts connections and never answers kept its keys for good. Before its release it is sent a fencing grant, each one without an answer may have been taken, so each extended the wait by 1.1 s and the next was sent 0.25 s after the last failed. A fencing grant is now sent only if its lease has run out when the present ones have; else the granter waits for those.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -17,6 +17,7 @@
 
 from .key_load import LoadDistribution
 from .lease_calls import (
+    MAX_GRANT_DELIVERY_MS,
     CallResult,
     GrantCall,
     GranterAction,
@@ -35,7 +36,7 @@
 LEASE_SLACK_MS = 100.0  # Delay of timers on both sides.
 RETRY_DELAY_MS = 250.0  # Delay before a failed call is retried.
 RECORD_INTERVAL_MS = 60.0  # Changes within this time are recorded together.
-FENCING_LEASE_MS = 1000.0  # Lease of a grant that only fences earlier grants.
+FENCING_LEASE_MS = 300.0  # Of a grant that only fences earlier ones before a release.
 GRANT, FENCING, RELEASE = "grant", "fencing", "release"
 # Answers of another process at its address that prove that an unlisted owner has ended.
 PROOF_ANSWER_COUNT = 2
@@ -285,27 +286,40 @@
         actions: list[GranterAction] = []
         for item in self._ranges:
             address = self._address_of(item)
-            is_due = (
-                not item.call_id
-                and not item.is_released
-                and now_ms >= item.next_call_ms
-            )
-            if not is_due or not address or not self._reaches_known_process(item):
-                continue
-            if item.is_inherited_move:  # Either of two instances may hold a lease.
-                continue
-            if item.is_releasing and not item.needs_fencing(now_ms):
+            if not address or not self._is_grant_due(item, now_ms):
                 continue
-            if item.process_observed_ms > self._confirmed_ms:
-                continue
-            if not item.fence or item.is_releasing:
-                item.fence = self._next_fence()
             lease_ms = self._timings.lease_ms
             if item.is_releasing:
                 lease_ms = min(lease_ms, FENCING_LEASE_MS)
+                if self._outlasts_leases(item, lease_ms, now_ms):
+                    continue
+            if not item.fence or item.is_releasing:
+                item.fence = self._next_fence()
             actions.append(self._make_grant(item, address, lease_ms))
         return actions
 
+    def _is_grant_due(self, item: LeasedRange, now_ms: float) -> bool:
+        """Returns whether the owner is due to get a grant, a renewal or a fence."""
+        if item.call_id or item.is_released or now_ms < item.next_call_ms:
+            return False
+        if item.is_inherited_move:  # Either of two instances may hold a lease.
+            return False
+        if item.is_releasing and not item.needs_fencing(now_ms):
+            return False
+        is_confirmed = item.process_observed_ms <= self._confirmed_ms
+        return is_confirmed and self._reaches_known_process(item)
+
+    def _outlasts_leases(
+        self, item: LeasedRange, lease_ms: float, now_ms: float
+    ) -> bool:
+        """Returns whether a new lease may expire after all present ones.
+
+        If each fencing grant prolonged the wait, an owner that accepts connections and
+        never answers would keep its keys for good.
+        """
+        end_ms = now_ms + MAX_GRANT_DELIVERY_MS + self._max_lease_ms(lease_ms)
+        return end_ms > item.last_lease_end_ms
+
     def _has_owner_ended(self, item: LeasedRange) -> bool:
         """Returns whether the process of an unlisted owner has ended for certain."""
         at_address = self._addresses.get(item.address, item.owned.owner)
@@ -379,8 +393,7 @@
                 item.observe_incarnation(owner.start_ms, now_ms)
             is_ended = owner is None and self._has_owner_ended(item)
             is_idle = item.is_releasing and not item.call_id
-            end_ms = max(item.lease_end_ms, item.inherited_lease_end_ms)
-            is_expired = is_idle and now_ms >= end_ms
+            is_expired = is_idle and now_ms >= item.last_lease_end_ms
             if is_ended:
                 self._mark_released(item, "process_ended", now_ms)
             elif is_expired:
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -6,6 +6,9 @@
 
 from .ranges import OwnedRange
 
+# A grant in flight reaches its instance within this time, or is given up and dropped.
+MAX_GRANT_DELIVERY_MS = 1000.0
+
 
 class LeaseTimings(NamedTuple):
     """Durations of leases.
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -69,6 +69,11 @@
             next_owner=self.target, next_start_ms=self.target_start_ms
         )
 
+    @property
+    def last_lease_end_ms(self) -> float:
+        """Returns when all leases that any granter may have granted have expired."""
+        return max(self.lease_end_ms, self.inherited_lease_end_ms)
+
     def transfer_to_target(self, address: str) -> None:
         """Makes the target the owner, once no other instance can hold a lease.
 
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -16,6 +16,7 @@
 from ..core.gateway.instance import Instance
 from ..core.gateway.key_load import KeyLoad
 from ..core.gateway.lease_calls import (
+    MAX_GRANT_DELIVERY_MS,
     CallResult,
     GrantCall,
     KeyedInstance,
@@ -60,8 +61,6 @@
 MERGE_INTERVAL_MS = 3000.0
 WRITE_RETRY_MS = 200.0  # Delay before a write of unknown outcome is retried.
 CALL_THREADS = 48
-# A grant in flight reaches its instance within this time.
-MAX_GRANT_DELIVERY_MS = 1000.0
 # Equals the lifetime of a candidacy in the store: after it the store may have chosen
 # another candidate.
 CANDIDACY_VALID_MS = 1500.0
