Wait for the leases that an earlier process of this daemon granted

Callers could see two owners: a granter that is killed, starts again and takes the role again left its own earlier process out of the former granters. If that was the only one (the first term of a site), the wait was counted from 0, so an owner that was not listed lost its keys at once while it held a lease of the earlier process. Now that process counts as having granted until this one first read a record, plus the time that a call is under way. test_an_earlier_process_of_this_daemon_granted_until_this_one_started failed before.

--- a/src/skylarktrail/core/gateway/former_granters.py
+++ b/src/skylarktrail/core/gateway/former_granters.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import Mapping, NamedTuple
 
+from .lease_calls import MAX_GRANT_DELIVERY_MS
 from .shared_state import GranterRecord
 
 MAX_TERM_COUNT = 8  # Terms kept; the authority of older ones has expired long ago.
@@ -28,9 +30,11 @@
         self._authority_ms = authority_ms
         self._current = GranterRecord("", "", 0)
         self._granters: list[_FormerGranter] = []
+        self._first_observed_ms = math.inf
 
     def observe(self, record: GranterRecord, now_ms: float) -> None:
         """Handles the record of the present granter, as just read or written."""
+        self._first_observed_ms = min(self._first_observed_ms, now_ms)
         if record.term <= self._current.term:
             return
         if self._current.daemon:
@@ -68,12 +72,17 @@
                 self.record_end(item.record.daemon, now_ms)
 
     def authority_end_ms(self, own_daemon: str) -> float:
-        """Returns the time until which any former granter may send grants.
+        """Returns the time until which grants of any former granter may arrive.
 
-        Earlier processes of this daemon ended before this one started, so they are
-        left out.
+        Earlier processes of this daemon ended before this one first observed a record.
         """
+        own_end_ms = self._first_observed_ms + MAX_GRANT_DELIVERY_MS
         ends = [
-            item.end_ms for item in self._granters if item.record.daemon != own_daemon
+            (
+                min(item.end_ms, own_end_ms)
+                if item.record.daemon == own_daemon
+                else item.end_ms
+            )
+            for item in self._granters
         ]
         return max(ends, default=0.0)
--- a/tests/core/gateway/test_former_granters.py
+++ b/tests/core/gateway/test_former_granters.py
@@ -5,6 +5,7 @@
 import pytest
 
 from skylarktrail.core.gateway.former_granters import FormerGranters
+from skylarktrail.core.gateway.lease_calls import MAX_GRANT_DELIVERY_MS
 from skylarktrail.core.gateway.shared_state import GranterRecord
 
 AUTHORITY_MS = 8000.0
@@ -59,7 +60,7 @@
     former = FormerGranters(AUTHORITY_MS)
     former.observe(GranterRecord("d1", "p1", 1), 500.0)
     former.observe(GranterRecord("d1", "p2", 2), 2000.0)
-    assert former.authority_end_ms("d1") == 500.0
+    assert former.authority_end_ms("d1") == 500.0 + MAX_GRANT_DELIVERY_MS
 
 
 def test_a_granter_whose_record_was_not_seen_is_waited_for():
