Wait for a former granter whose record this daemon has not seen

As granter it neither asked that one to stop nor waited for its authority. A gap in the terms now counts as a granter that cannot be asked; a new daemon's first record was treated so before. test_a_granter_whose_record_was_not_seen_is_waited_for failed before.

--- a/src/skylarktrail/core/gateway/former_granters.py
+++ b/src/skylarktrail/core/gateway/former_granters.py
@@ -20,7 +20,8 @@
     """Tracks granters of earlier terms by the clock of this daemon.
 
     After the record of its successor, a granter may act for `authority_ms` at most. It
-    has ended earlier if it reports so or if its process was replaced.
+    has ended earlier if it reports so or if its process was replaced. The granters of
+    terms whose records this daemon has not seen are unknown, and cannot be asked.
 
     Args:
         authority_ms: Time for which a granter may act without reaching the store.
@@ -37,17 +38,17 @@
         self._first_observed_ms = min(self._first_observed_ms, now_ms)
         if record.term <= self._current.term:
             return
+        end_ms = now_ms + self._authority_ms
         if self._current.daemon:
-            end_ms = now_ms + self._authority_ms
-            self._granters = [*self._granters, _FormerGranter(self._current, end_ms)][
-                -MAX_TERM_COUNT:
-            ]
-        elif record.term > 1:
-            # The granters of terms before the start of this daemon are unknown.
+            self._add(_FormerGranter(self._current, end_ms))
+        if record.term > self._current.term + 1:
             unknown = GranterRecord("", "", record.term - 1)
-            self._granters = [_FormerGranter(unknown, now_ms + self._authority_ms)]
+            self._add(_FormerGranter(unknown, end_ms))
         self._current = record
 
+    def _add(self, granter: _FormerGranter) -> None:
+        self._granters = [*self._granters, granter][-MAX_TERM_COUNT:]
+
     def daemons_to_ask(self, own_daemon: str) -> list[str]:
         """Returns the former granters that can be asked whether they have ended."""
         names = {item.record.daemon for item in self._granters}
