Take only an earlier process of a daemon for replaced

Callers could see two owners: a new granter takes the records of members as proof that a former granter's process was replaced. Any other process name counted, also an older one (a member record from before the granter's own, read in between or from an older copy of the store), and the end of one process ended all terms of its daemon, the running process's too. Nor was the second counted for which its last calls may be under way. Identifiers of processes are UUIDv7 and rise with the start; now only a later process proves that one has ended.

--- a/src/skylarktrail/core/gateway/former_granters.py
+++ b/src/skylarktrail/core/gateway/former_granters.py
@@ -66,11 +66,21 @@
         ]
 
     def update_processes(self, processes: Mapping[str, str], now_ms: float) -> None:
-        """Records the processes that run now; replaced ones have ended."""
-        for item in self._granters:
-            running = processes.get(item.record.daemon, item.record.process)
-            if running != item.record.process:
-                self.record_end(item.record.daemon, now_ms)
+        """Records the processes that run now; earlier ones of a daemon have ended.
+
+        Identifiers of processes rise, so a record of an earlier process, from before a
+        granter's own record, proves nothing. The last calls of a process that has ended
+        may still be under way.
+        """
+        end_ms = now_ms + MAX_GRANT_DELIVERY_MS
+        self._granters = [
+            (
+                item._replace(end_ms=min(item.end_ms, end_ms))
+                if processes.get(item.record.daemon, "") > item.record.process
+                else item
+            )
+            for item in self._granters
+        ]
 
     def authority_end_ms(self, own_daemon: str) -> float:
         """Returns the time until which grants of any former granter may arrive.
--- a/tests/core/gateway/test_former_granters.py
+++ b/tests/core/gateway/test_former_granters.py
@@ -33,7 +33,7 @@
 
 
 def test_a_replaced_process_has_ended(former):
-    former.update_processes({"d1": "p1", "d2": "another"}, 2100.0)
+    former.update_processes({"d1": "p1", "d2": "p3"}, 2100.0)
     assert former.authority_end_ms("d3") == 1000.0 + AUTHORITY_MS
 
 
@@ -75,3 +75,17 @@
 def test_an_earlier_process_that_is_still_on_record_has_not_replaced_a_granter(former):
     former.update_processes({"d2": "p1"}, 2100.0)
     assert former.authority_end_ms("d3") == 2000.0 + AUTHORITY_MS
+
+
+def test_a_process_that_replaced_an_earlier_granter_is_waited_for(former):
+    """Both processes of a daemon were granter; the second one still runs."""
+    former.observe(GranterRecord("d2", "p9", 4), 3000.0)
+    former.observe(GranterRecord("d5", "p5", 5), 4000.0)
+    former.update_processes({"d2": "p9"}, 4100.0)
+    assert former.authority_end_ms("d5") == 4000.0 + AUTHORITY_MS
+
+
+def test_a_call_of_a_replaced_process_may_still_be_under_way(former):
+    former.record_end("d1", 0.0)
+    former.update_processes({"d2": "p9"}, 2100.0)
+    assert former.authority_end_ms("d3") == 2100.0 + MAX_GRANT_DELIVERY_MS
