Keep each former granter whose leases may still be held

Only the last eight terms were kept, whatever their age, so with more changes of the granter within an authority and a lease (12 s) the first ones were not waited for. Terms are now kept by time. test_each_granter_of_many_short_terms_is_waited_for failed before.

--- a/src/skylarktrail/core/gateway/former_granters.py
+++ b/src/skylarktrail/core/gateway/former_granters.py
@@ -8,7 +8,8 @@
 from .lease_calls import MAX_GRANT_DELIVERY_MS
 from .shared_state import GranterRecord
 
-MAX_TERM_COUNT = 8  # Terms kept; the authority of older ones has expired long ago.
+# Granters are forgotten this long after their authority; their leases are shorter.
+KEEP_MS = 60_000.0
 
 
 class _FormerGranter(NamedTuple):
@@ -39,16 +40,15 @@
         if record.term <= self._current.term:
             return
         end_ms = now_ms + self._authority_ms
+        former = [item for item in self._granters if item.end_ms + KEEP_MS > now_ms]
         if self._current.daemon:
-            self._add(_FormerGranter(self._current, end_ms))
+            former.append(_FormerGranter(self._current, end_ms))
         if record.term > self._current.term + 1:
             unknown = GranterRecord("", "", record.term - 1)
-            self._add(_FormerGranter(unknown, end_ms))
+            former.append(_FormerGranter(unknown, end_ms))
+        self._granters = former
         self._current = record
 
-    def _add(self, granter: _FormerGranter) -> None:
-        self._granters = [*self._granters, granter][-MAX_TERM_COUNT:]
-
     def daemons_to_ask(self, own_daemon: str) -> list[str]:
         """Returns the former granters that can be asked whether they have ended."""
         names = {item.record.daemon for item in self._granters}
--- a/tests/core/gateway/test_former_granters.py
+++ b/tests/core/gateway/test_former_granters.py
@@ -89,3 +89,12 @@
     former.record_end("d1", 0.0)
     former.update_processes({"d2": "p9"}, 2100.0)
     assert former.authority_end_ms("d3") == 2100.0 + MAX_GRANT_DELIVERY_MS
+
+
+def test_each_granter_of_many_short_terms_is_waited_for():
+    former = FormerGranters(AUTHORITY_MS)
+    for term in range(1, 20):
+        former.observe(GranterRecord(f"d{term}", f"p{term}", term), term * 100.0)
+    for term in range(2, 20):
+        former.record_end(f"d{term}", 0.0)
+    assert former.authority_end_ms("d19") == 200.0 + AUTHORITY_MS
