Check right before each lease call that it may still be sent

Callers could see two owners: lease calls wait for a thread, three at a time for each instance, so behind one that hangs they went out seconds after their granter had been replaced or its authority had ended; only a request of the successor stopped them. And a successor assumes that the last call has arrived when the authority ends, while it was sent until then. Each call now reads a window right before it is sent: its own term, and the authority less the second for which a call is under way. A successor waits for that second too, as daemons of earlier releases send until the end. A call that is held back says so (withheld) and does not count as a connection that failed.

--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -125,8 +125,9 @@
         call_id: Number of the call.
         outcome: `done`; `fenced`, if the instance has seen a higher fence; `replaced`,
             if a process that is not this instance answered; `refused`, if the
-            connection was refused; `unsent`, if no connection was made; `silent`, if
-            there was no response, so that the call may still take effect.
+            connection was refused; `unsent`, if no connection was made; `withheld`, if
+            the granter might not send any more; `silent`, if there was no response, so
+            that the call may still take effect.
         handover: State handed over by the releasing instance.
     """
 
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -54,6 +54,7 @@
 )
 from .lease_call_queue import Lane, LeaseCallQueue
 from .metrics import GatewayMetrics
+from .send_window import SendWindow
 from .site_state import SiteState
 from .site_store import SiteStore
 
@@ -112,7 +113,10 @@
         super().__init__()
         self._is_granter_alive = is_granter_alive
         self._request_term_end = request_term_end
-        self._former_granters = FormerGranters(timings.authority_ms)
+        # Daemons of earlier releases send until their authority ends.
+        self._former_granters = FormerGranters(
+            timings.authority_ms + MAX_GRANT_DELIVERY_MS
+        )
         self._fenced_at_ms = -1e18
         self._on_unanswered_call = on_unanswered_call
         self._superseding_term = superseding_term
@@ -125,6 +129,7 @@
         self._log = log
         self._metrics = metrics
         self._call_queue = LeaseCallQueue(CALL_THREADS)
+        self._send_window = SendWindow()
         self._writer = ThreadPoolExecutor(1, "writer")
         self._candidate_at_ms = -1e18
         self._succeeded_at_ms = -1e18
@@ -177,16 +182,23 @@
         self._send_write(at_ms)
 
     def _may_grant(self, at_ms: float) -> bool:
-        """Returns whether this daemon may still grant in its term.
+        """Returns whether this daemon may still grant in its term."""
+        is_superseded = self._superseding_term.term > self._term
+        return self._send_window.allows(self._term, at_ms) and not is_superseded
+
+    def _update_send_window(self) -> None:
+        """Sets until when calls may be sent.
 
-        An instance that refuses a grant as fenced may have been reached by a newer
-        granter. The daemon then grants again only after a read that began later and
-        shows no newer term.
+        The last call arrives before the authority ends. An instance that refuses a
+        grant as fenced may have been reached by a newer granter. The daemon then grants
+        again only after a read that began later and shows no newer term.
         """
-        is_confirmed = at_ms - self._term_confirmed_ms <= self._timings.authority_ms
         is_fenced = self._term_confirmed_ms <= self._fenced_at_ms
-        is_superseded = self._superseding_term.term > self._term
-        return is_confirmed and not is_fenced and not is_superseded
+        if not self.is_granter or is_fenced:
+            self._send_window.close()
+            return
+        authority_end_ms = self._term_confirmed_ms + self._timings.authority_ms
+        self._send_window.open(self._term, authority_end_ms - MAX_GRANT_DELIVERY_MS)
 
     def _may_claim_role(self) -> bool:
         """Returns whether to claim the granter role.
@@ -216,6 +228,7 @@
         is_own_record = granter.process == self._process
         if self.is_granter and (not is_own_record or granter.term != self._term):
             self._end_term(granter)
+        self._update_send_window()
         self._resolve_pending_write()
         if self.is_granter:
             self._shorten_former_authority()
@@ -276,6 +289,7 @@
                 daemon, term, self._make_term_ended_callback(daemon, term)
             )
         self._granters = {}
+        self._update_send_window()
         self._log.state("granter_begins", term=term, position=self._position)
         self._step()
 
@@ -304,6 +318,7 @@
         self.is_granter = False
         self._granters = {}
         self._writes = []
+        self._update_send_window()
         self._log.state(
             "granter_ends", term=self._term, successor=granter.daemon, by=granter.term
         )
@@ -487,11 +502,12 @@
         term = self._term
 
         def send_call() -> LeaseCallCompleted:
-            if self._superseding_term.term > term:
-                return LeaseCallCompleted(
-                    service, action, CallResult(action.call_id, "unsent")
-                )
-            return LeaseCallCompleted(service, action, send(action))
+            is_superseded = self._superseding_term.term > term
+            if is_superseded or not self._send_window.allows(term, now_ms()):
+                result = CallResult(action.call_id, "withheld")
+            else:
+                result = send(action)
+            return LeaseCallCompleted(service, action, result)
 
         lane = Lane(action.instance, type(action).__name__)
         self._submit(partial(self._call_queue.submit, lane), send_call)
@@ -527,6 +543,7 @@
         granter.handle_result(completed.result, now_ms())
         if outcome == "fenced":
             self._fenced_at_ms = now_ms()
+            self._update_send_window()
         elif outcome in ("replaced", "refused", "unsent"):
             self._site.record_unreachable(completed.call.instance, now_ms())
         if outcome in ("silent", "refused", "unsent"):
