Number lease calls by term

Two owners, found by reading: each term of a daemon numbered its calls from 1, so the result of a grant of an earlier term, ending late, could answer a release of the present one; the range was then given away while its owner held it. test_the_result_of_a_call_of_an_earlier_term_answers_no_call_of_a_later_one failed before.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -63,7 +63,8 @@
         self._timings = timings
         self._term = term
         self._fence_count = 0
-        self._call_count = 0
+        # Results of calls of an earlier term must not match calls of this one.
+        self._call_count = term * FENCES_PER_TERM
         self._pending_calls: dict[int, tuple[list[LeasedRange], float, str]] = {}
         end_ms = former_authority_end_ms + self._max_lease_ms(timings.lease_ms)
         self._ranges = [LeasedRange(item, "", end_ms) for item in recorded.ranges]
--- a/tests/core/gateway/test_two_owners.py
+++ b/tests/core/gateway/test_two_owners.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from skylarktrail.core.gateway.granter import Granter
 from skylarktrail.core.gateway.key_load import LoadDistribution
-from skylarktrail.core.gateway.lease_calls import GrantCall
+from skylarktrail.core.gateway.lease_calls import GrantCall, KeyedInstance
 from skylarktrail.core.gateway.ranges import OwnedRange, OwnerTable
 
 from .simulation import STEP_MS, TIMINGS, Simulation
@@ -134,3 +135,15 @@
     simulation.advance(500)
     simulation.restart("s1")
     simulation.advance(WATCH_MS)
+
+
+def test_the_result_of_a_call_of_an_earlier_term_answers_no_call_of_a_later_one():
+    """A daemon is granter twice, and a call of its first term ends in the second."""
+    recorded = OwnerTable([OwnedRange(0, 65535, "s1", 1)])
+    owners = {"s1": KeyedInstance("s1", "s1", 1, True)}
+    earlier = Granter(TIMINGS, 1, recorded, 0.0)
+    later = Granter(TIMINGS, 3, recorded, 0.0)
+    earlier_ids = {call.call_id for call in earlier.step(owners, 100.0)}
+    later_ids = {call.call_id for call in later.step(owners, 100.0)}
+    assert earlier_ids and later_ids
+    assert not earlier_ids & later_ids
