Report a read of the shared records only once it is applied

Two owners, found by the model's author by reading: while the store is read, a broadcast may move the position on. The read is then left out, but its position was reported to the granter's actor, and it confirmed the term. A claim on that position succeeds although this daemon did not apply the last records: it would grant by outdated owners. Such a read is now repeated at once. test_a_read_that_was_not_applied_is_not_reported failed before for a broadcast of a part.

--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -235,13 +235,25 @@
         if pause_ms is not None:
             return pause_ms
         update = read.unwrap()
-        with self._lock:
-            if self._position == position:
-                self._apply_update(update)
+        is_applied = self._apply_read(update, position)
         if self._is_granter() and position is not None and update.records:
             self._broadcast(update, position)
+        if not is_applied:
+            self._wakeup.set()
+            return 0.0
         return self._finish_read(update, position, started_ms)
 
+    def _apply_read(self, update: Any, position: int | None) -> bool:
+        """Applies a read from a position unless a broadcast has moved on meanwhile.
+
+        Returns:
+            Whether all records of the read are applied now.
+        """
+        with self._lock:
+            if self._position == position:
+                self._apply_update(update)
+            return self._position is not None and self._position >= update.position
+
     def _broadcast(self, update: Any, position: int) -> None:
         """Broadcasts records, or only their position if they are too large."""
         size_bytes = sum(len(value) for _, value in update.records)
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -176,7 +176,13 @@
 
 
 def make_shared_watcher(
-    store, site, log, messenger, role="", on_store_lost=lambda: None
+    store,
+    site,
+    log,
+    messenger,
+    role="",
+    on_store_lost=lambda: None,
+    on_read=lambda position, at_ms: None,
 ):
     return SharedWatcher(
         store,
@@ -184,7 +190,7 @@
         MEMBER,
         None,
         StoreCallMonitor("shared", log, GatewayMetrics()),
-        lambda position, at_ms: None,
+        on_read,
         lambda: role == "granter",
         lambda: role == "candidate",
         messenger,
@@ -326,3 +332,30 @@
         BATCHING_PAUSE_MS,
         0.0,
     ]
+
+
+@pytest.mark.parametrize(("broadcast_position", "reported"), [(8, []), (9, [9])])
+def test_a_read_that_was_not_applied_is_not_reported(
+    site, log, broadcast_position, reported
+):
+    """A broadcast moves the position while the store is read.
+
+    A claim relies on the reported position: it must not succeed on records that the
+    daemon did not apply.
+    """
+    store = ScriptedStore(shared(7, is_snapshot=True), shared(9, is_snapshot=False))
+    positions = []
+    watcher = make_shared_watcher(
+        store, site, log, Messenger(), on_read=lambda at, _: positions.append(at)
+    )
+    watcher.run_once()
+    read = store.read_shared
+
+    def read_during_broadcast(position, wait_ms):
+        watcher.apply_broadcast(GatewayRecords("shared", 7, broadcast_position, ()))
+        return read(position, wait_ms)
+
+    store.read_shared = read_during_broadcast
+    positions.clear()
+    watcher.run_once()
+    assert positions == reported
