Match the result of a write with the write that was sent

When a term ended with a record of owners under way and the daemon claimed the role again, the late success of that record counted as the claim's, and the daemon granted in a term that it had not won. test_the_result_of_another_write_does_not_win_the_role; as a trial on the old form of the message it failed (is_granter was true).

--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -8,7 +8,6 @@
 
 import cbor2
 import pykka
-from result import Result
 
 from ..core.gateway.capacities import limit_capacities
 from ..core.gateway.former_granters import FormerGranters
@@ -36,7 +35,6 @@
 from ..core.gateway.speeds import Speeds
 from ..daemon.ticker import Tick
 from ..errors import platform as codes
-from ..errors.code import Fault
 from ..peer.gateway_messages import GatewayLoad
 from .clock import now_ms
 from .event_log import EventLog
@@ -147,6 +145,11 @@
         self._next_merge_ms = 0.0
         self.is_granter = False
 
+    @property
+    def pending_write(self) -> PendingWrite | None:
+        """Returns the write whose outcome must be known before the next is sent."""
+        return self._writes[0] if self._writes else None
+
     def on_receive(self, message: Any) -> None:
         """Handles one message."""
         if isinstance(message, Tick):
@@ -163,7 +166,7 @@
         elif isinstance(message, LeaseCallCompleted):
             self._handle_call_completed(message)
         elif isinstance(message, WriteCompleted):
-            self._handle_write_completed(message.result)
+            self._handle_write_completed(message)
         elif isinstance(message, LoadReceived):
             self._handle_load(message.report)
 
@@ -341,13 +344,13 @@
         )
         self._submit(
             self._writer.submit,
-            lambda: WriteCompleted(store.share(key, value, position)),
+            lambda: WriteCompleted(write, store.share(key, value, position)),
         )
 
-    def _handle_write_completed(self, result: Result[int, Fault]) -> None:
-        if not self._writes:
+    def _handle_write_completed(self, completed: WriteCompleted) -> None:
+        write, result = completed
+        if write is not self.pending_write:
             return
-        write = self._writes[0]
         if result.is_ok():
             self._metrics.count("store_calls", "share", "done")
             self._position = max(self._position, result.unwrap())
--- a/src/skylarktrail/gateway/granter_messages.py
+++ b/src/skylarktrail/gateway/granter_messages.py
@@ -84,13 +84,42 @@
     result: CallResult
 
 
+class PendingWrite:
+    """A write to the shared records whose outcome is not known yet.
+
+    Args:
+        key: Key of the record.
+        value: Value of the record.
+        service: Service whose owners are written; empty for the granter's record.
+        ranges: The owners that the value encodes.
+
+    Attributes:
+        expected_position: The write applies only if the log ends at this position.
+        is_sent: Whether the write was sent at least once.
+        retry_at_ms: When to send it again; 0 while a call is in flight.
+    """
+
+    def __init__(
+        self, key: str, value: bytes, service: str, ranges: Sequence[OwnedRange] = ()
+    ) -> None:
+        self.ranges = ranges
+        self.key = key
+        self.value = value
+        self.service = service
+        self.expected_position = -1
+        self.is_sent = False
+        self.retry_at_ms = 0.0
+
+
 class WriteCompleted(NamedTuple):
-    """A write to the shared records has completed.
+    """A call that writes a shared record has completed.
 
     Attributes:
+        write: The write that was sent.
         result: Position after the record, or the fault of the store call.
     """
 
+    write: PendingWrite
     result: Result[int, Fault]
 
 
@@ -113,30 +142,3 @@
 
     def __init__(self) -> None:
         self.term = 0
-
-
-class PendingWrite:
-    """A write to the shared records whose outcome is not known yet.
-
-    Args:
-        key: Key of the record.
-        value: Value of the record.
-        service: Service whose owners are written; empty for the granter's record.
-        ranges: The owners that the value encodes.
-
-    Attributes:
-        expected_position: The write applies only if the log ends at this position.
-        is_sent: Whether the write was sent at least once.
-        retry_at_ms: When to send it again; 0 while a call is in flight.
-    """
-
-    def __init__(
-        self, key: str, value: bytes, service: str, ranges: Sequence[OwnedRange] = ()
-    ) -> None:
-        self.ranges = ranges
-        self.key = key
-        self.value = value
-        self.service = service
-        self.expected_position = -1
-        self.is_sent = False
-        self.retry_at_ms = 0.0
--- a/tests/gateway/test_granter_actor.py
+++ b/tests/gateway/test_granter_actor.py
@@ -25,9 +25,11 @@
 )
 from skylarktrail.gateway.granter_messages import (
     CandidacyUpdate,
+    PendingWrite,
     RoleOfferReceived,
     SharedRecordsRead,
     SupersedingTerm,
+    WriteCompleted,
 )
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
@@ -150,3 +152,15 @@
     clock.at_ms += later_ms
     read_granter("d2", "p2", 4)
     assert not store.written.acquire(timeout=NO_WRITE_WAIT_S)
+
+
+def test_the_result_of_another_write_does_not_win_the_role(
+    actor, store, clock, read_granter
+):
+    """A write of a term that has ended is answered while a claim is under way."""
+    read_granter("d2", "p2", 4)
+    actor.on_receive(CandidacyUpdate(True))
+    assert store.written.acquire(timeout=WAIT_S)
+    earlier = PendingWrite("owners/stock", b"", "stock")
+    actor.on_receive(WriteCompleted(earlier, Ok(9)))
+    assert not actor.is_granter
