Begin no term whose successor's record was read already

The answer to a claim may come after the record of a later granter was read with it. The daemon then began a term that had ended; it granted until its next own read, which it does not need while the successor is alive. test_a_claim_that_was_superseded_begins_no_term failed before.

--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -369,8 +369,10 @@
     def _complete_write(self, write: PendingWrite, is_applied: bool) -> None:
         self._writes = [item for item in self._writes if item is not write]
         if write.key == GRANTER_KEY:
-            if is_applied and not self.is_granter:
-                self._start_term(self._decode_claimed_term(write))
+            term = self._decode_claimed_term(write)
+            is_superseded = self._site.shared.granter.term > term
+            if is_applied and not is_superseded and not self.is_granter:
+                self._start_term(term)
             return
         granter = self._granters.get(write.service)
         if granter is not None:
--- a/tests/gateway/test_granter_actor.py
+++ b/tests/gateway/test_granter_actor.py
@@ -164,3 +164,14 @@
     earlier = PendingWrite("owners/stock", b"", "stock")
     actor.on_receive(WriteCompleted(earlier, Ok(9)))
     assert not actor.is_granter
+
+
+def test_a_claim_that_was_superseded_begins_no_term(actor, store, clock, read_granter):
+    """The claim is answered after the record of its successor was read."""
+    read_granter("d2", "p2", 4)
+    actor.on_receive(CandidacyUpdate(True))
+    assert store.written.acquire(timeout=WAIT_S)
+    claim = actor.pending_write
+    read_granter("d3", "p3", 6)
+    actor.on_receive(WriteCompleted(claim, Ok(5)))
+    assert not actor.is_granter
