Send each call that a move relies on over a connection of its own

Callers could see two owners: an instance may send a second answer after a complete one, which is read as the answer to the next call on a kept connection. A release was then taken as done before the instance had read it. Releases and the first grant of a fence use a connection of their own now; renewals, a call a second for each range, keep theirs. test_a_second_answer_to_a_grant_does_not_answer_a_release failed before. Cost: one connection more for each move and its fence. Not proved: a second answer to a renewal that the instance carries out late, right before the range moves.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -246,7 +246,7 @@
     ) -> None:
         lease_end_ms = now_ms + self._max_lease_ms(lease_ms)
         if result.outcome == "done":
-            item.is_acknowledged = True
+            item.is_acknowledged = item.is_fence_acknowledged = True
             item.replaced_answers = 0
             item.lease_end_ms = max(item.lease_end_ms, lease_end_ms)
             item.next_call_ms = now_ms + self._timings.renew_ms
@@ -296,6 +296,7 @@
                     continue
             if not item.fence or item.is_releasing:
                 item.fence = self._next_fence()
+                item.is_fence_acknowledged = False
             actions.append(self._make_grant(item, address, lease_ms))
         return actions
 
@@ -355,6 +356,7 @@
             item.fence,
             lease_ms,
             item.handover,
+            item.is_fence_acknowledged,
         )
 
     def _make_releases(self, now_ms: float) -> list[GranterAction]:
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -56,6 +56,7 @@
         fence: Fence of the grant.
         lease_ms: Length of the lease.
         handover: State handed over by the previous owner; empty for none.
+        is_renewal: Whether the instance has acknowledged a grant with this fence.
     """
 
     call_id: int
@@ -66,6 +67,7 @@
     fence: int
     lease_ms: float
     handover: str
+    is_renewal: bool = False
 
 
 class ReleaseCall(NamedTuple):
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -22,6 +22,7 @@
         inherited_lease_end_ms: When leases of former granters have expired.
         fence: Fence of the present grant; 0 if there is none.
         is_acknowledged: Whether the owner has acknowledged a grant.
+        is_fence_acknowledged: Whether it has acknowledged one with the present fence.
         is_releasing: Whether the range is being taken from its owner.
         is_released: Whether the owner holds no lease any more.
         unanswered_grant_end_ms: When a lease granted by an unanswered call expires.
@@ -49,6 +50,7 @@
         self.inherited_lease_end_ms = inherited_lease_end_ms
         self.fence = 0
         self.is_acknowledged = False
+        self.is_fence_acknowledged = False
         self.is_releasing = False
         self.is_released = False
         self.unanswered_grant_end_ms = -math.inf
--- a/src/skylarktrail/platform/lease_client.py
+++ b/src/skylarktrail/platform/lease_client.py
@@ -19,8 +19,8 @@
 MAX_POOLS = 256
 # Responses to these calls have short bodies. A server in trouble may never end one.
 MAX_BODY_BYTES = 4096
-# A connection that is closed, or whose process ends, is reset, so that bytes of a call
-# that a link still holds back are dropped and not delivered after the call was given up.
+# Closing a connection, or the end of its process, resets it, so that bytes of a call
+# that a link still holds back are dropped, not delivered after the call was given up.
 RESET_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 DONE, FENCED, REPLACED = "done", "fenced", "replaced"
 REFUSED, UNSENT, SILENT = "refused", "unsent", "silent"
@@ -32,12 +32,7 @@
     """Sends grants and releases over HTTP; all methods are thread-safe."""
 
     def __init__(self) -> None:
-        self._pools = urllib3.PoolManager(
-            num_pools=MAX_POOLS,
-            maxsize=16,
-            block=False,
-            socket_options=[*HTTPConnection.default_socket_options, RESET_ON_CLOSE],
-        )
+        self._pools = _make_pools(MAX_POOLS, 16)
 
     def grant(self, call: GrantCall) -> CallResult:
         """Grants a range or renews its lease."""
@@ -49,41 +44,66 @@
         }
         if call.handover:
             body["handover"] = call.handover
-        return self._send(call, "/api/grant", body, GRANT_TIMEOUT_MS)
+        if call.is_renewal:
+            return _send(self._pools, call, "/api/grant", body, GRANT_TIMEOUT_MS)
+        return _send_alone(call, "/api/grant", body, GRANT_TIMEOUT_MS)
 
     def release(self, call: ReleaseCall) -> CallResult:
         """Asks an instance to give up a range."""
         body = {"from": call.first, "to": call.last, "fence": call.fence}
-        return self._send(call, "/api/release", body, RELEASE_TIMEOUT_MS)
-
-    def _send(
-        self,
-        call: GrantCall | ReleaseCall,
-        path: str,
-        body: dict[str, object],
-        timeout_ms: float,
-    ) -> CallResult:
-        timeout = urllib3.Timeout(CONNECT_TIMEOUT_MS / 1000, timeout_ms / 1000)
-        try:
-            response = self._pools.request(
-                "POST",
-                f"http://{call.address}{path}",
-                body=json.dumps(body).encode(),
-                headers={"Content-Type": "application/json", TARGET: call.instance},
-                retries=False,
-                timeout=timeout,
-                preload_content=False,
-            )
-            is_whole = _read_body(response)
-        except urllib3.exceptions.NewConnectionError as error:
-            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
-            return CallResult(call.call_id, REFUSED if is_refused else UNSENT)
-        except urllib3.exceptions.ConnectTimeoutError:
-            return CallResult(call.call_id, UNSENT)
-        except (urllib3.exceptions.HTTPError, OSError):
-            return CallResult(call.call_id, SILENT)
-        outcome = OUTCOMES.get(response.status, SILENT) if is_whole else SILENT
-        return CallResult(call.call_id, outcome, response.headers.get("Handover", ""))
+        return _send_alone(call, "/api/release", body, RELEASE_TIMEOUT_MS)
+
+
+def _make_pools(pools: int, connections: int) -> urllib3.PoolManager:
+    options = [*HTTPConnection.default_socket_options, RESET_ON_CLOSE]
+    return urllib3.PoolManager(
+        num_pools=pools, maxsize=connections, block=False, socket_options=options
+    )
+
+
+def _send_alone(
+    call: GrantCall | ReleaseCall,
+    path: str,
+    body: dict[str, object],
+    timeout_ms: float,
+) -> CallResult:
+    """Sends a call over a connection of its own.
+
+    A range may move on the strength of the answer, so it must not be one that an
+    instance sends once more for an earlier call.
+    """
+    with _make_pools(1, 1) as pools:
+        return _send(pools, call, path, body, timeout_ms)
+
+
+def _send(
+    pools: urllib3.PoolManager,
+    call: GrantCall | ReleaseCall,
+    path: str,
+    body: dict[str, object],
+    timeout_ms: float,
+) -> CallResult:
+    timeout = urllib3.Timeout(CONNECT_TIMEOUT_MS / 1000, timeout_ms / 1000)
+    try:
+        response = pools.request(
+            "POST",
+            f"http://{call.address}{path}",
+            body=json.dumps(body).encode(),
+            headers={"Content-Type": "application/json", TARGET: call.instance},
+            retries=False,
+            timeout=timeout,
+            preload_content=False,
+        )
+        is_whole = _read_body(response)
+    except urllib3.exceptions.NewConnectionError as error:
+        is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return CallResult(call.call_id, REFUSED if is_refused else UNSENT)
+    except urllib3.exceptions.ConnectTimeoutError:
+        return CallResult(call.call_id, UNSENT)
+    except (urllib3.exceptions.HTTPError, OSError):
+        return CallResult(call.call_id, SILENT)
+    outcome = OUTCOMES.get(response.status, SILENT) if is_whole else SILENT
+    return CallResult(call.call_id, outcome, response.headers.get("Handover", ""))
 
 
 def _read_body(response: urllib3.BaseHTTPResponse) -> bool:
