Release an inherited move only if no grant is open at its owner

Callers could see two owners: a granter that is replaced while a range moves leaves it to its successor, which cannot know whether the next owner holds the range already, so it must not send the owner a fence. It asked for the release alone; a grant of the former granter that ended without an answer was then carried out after it. The successor now asks former granters, with the request to stop, for the ranges with such grants (two new kinds of messages; daemons of earlier releases do not know them and do not answer).

--- a/src/skylarktrail/core/gateway/former_granters.py
+++ b/src/skylarktrail/core/gateway/former_granters.py
@@ -15,6 +15,7 @@
 class _FormerGranter(NamedTuple):
     record: GranterRecord
     end_ms: float
+    has_reported: bool = False
 
 
 class FormerGranters:
@@ -82,6 +83,23 @@
             for item in self._granters
         ]
 
+    def record_report(self, process: str) -> None:
+        """Records that a process has reported its open grants."""
+        self._granters = [
+            item._replace(has_reported=True) if item.record.process == process else item
+            for item in self._granters
+        ]
+
+    def have_all_reported(self, since_ms: float) -> bool:
+        """Returns whether all former granters have reported their open grants.
+
+        Args:
+            since_ms: Leases of granters that ended before this time have expired.
+        """
+        return all(
+            item.has_reported for item in self._granters if item.end_ms > since_ms
+        )
+
     def authority_end_ms(self, own_daemon: str) -> float:
         """Returns the time until which grants of any former granter may arrive.
 
--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import math
-from typing import Mapping
+from typing import Mapping, Sequence
 
 from .key_load import LoadDistribution
 from .lease_calls import (
@@ -24,6 +24,7 @@
     KeyedInstance,
     LeaseTimings,
     LostRange,
+    OpenGrant,
     RecordOwners,
     ReleaseCall,
 )
@@ -66,7 +67,7 @@
         # Results of calls of an earlier term must not match calls of this one.
         self._call_count = term * FENCES_PER_TERM
         self._pending_calls: dict[int, tuple[list[LeasedRange], float, str]] = {}
-        end_ms = former_authority_end_ms + self._max_lease_ms(timings.lease_ms)
+        end_ms = former_authority_end_ms + self.max_lease_ms(timings.lease_ms)
         self._ranges = [LeasedRange(item, "", end_ms) for item in recorded.ranges]
         for item in self._ranges:
             item.is_releasing = item.is_inherited_move
@@ -82,18 +83,45 @@
         self._lost_ranges: list[LostRange] = []
 
     @staticmethod
-    def _max_lease_ms(lease_ms: float) -> float:
+    def max_lease_ms(lease_ms: float) -> float:
+        """Returns how long an instance may hold a lease by this daemon's clock."""
         return lease_ms * CLOCK_DRIFT_RATIO + LEASE_SLACK_MS
 
     def shorten_former_authority(self, former_authority_end_ms: float) -> None:
         """Handles that granters of earlier terms have ended earlier than assumed."""
-        end_ms = former_authority_end_ms + self._max_lease_ms(self._timings.lease_ms)
+        end_ms = former_authority_end_ms + self.max_lease_ms(self._timings.lease_ms)
         for item in self._ranges:
             item.inherited_lease_end_ms = min(item.inherited_lease_end_ms, end_ms)
             item.former_calls_end_ms = min(
                 item.former_calls_end_ms, former_authority_end_ms
             )
 
+    def open_grants(self, now_ms: float) -> list[OpenGrant]:
+        """Returns the ranges for which a release would need fencing first."""
+        return [
+            OpenGrant(item.owned.owner, item.owned.first, item.owned.last)
+            for item in self._ranges
+            if item.call_id or item.is_inherited_move or item.needs_fencing(now_ms)
+        ]
+
+    def observe_open_grants(self, open_grants: Sequence[OpenGrant]) -> None:
+        """Handles what all former granters report of their last grants.
+
+        The owner of an inherited move cannot be sent a fence, as the next owner may
+        hold the range already. It is asked for the release only if no grant may take
+        effect after it; else the leases have to expire.
+
+        Args:
+            open_grants: Ranges for which a grant may still take effect.
+        """
+        for item in self._ranges:
+            item.has_open_grants = any(
+                grant.instance == item.owned.owner
+                and grant.first <= item.owned.last
+                and grant.last >= item.owned.first
+                for grant in open_grants
+            )
+
     def has_unassigned_hashes(self) -> bool:
         """Returns whether there are hashes without an owner that may keep them."""
         has_lost_owner = any(
@@ -244,7 +272,7 @@
         is_fencing: bool,
         now_ms: float,
     ) -> None:
-        lease_end_ms = now_ms + self._max_lease_ms(lease_ms)
+        lease_end_ms = now_ms + self.max_lease_ms(lease_ms)
         if result.outcome == "done":
             item.is_acknowledged = item.is_fence_acknowledged = True
             item.replaced_answers = 0
@@ -319,7 +347,7 @@
         If each fencing grant prolonged the wait, an owner that accepts connections and
         never answers would keep its keys for good.
         """
-        end_ms = now_ms + MAX_GRANT_DELIVERY_MS + self._max_lease_ms(lease_ms)
+        end_ms = now_ms + MAX_GRANT_DELIVERY_MS + self.max_lease_ms(lease_ms)
         return end_ms > item.last_lease_end_ms
 
     def _has_owner_ended(self, item: LeasedRange) -> bool:
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -120,6 +120,20 @@
     is_grant_unanswered: bool
 
 
+class OpenGrant(NamedTuple):
+    """A range for which a grant may still take effect after a release.
+
+    Attributes:
+        instance: Instance that the grant was sent to.
+        first: First hash.
+        last: Last hash, inclusive.
+    """
+
+    instance: str
+    first: int
+    last: int
+
+
 class CallResult(NamedTuple):
     """Result of a grant or release.
 
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -38,6 +38,8 @@
         is_inherited_move: Whether a former granter has recorded the move, so that
             either instance may hold a lease.
         former_calls_end_ms: Until when calls of former granters may still arrive.
+        has_open_grants: Whether, in an inherited move, a grant of a former granter may
+            still take effect at the owner after a release.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self.target_start_ms = owned.next_start_ms
         self.is_target_recorded = self.is_inherited_move = bool(owned.next_owner)
         self.former_calls_end_ms = -math.inf
+        self.has_open_grants = self.is_inherited_move
 
     @property
     def recorded(self) -> OwnedRange:
@@ -130,7 +133,7 @@
     def can_release(self, now_ms: float) -> bool:
         """Returns whether a release sent now would end every lease of the owner."""
         if self.is_inherited_move:
-            return now_ms >= self.former_calls_end_ms
+            return now_ms >= self.former_calls_end_ms and not self.has_open_grants
         return not self.needs_fencing(now_ms)
 
     def copy_subrange(self, first: int, last: int) -> LeasedRange:
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -35,7 +35,7 @@
 from ..core.gateway.speeds import Speeds
 from ..daemon.ticker import Tick
 from ..errors import platform as codes
-from ..peer.gateway_messages import GatewayLoad
+from ..peer.gateway_messages import GatewayLoad, GatewayOpenGrants, OpenGrantReport
 from .clock import now_ms
 from .event_log import EventLog
 from .granter_messages import (
@@ -44,6 +44,8 @@
     LeaseCallCompleted,
     LeaseClient,
     LoadReceived,
+    OpenGrantsReceived,
+    OpenGrantsRequested,
     PendingWrite,
     RoleOfferReceived,
     SharedRecordsRead,
@@ -52,6 +54,7 @@
 )
 from .lease_call_queue import Lane, LeaseCallQueue
 from .metrics import GatewayMetrics
+from .open_grants import EndedTerms, select_open_grants
 from .send_window import SendWindow
 from .site_state import SiteState
 from .site_store import SiteStore
@@ -87,6 +90,8 @@
         is_granter_alive: Returns whether the current granter sends listings.
         request_term_end: Asks a former granter to stop granting and calls back when
             it has stopped.
+        request_open_grants: Asks a former granter for its open grants and calls back
+            with its reply.
         on_unanswered_call: Called with an instance that did not respond to a call.
         superseding_term: Highest term whose granter asked this daemon to stop granting.
     """
@@ -105,12 +110,18 @@
         on_owners_written: Callable[[str, Sequence[OwnedRange], int], None],
         is_granter_alive: Callable[[], bool],
         request_term_end: Callable[[str, int, Callable[[], None]], None],
+        request_open_grants: Callable[
+            [str, int, Callable[[GatewayOpenGrants], None]], None
+        ],
         on_unanswered_call: Callable[[str], None],
         superseding_term: SupersedingTerm,
     ) -> None:
         super().__init__()
         self._is_granter_alive = is_granter_alive
         self._request_term_end = request_term_end
+        self._request_open_grants = request_open_grants
+        self._open_grants: list[OpenGrantReport] = []
+        self._ended_terms = EndedTerms()
         # Daemons of earlier releases send until their authority ends.
         self._former_granters = FormerGranters(
             timings.authority_ms + MAX_GRANT_DELIVERY_MS
@@ -163,6 +174,10 @@
             self._handle_shared_read(message)
         elif isinstance(message, FormerTermEnded):
             self._handle_former_term_ended(message)
+        elif isinstance(message, OpenGrantsReceived):
+            self._handle_open_grants(message)
+        elif isinstance(message, OpenGrantsRequested):
+            self._report_open_grants(message)
         elif isinstance(message, LeaseCallCompleted):
             self._handle_call_completed(message)
         elif isinstance(message, WriteCompleted):
@@ -291,7 +306,11 @@
             self._request_term_end(
                 daemon, term, self._make_term_ended_callback(daemon, term)
             )
+            self._request_open_grants(
+                daemon, term, self._make_open_grants_callback(term)
+            )
         self._granters = {}
+        self._open_grants = []
         self._update_send_window()
         self._log.state("granter_begins", term=term, position=self._position)
         self._step()
@@ -300,6 +319,31 @@
         tell = self.actor_ref.tell
         return lambda: tell(FormerTermEnded(daemon, term, now_ms()))
 
+    def _make_open_grants_callback(
+        self, term: int
+    ) -> Callable[[GatewayOpenGrants], None]:
+        tell = self.actor_ref.tell
+        return lambda reply: tell(OpenGrantsReceived(term, reply))
+
+    def _handle_open_grants(self, received: OpenGrantsReceived) -> None:
+        if not self.is_granter or received.term != self._term:
+            return
+        self._open_grants += received.reply.grants
+        self._former_granters.record_report(received.reply.process)
+        self._share_open_grants()
+
+    def _share_open_grants(self) -> None:
+        """Passes the reports of all former granters on, once they are complete."""
+        max_lease_ms = Granter.max_lease_ms(self._timings.lease_ms)
+        if not self._former_granters.have_all_reported(now_ms() - max_lease_ms):
+            return
+        for service, granter in self._granters.items():
+            granter.observe_open_grants(select_open_grants(self._open_grants, service))
+
+    def _report_open_grants(self, request: OpenGrantsRequested) -> None:
+        grants = self._ended_terms.make_reports(self._granters, now_ms())
+        request.reply(GatewayOpenGrants(self._process, grants))
+
     def _handle_former_term_ended(self, ended: FormerTermEnded) -> None:
         if not self.is_granter or ended.term != self._term:
             return
@@ -316,9 +360,11 @@
         end_ms = self._former_granters.authority_end_ms(self._site.daemon)
         for granter in self._granters.values():
             granter.shorten_former_authority(end_ms)
+        self._share_open_grants()
 
     def _end_term(self, granter: GranterRecord) -> None:
         self.is_granter = False
+        self._ended_terms.add(self._granters, now_ms())
         self._granters = {}
         self._writes = []
         self._update_send_window()
@@ -396,6 +442,7 @@
             authority_end_ms = self._former_granters.authority_end_ms(self._site.daemon)
             granter = Granter(self._timings, self._term, recorded, authority_end_ms)
             self._granters[spec.name] = granter
+            self._share_open_grants()
             self._log.state(
                 "granting_begins",
                 service=spec.name,
--- a/src/skylarktrail/gateway/granter_messages.py
+++ b/src/skylarktrail/gateway/granter_messages.py
@@ -9,7 +9,8 @@
 from ..core.gateway.lease_calls import CallResult, GrantCall, ReleaseCall
 from ..core.gateway.ranges import OwnedRange
 from ..errors.code import Fault
-from ..peer.gateway_messages import GatewayLoad
+from ..peer.gateway_messages import GatewayLoad, GatewayOpenGrants
+from ..peer.hub import Responder
 
 
 class LeaseClient(Protocol):
@@ -70,6 +71,28 @@
     at_ms: float
 
 
+class OpenGrantsRequested(NamedTuple):
+    """A new granter asks for the open grants of this process.
+
+    Attributes:
+        reply: Sends the reply.
+    """
+
+    reply: Responder
+
+
+class OpenGrantsReceived(NamedTuple):
+    """A former granter has reported its open grants.
+
+    Attributes:
+        term: Term of this daemon, the new granter.
+        reply: The report.
+    """
+
+    term: int
+    reply: GatewayOpenGrants
+
+
 class LeaseCallCompleted(NamedTuple):
     """A grant or release has completed.
 
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -14,6 +14,8 @@
 from ..peer.gateway_messages import (
     GatewayListing,
     GatewayLoad,
+    GatewayOpenGrants,
+    GatewayOpenGrantsRequest,
     GatewayOverload,
     GatewayOwners,
     GatewayRecords,
@@ -221,6 +223,21 @@
         )
         request.add_done_callback(check)
 
+    def request_open_grants(
+        self, daemon: str, term: int, on_reply: Callable[[GatewayOpenGrants], None]
+    ) -> None:
+        """Asks a former granter for its open grants; calls back with its reply."""
+
+        def check(future: Future) -> None:
+            outcome = future.result()
+            if outcome.is_ok() and isinstance(outcome.unwrap(), GatewayOpenGrants):
+                on_reply(outcome.unwrap())
+
+        request = self._links.request(
+            daemon, GatewayOpenGrantsRequest(term), TERM_END_TIMEOUT_MS
+        )
+        request.add_done_callback(check)
+
     def record_positions(self, shared: int | None, operators: int | None) -> None:
         """Records how far this daemon has read; as granter it broadcasts this.
 
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -19,7 +19,12 @@
 from ..daemon.ticker import Ticker
 from ..errors import caller as codes
 from ..errors.code import Fault
-from ..peer.gateway_messages import GatewayLoad, GatewayRecords
+from ..peer.gateway_messages import (
+    GatewayLoad,
+    GatewayOpenGrantsRequest,
+    GatewayRecords,
+)
+from ..peer.hub import Responder
 from .adapters import ADAPTERS
 from .clock import now_ms
 from .connection_pool import ConnectionPool
@@ -30,6 +35,7 @@
 from .granter_messages import (
     CandidacyUpdate,
     LoadReceived,
+    OpenGrantsRequested,
     RoleOfferReceived,
     SharedRecordsRead,
     SupersedingTerm,
@@ -108,6 +114,9 @@
             self._on_role_offer,
             self._on_term_end_request,
         )
+        self._messenger.add_handler(
+            GatewayOpenGrantsRequest, self._on_open_grants_request
+        )
         self._rate_limiter = RateLimiter(self._site, self._messenger, self._log)
         self._reach_monitor = ReachMonitor(
             self._site,
@@ -254,6 +263,7 @@
             self._publish_owners,
             self._messenger.is_granter_alive,
             self._messenger.request_term_end,
+            self._messenger.request_open_grants,
             self._reach_monitor.record_unanswered_call,
             self._superseding_term,
         )
@@ -352,6 +362,12 @@
         """Stops grants of lower terms at once, ahead of the actor's messages."""
         self._superseding_term.term = max(self._superseding_term.term, term)
 
+    def _on_open_grants_request(
+        self, daemon: str, message: GatewayOpenGrantsRequest, reply: Responder
+    ) -> None:
+        self._on_term_end_request(message.term)
+        self._granter.tell(OpenGrantsRequested(reply))
+
     def _on_load(self, daemon: str, report: GatewayLoad) -> None:
         self._overload_broadcaster.record_report(daemon, report)
         self._granter.tell(LoadReceived(report))
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -149,6 +149,46 @@
     term: int
 
 
+class OpenGrantReport(NamedTuple):
+    """A range for which a grant may still take effect after a release.
+
+    Attributes:
+        service: Name of the service.
+        instance: Instance that the grant was sent to.
+        first: First hash.
+        last: Last hash, inclusive.
+    """
+
+    service: str
+    instance: str
+    first: int
+    last: int
+
+
+@message("gateway_open_grants_ask")
+class GatewayOpenGrantsRequest(NamedTuple):
+    """A new granter asks a former one to stop, and for its grants without an answer.
+
+    Attributes:
+        term: Term of the new granter.
+    """
+
+    term: int
+
+
+@message("gateway_open_grants")
+class GatewayOpenGrants(NamedTuple):
+    """Reply to a `GatewayOpenGrantsRequest`.
+
+    Attributes:
+        process: Identifier of the sender's process.
+        grants: Ranges for which a grant of this process may still take effect.
+    """
+
+    process: str
+    grants: tuple[OpenGrantReport, ...]
+
+
 @message("gateway_listing")
 class GatewayListing(NamedTuple):
     """Changes of the instances' entries, or all entries.
--- a/tests/core/gateway/simulation.py
+++ b/tests/core/gateway/simulation.py
@@ -147,6 +147,16 @@
 
     def end_former_granters(self) -> None:
         """Stops all former granters and reports their end to the present one."""
+        self.kill_former_granters()
+        open_grants = [
+            grant
+            for daemon in self.daemons[:-1]
+            for grant in daemon.granter.open_grants(self.now_ms)
+        ]
+        self.daemons[-1].granter.observe_open_grants(open_grants)
+
+    def kill_former_granters(self) -> None:
+        """Stops all former granters; the present one knows when, and nothing else."""
         for daemon in self.daemons[:-1]:
             daemon.confirmed_ms = -1e18
             daemon.can_reach_store = False
--- a/tests/core/gateway/test_former_granters.py
+++ b/tests/core/gateway/test_former_granters.py
@@ -98,3 +98,19 @@
     for term in range(2, 20):
         former.record_end(f"d{term}", 0.0)
     assert former.authority_end_ms("d19") == 200.0 + AUTHORITY_MS
+
+
+def test_reports_are_complete_once_each_former_process_has_reported(former):
+    former.observe(GranterRecord("d2", "p9", 4), 3000.0)
+    for process in ("p1", "p3", "p9"):
+        former.record_report(process)
+    assert not former.have_all_reported(0.0)
+    former.record_report("p2")
+    assert former.have_all_reported(0.0)
+
+
+def test_granters_whose_leases_have_expired_need_not_report(former):
+    former.record_end("d1", 100.0)
+    former.record_report("p2")
+    assert not former.have_all_reported(50.0)
+    assert former.have_all_reported(100.0)
--- a/tests/gateway/test_lease_call_authority.py
+++ b/tests/gateway/test_lease_call_authority.py
@@ -114,6 +114,7 @@
         lambda service, ranges, position: None,
         lambda: False,
         lambda daemon, term, on_ended: None,
+        lambda daemon, term, on_reply: None,
         lambda instance: None,
         SupersedingTerm(),
     )
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -71,6 +71,10 @@
     gateway_messages.GatewayTermEndRequest(5),
     gateway_messages.GatewayRoleOffer(5),
     gateway_messages.GatewayTermEnded(5),
+    gateway_messages.GatewayOpenGrantsRequest(5),
+    gateway_messages.GatewayOpenGrants(
+        "p1", (gateway_messages.OpenGrantReport("stock", "i-1", 0, 99),)
+    ),
 ]
 
 
