A world for key owners in which each call may be late or lost

The simulation in tests/core/gateway/simulation.py has one granter at a time with a view of its own, carries calls out in the step in which they are made, and has neither a log with conditional appends nor elections, so it cannot show what calls under way, stale views and changes of the granter do together.

--- /dev/null
+++ b/tests/core/gateway/lease_world_store.py
@@ -0,0 +1,98 @@
+"""Store of the simulated site: the daemons' log, instances' entries and candidates."""
+
+from __future__ import annotations
+
+from typing import Callable, NamedTuple
+
+from skylarktrail.core.gateway.model import InstanceEntry
+
+SNAPSHOT = -1  # Position of a reader that has read nothing.
+TRIMMED = "trimmed"  # Result of a read from a position after the end of the log.
+
+
+class SharedRead(NamedTuple):
+    """Result of a read of the daemons' records.
+
+    Attributes:
+        records: Keys and values in order; for a snapshot, the newest of each key.
+        is_snapshot: Whether keys that are not named do not exist.
+        position: Position of the next read.
+    """
+
+    records: list[tuple[str, bytes]]
+    is_snapshot: bool
+    position: int
+
+
+class SimulatedStore:
+    """Log of the daemons' records with conditional appends, entries and candidates.
+
+    Attributes:
+        records: Keys and values of the log.
+        entries: Entries of the instances by identifier.
+        listing_position: Increases with each change of the entries.
+        era: Increases when the store comes back from an older copy.
+    """
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.entries: dict[str, InstanceEntry] = {}
+        self.listing_position = 0
+        self.era = 1
+        self._candidates: dict[str, float] = {}
+        self._waiting: list[Callable[[], None]] = []
+
+    def append(self, key: str, value: bytes, position: int | None) -> int | None:
+        """Appends a record.
+
+        Args:
+            key: Key of the record.
+            value: Value of the record.
+            position: If given, the write applies only if the log ends there.
+
+        Returns:
+            The position after the record; None if the condition does not hold.
+        """
+        if position is not None and position != len(self.records):
+            return None
+        self.records.append((key, value))
+        waiting, self._waiting = self._waiting, []
+        for wake in waiting:
+            wake()
+        return len(self.records)
+
+    def read(self, position: int) -> SharedRead | str:
+        """Returns the records from a position on, or the newest of each key."""
+        if position > len(self.records):
+            return TRIMMED
+        if position == SNAPSHOT:
+            newest = dict(self.records)
+            return SharedRead(list(newest.items()), True, len(self.records))
+        return SharedRead(self.records[position:], False, len(self.records))
+
+    def wait_for_records(self, wake: Callable[[], None]) -> None:
+        """Calls back at the next append."""
+        self._waiting.append(wake)
+
+    def write_entry(self, entry: InstanceEntry) -> None:
+        """Writes the entry of an instance."""
+        self.entries[entry.instance] = entry
+        self.listing_position += 1
+
+    def remove_entry(self, name: str) -> None:
+        """Removes the entry of an instance, as if it expired."""
+        if self.entries.pop(name, None):
+            self.listing_position += 1
+
+    def renew_candidacy(self, daemon: str, end_ms: float, now_ms: float) -> bool:
+        """Renews a candidacy; returns whether the store has chosen the candidate."""
+        valid = {name: end for name, end in self._candidates.items() if end > now_ms}
+        valid[daemon] = end_ms
+        self._candidates = valid
+        return next(iter(valid)) == daemon
+
+    def restore(self, position: int) -> None:
+        """Returns to an older copy, whose log ends at a position."""
+        del self.records[position:]
+        self.era += 1
+        self._candidates.clear()
