--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -31,6 +31,7 @@
 from .leased_range import LeasedRange
 from .planner import RangeAssignment, RangeMove, plan_moves
 from .ranges import OwnedRange, OwnerTable, coalesce, find_gaps
+from .silent_instances import SilentInstances
 
 FENCES_PER_TERM = 1 << 24  # Enough for weeks of grants in one term.
 CLOCK_DRIFT_RATIO = 1.03  # The clock of an instance may run 2% slow.
@@ -73,6 +74,7 @@
             item.is_releasing = item.is_inherited_move
             item.former_calls_end_ms = former_authority_end_ms
         self._owners: dict[str, KeyedInstance] = {}
+        self._silent_instances = SilentInstances(timings.lease_ms)
         self._confirmed_ms = math.inf
         self._addresses: Mapping[str, str] = {}
         self._is_recording = False
@@ -152,7 +154,7 @@
             confirmed_ms: When the last read began that confirmed the term.
         """
         self._confirmed_ms = confirmed_ms
-        self._owners = dict(owners)
+        self._owners = self._silent_instances.exclude(owners, now_ms)
         self._addresses = addresses or {}
         self._release_ended(now_ms)
         actions = self._make_grants(now_ms) + self._make_releases(now_ms)
@@ -202,9 +204,11 @@
     def handle_result(self, result: CallResult, now_ms: float) -> None:
         """Handles the result of a call."""
         ranges, lease_ms, kind = self._pending_calls.pop(result.call_id, ([], 0.0, ""))
+        ranges = [item for item in ranges if item.call_id == result.call_id]
+        if ranges:
+            owner = ranges[0].owned.owner
+            self._silent_instances.record(owner, result.outcome, now_ms)
         for item in ranges:
-            if item.call_id != result.call_id:
-                continue
             item.call_id = 0
             if kind == RELEASE:
                 self._handle_release_result(item, result, now_ms)
