Do not wait for, nor credit, a call to an owner that has ended

When an owner's process has ended (another one answers at its address, or is listed there), its range goes to the next owner at once. A call to the former owner stayed the range's open call: the next owner got no grant until it ended, at worst after the 3 s of a release, and the result was then taken for the next owner's: a late answer to a release took the range from it. test_a_call_to_an_ended_owner_is_not_credited_to_the_next_one failed before.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -404,6 +404,7 @@
         return actions
 
     def _make_release(self, item: LeasedRange, address: str) -> ReleaseCall:
+        item.address = address
         item.fence = item.fence or self._next_fence()
         call = self._begin_call(item, 0.0, RELEASE)
         owned = item.owned
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -98,6 +98,7 @@
         self.is_acknowledged = self.is_releasing = self.is_released = False
         self.unanswered_grant_end_ms = self.lease_end_ms = -math.inf
         self.next_call_ms = 0.0
+        self.call_id = 0
         self.replaced_answers = 0
         self.is_inherited_move = False
         self.clear_target()
--- a/tests/core/gateway/test_two_owners.py
+++ b/tests/core/gateway/test_two_owners.py
@@ -6,7 +6,7 @@
 
 from skylarktrail.core.gateway.granter import Granter
 from skylarktrail.core.gateway.key_load import LoadDistribution
-from skylarktrail.core.gateway.lease_calls import GrantCall, KeyedInstance
+from skylarktrail.core.gateway.lease_calls import CallResult, GrantCall, KeyedInstance
 from skylarktrail.core.gateway.ranges import OwnedRange, OwnerTable
 
 from .simulation import STEP_MS, TIMINGS, Simulation
@@ -142,3 +142,17 @@
     later_ids = {call.call_id for call in later.step(owners, 100.0)}
     assert earlier_ids and later_ids
     assert not earlier_ids & later_ids
+
+
+def test_a_call_to_an_ended_owner_is_not_credited_to_the_next_one():
+    """The call is answered after the range went to another instance."""
+    recorded = OwnerTable([OwnedRange(0, 65535, "s1", 1, "s2", 1)])
+    owners = {name: KeyedInstance(name, name, 1, True) for name in ("s1", "s2")}
+    granter = Granter(TIMINGS, 2, recorded, 0.0)
+    granter.observe_open_grants(())
+    release = granter.step(owners, 100.0)[0]
+    owners.pop("s1")
+    grants = granter.step(owners, 200.0, {"s1": "of another service"})
+    assert [call.instance for call in grants if isinstance(call, GrantCall)] == ["s2"]
+    granter.handle_result(CallResult(release.call_id, "done", "late"), 300.0)
+    assert [grant.instance for grant in granter.open_grants(300.0)] == ["s2"]
