Move the soak's load and its watch of the keys' holders to a module of their own

A test that replaces daemons under load needs the same clients and checks. No draw of a seed changes: the clients have generators of their own.

--- a/soak/run.py
+++ b/soak/run.py
@@ -4,20 +4,18 @@
 
 import random
 import tempfile
-import threading
 import time
 from pathlib import Path
 from typing import NamedTuple
 
 from demo.gateway_site import REQUEST_KINDS, GatewaySite
 
-from .checks import RequestRecord, check_response, find_shared_keys, find_wrong_runs
+from .checks import find_wrong_runs
 from .faults import CUT_FAULTS, FAULTS, Undo
 from .instance_links import MODULE
+from .load import SiteLoad
 from .proxy import Proxies
 
-CLIENT_COUNT = 6
-REQUEST_INTERVAL_S = 0.02
 MAX_FAULT_DURATION_S = 4.0
 MAX_CONCURRENT_FAULTS = 3
 # Longer than the leases and the authority of a lost granter.
@@ -72,11 +70,9 @@
             MODULE if has_cuts else "skylarktrail",
         )
         self._fault_by_name = FAULTS | CUT_FAULTS if has_cuts else FAULTS
-        self._records: list[RequestRecord] = []
+        self._load = SiteLoad(self._site)
         self._findings: list[str] = []
         self._faults: list[str] = []
-        self._stopping = threading.Event()
-        self._lock = threading.Lock()
 
     @property
     def directory(self) -> Path:
@@ -90,31 +86,23 @@
                 self._execute()
                 runs = self._site.read_run_times()
         finally:
-            self._stopping.set()
+            self._load.signal_stop()
             self._proxies.stop()
-        self._findings += find_wrong_runs(self._records, runs)
-        served = sum(record.response.status == 200 for record in self._records)
-        return SoakResult(len(self._records), served, self._faults, self._findings)
+        records = self._load.records
+        findings = self._load.findings + self._findings
+        findings += find_wrong_runs(records, runs)
+        served = sum(record.response.status == 200 for record in records)
+        return SoakResult(len(records), served, self._faults, findings)
 
     def _add_proxy(self, source: str, target: str, address: str) -> str:
         return self._proxies.add(f"{source}-{target}", address)
 
     def _execute(self) -> None:
-        threads = [
-            threading.Thread(
-                target=self._send_requests, args=(client_index,), daemon=True
-            )
-            for client_index in range(CLIENT_COUNT)
-        ]
-        threads.append(threading.Thread(target=self._watch_key_holders, daemon=True))
-        for thread in threads:
-            thread.start()
+        self._load.start()
         self._inject_faults()
         time.sleep(RECOVERY_TIME_S)
         self._check_recovery()
-        self._stopping.set()
-        for thread in threads:
-            thread.join()
+        self._load.stop()
 
     def _inject_faults(self) -> None:
         """Begins faults at random times and ends each after a random duration."""
@@ -136,33 +124,6 @@
         for _, undo in active:
             undo()
 
-    def _send_requests(self, client_index: int) -> None:
-        """Sends requests as one client; most of them over kept-alive connections."""
-        rng = random.Random(client_index)
-        names = sorted(self._site.gateways)
-        while not self._stopping.is_set():
-            kind = rng.choice(REQUEST_KINDS)
-            response = self._site.request(
-                kind, rng.choice(names), keep_alive=rng.random() < 0.9
-            )
-            finding = check_response(RequestRecord(kind, response))
-            with self._lock:
-                self._records.append(RequestRecord(kind, response))
-                self._findings += [finding] if finding else []
-            time.sleep(REQUEST_INTERVAL_S)
-
-    def _watch_key_holders(self) -> None:
-        """Records keys that two instances hold in two consecutive samples.
-
-        A single sample is not atomic: a key may move between its requests.
-        """
-        before: set[str] = set()
-        while not self._stopping.wait(0.3):
-            found = set(find_shared_keys(self._site.find_holders_by_key()))
-            with self._lock:
-                self._findings += sorted(found & before)
-            before = found
-
     def _check_recovery(self) -> None:
         names = sorted(self._site.gateways)
         responses = [
