--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -97,6 +97,7 @@
         self.advertised_addresses: dict[str, str] = {}
         self._add_instances(instances)
         self.gateways: dict[str, Process] = {}
+        self.gateway_settings: dict[str, dict[str, Any]] = {}
         self.caller_addresses: dict[str, str] = {}
         self.ready_addresses: dict[str, str] = {}
         for index in range(gateways):
@@ -303,6 +304,7 @@
             "forward_address": self._ports.address(),
             "store": {"address": self._route(name, "store", self.store_address)},
         }
+        self.gateway_settings[name] = settings
         path = self.settings_path(name)
         path.write_text(json.dumps(settings))
         self.gateways[name] = self._make_process(
--- a/demo/process.py
+++ b/demo/process.py
@@ -48,13 +48,19 @@
         module: Module to run.
         arguments: Command-line arguments.
         directory: Directory of the log file, which gets stdout and stderr.
+
+    Attributes:
+        module: Module to run from the next start on.
+        source_dir: Directory of the package `skylarktrail` from the next start on.
     """
 
     def __init__(
         self, name: str, module: str, arguments: list[str], directory: Path
     ) -> None:
         self.name = name
-        self._command = [sys.executable, "-m", module, *arguments]
+        self.module = module
+        self.source_dir = PROJECT_DIR / "src"
+        self._arguments = arguments
         self._output_path = directory / f"{name}.log"
         self._size_at_start = 0
         self._popen: subprocess.Popen[bytes] | None = None
@@ -65,9 +71,9 @@
         with self._output_path.open("ab") as output, defer_signals():
             self._size_at_start = output.tell()
             self._popen = subprocess.Popen(
-                self._command,
+                [sys.executable, "-m", self.module, *self._arguments],
                 cwd=PROJECT_DIR,
-                env=_environment(),
+                env=_environment(self.source_dir),
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -135,6 +141,7 @@
             process.kill()
 
 
-def _environment() -> dict[str, str]:
-    paths = [str(PROJECT_DIR / "src"), str(PROJECT_DIR)]
+def _environment(source_dir: Path) -> dict[str, str]:
+    """Returns variables that put the sources before an installed package."""
+    paths = [str(source_dir), str(PROJECT_DIR)]
     return os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
