Test that fails: only the first keyed service is balanced and merged

_next_rebalance_ms and _next_merge_ms are the actor's, not a service's: in each tick the first keyed service takes the turn, so ranges of the others move only off lost owners and are never merged.

--- /dev/null
+++ b/tests/gateway/test_balanced_services.py
@@ -0,0 +1,103 @@
+"""Tests that the granter balances and merges the ranges of each keyed service."""
+
+from __future__ import annotations
+
+import io
+
+import pytest
+from result import Ok
+
+from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.lease_calls import CallResult, LeaseTimings
+from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
+from skylarktrail.core.gateway.ranges import OwnedRange
+from skylarktrail.core.gateway.shared_state import (
+    GRANTER_KEY,
+    GranterRecord,
+    encode_granter,
+    encode_owners,
+)
+from skylarktrail.daemon.ticker import Tick
+from skylarktrail.gateway import granter_actor
+from skylarktrail.gateway.event_log import EventLog
+from skylarktrail.gateway.granter_actor import GranterActor
+from skylarktrail.gateway.granter_messages import SharedRecordsRead, SupersedingTerm
+from skylarktrail.gateway.metrics import GatewayMetrics
+from skylarktrail.gateway.site_state import SiteState
+from skylarktrail.gateway.site_store import Listing, SharedUpdate
+
+SERVICES = ("orders", "stock")
+
+
+class ManualClock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.at_ms = 10_000.0
+
+    def __call__(self) -> float:
+        return self.at_ms
+
+
+class AcceptingClient:
+    """Accepts each call and each write, and keeps the services that were written."""
+
+    def __init__(self) -> None:
+        self.written = set()
+
+    def grant(self, call):
+        """Answers a call."""
+        return CallResult(call.call_id, "done")
+
+    release = grant
+
+    def share(self, key, value, position):
+        """Accepts a write."""
+        self.written.add(key.removeprefix("owners/"))
+        return Ok(position + 1)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = ManualClock()
+    monkeypatch.setattr(granter_actor, "now_ms", clock)
+    return clock
+
+
+def test_load_moves_between_the_instances_of_each_service(clock):
+    """All keys of each service lie at one of its two instances."""
+    site = SiteState("d1", "east", SiteBounds())
+    site.scheduler.services = {s: ServiceSpec(s, is_keyed=True) for s in SERVICES}
+    entries = [
+        InstanceEntry(f"{s}-{n}", s, f"{s}-{n}:80", "east", 3, False, 0.0, 1, 1)
+        for s in SERVICES
+        for n in range(2)
+    ]
+    site.apply_listing(Listing(entries, 1), clock.at_ms)
+    records = [(GRANTER_KEY, encode_granter(GranterRecord("d1", "p1", 1)))] + [
+        ("owners/" + s, encode_owners([OwnedRange(0, 65535, f"{s}-0", 1)]))
+        for s in SERVICES
+    ]
+    site.apply_shared(SharedUpdate(records, False, 1), clock.at_ms)
+    client = AcceptingClient()
+    actor = GranterActor.start(
+        site,
+        "p1",
+        client,
+        client,
+        LeaseTimings(),
+        EventLog("d1", io.StringIO()),
+        GatewayMetrics(),
+        lambda service, ranges, position: None,
+        lambda: False,
+        lambda daemon, term, on_ended: None,
+        lambda daemon, term, on_reply: None,
+        lambda instance: None,
+        SupersedingTerm(),
+    )
+    for _ in range(100):
+        actor.ask(SharedRecordsRead(1, clock.at_ms))
+        actor.ask(Tick())
+        clock.at_ms += 100
+    actor.stop()
+    assert client.written == set(SERVICES)
