Test that fails: answers at an owner's former address prove the end of its new process

LeasedRange.replaced_answers stays when a new incarnation or another address of the owner is listed. Sequence: an owner restarts elsewhere, another process answers twice at the former address, the new entry is read, a fencing grant to the new process ends without an answer, the entry goes: the range is given away as process_ended. The overlap is at most the 0.3 s of a fencing grant.

--- a/tests/core/gateway/test_owner_identity.py
+++ b/tests/core/gateway/test_owner_identity.py
@@ -77,3 +77,21 @@
     )
     run.advance(LISTING_MS + TIMINGS.lease_ms + RECOVERY_TARGET_MS)
     assert run.granted(), "the range gets no grant, no release and no other owner"
+
+
+def test_answers_at_the_former_address_are_no_proof_that_a_restarted_owner_ended():
+    """It restarts elsewhere, and another process answers at its former address."""
+    run = Run(
+        [OwnedRange(0, 65535, "s1", 1000)],
+        [instance("s1", 1000, "a1"), instance("s2")],
+    )
+    run.advance(1000)
+    run.outcomes["s1"] = "replaced"
+    run.advance(2 * TIMINGS.renew_ms)
+    run.owners["s1"] = instance("s1", 2000, "b1")
+    run.outcomes["s1"] = "silent"  # A call to it may still be carried out.
+    run.advance(STEP_MS)
+    run.granted()
+    del run.owners["s1"]
+    run.advance(1000)
+    assert "s2" not in run.granted()
