Test that fails: a new process is taken for silent as its predecessor was

SilentInstances counts by identifier, not by incarnation. An owner that hangs, is killed and starts again under its identifier gets no keys until 24 s after the first call without an answer.

--- a/tests/core/gateway/test_owner_identity.py
+++ b/tests/core/gateway/test_owner_identity.py
@@ -95,3 +95,18 @@
     del run.owners["s1"]
     run.advance(1000)
     assert "s2" not in run.granted()
+
+
+def test_a_new_process_of_an_instance_that_answered_nothing_gets_keys():
+    run = Run(
+        [OwnedRange(0, 32767, "s1", 1000), OwnedRange(32768, 65535, "s2", 1)],
+        [instance("s1", 1000), instance("s2")],
+    )
+    run.advance(1000)
+    run.outcomes["s1"] = "silent"
+    run.advance(12_000)
+    run.outcomes["s1"] = "done"
+    run.owners["s1"] = instance("s1", 2000)
+    run.granted()
+    run.advance(RECOVERY_TARGET_MS, should_balance=True)
+    assert "s1" in run.granted()
