Broadcast only owners that the granter has just applied

The change is now computed and applied in one step under the reader's lock, and broadcast only if it was applied; else the read's own broadcast has it. test_owner_broadcasts.py failed before in two of three orders.

--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -13,7 +13,7 @@
 from ..config.gateway_settings import GatewaySettings, SiteBounds
 from ..config.settings import LimitSettings
 from ..core.gateway.forward_targets import ForwardTarget
-from ..core.gateway.ranges import OwnedRange, OwnerTable, changed_ranges
+from ..core.gateway.ranges import OwnedRange
 from ..core.gateway.shared_state import Member
 from ..daemon.caller_app import CallerApp, make_caller_server
 from ..daemon.ticker import Ticker
@@ -329,10 +329,9 @@
         self, service: str, ranges: Sequence[OwnedRange], position: int
     ) -> None:
         """Applies and broadcasts owners as soon as their record is written."""
-        before = self._site.shared.owners.get(service, OwnerTable())
-        changed = changed_ranges(before, OwnerTable(ranges))
-        self._shared.apply_owner_changes(service, changed, position)
-        self._messenger.broadcast_owners(service, changed, position)
+        changed = self._shared.apply_written_owners(service, ranges, position)
+        if changed is not None:
+            self._messenger.broadcast_owners(service, changed, position)
 
     def _on_owners(
         self, service: str, changed: Sequence[OwnedRange], position: int
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -8,7 +8,7 @@
 from result import Result
 
 from ..core.gateway.forward_targets import ForwardTarget
-from ..core.gateway.ranges import OwnedRange
+from ..core.gateway.ranges import OwnedRange, OwnerTable, changed_ranges
 from ..core.gateway.shared_state import (
     FORWARD_PREFIX,
     MEMBER_PREFIX,
@@ -383,6 +383,30 @@
             self._on_store_lost()
         return pause_ms
 
+    def apply_written_owners(
+        self, service: str, ranges: Sequence[OwnedRange], position: int
+    ) -> list[OwnedRange] | None:
+        """Applies owners that this daemon has written.
+
+        Args:
+            service: Name of the service.
+            ranges: All owners of the service.
+            position: Position of the record.
+
+        Returns:
+            The ranges that the record changed. None if it was read already, or earlier
+            records are missing: then the broadcast of the read has it.
+        """
+        with self._lock:
+            if self._position != position:
+                self._wakeup.set()
+                return None
+            before = self._site.shared.owners.get(service, OwnerTable())
+            changed = changed_ranges(before, OwnerTable(ranges))
+            self._advance(position + 1)
+            self._site.apply_owner_changes(service, changed, now_ms())
+            return changed
+
     def apply_owner_changes(
         self, service: str, changed: Sequence[OwnedRange], position: int
     ) -> None:
