Skip entries with numbers out of range or nested too deeply

Callers would have seen keys without an owner: an entry of another writer with a number such as 1e999, or nested deeply, raised an exception that was not caught, in each read of the entries on each daemon, for as long as it stood in the store; no daemon learned of a change any more. Found in review. tests/platform/test_entries.py failed before.

--- a/src/skylarktrail/platform/entries.py
+++ b/src/skylarktrail/platform/entries.py
@@ -19,7 +19,7 @@
     """
     try:
         return _decode(instance, json.loads(value))
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError, RecursionError):
         return None
 
 
