Count answers of another process for one incarnation of the owner only

Two owners (found in review): answers at the address of an owner's former process went on counting for its new process at another address; once that one was not listed, it was taken for ended and its keys went to others. test_answers_at_the_former_address_are_no_proof_that_a_restarted_ owner_ended failed before.

--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -122,6 +122,7 @@
         """
         self.process_start_ms = start_ms
         self.process_observed_ms = now_ms
+        self.replaced_answers = 0
         self.is_releasing = True
         self.next_call_ms = now_ms
         if now_ms < self.inherited_lease_end_ms:
