Forget the silence of an instance whose process was replaced

An instance that restarted got no keys until 24 s after the first call that its former process had not answered (found in review). test_a_new_process_of_an_instance_that_answered_nothing_gets_keys failed before.

--- a/src/skylarktrail/core/gateway/silent_instances.py
+++ b/src/skylarktrail/core/gateway/silent_instances.py
@@ -25,6 +25,7 @@
         self._patience_ms = patience_ms
         self._first_silent_ms: dict[str, float] = {}
         self._call_counts: dict[str, int] = {}
+        self._starts_ms: dict[str, int] = {}
 
     def record(self, instance: str, outcome: str, now_ms: float) -> None:
         """Records the outcome of a lease call."""
@@ -39,9 +40,8 @@
     ) -> dict[str, KeyedInstance]:
         """Returns the instances; silent ones may neither get nor keep keys."""
         for name in list(self._first_silent_ms):
-            is_listed = name in owners
-            age_ms = now_ms - self._first_silent_ms[name]
-            if not is_listed or age_ms > self._patience_ms + RETRY_AFTER_MS:
+            is_outdated = now_ms > self._end_ms(name)
+            if is_outdated or self._has_other_process(name, owners.get(name)):
                 self._forget(name)
         return {
             name: (
@@ -52,6 +52,15 @@
             for name, owner in owners.items()
         }
 
+    def _end_ms(self, instance: str) -> float:
+        return self._first_silent_ms[instance] + self._patience_ms + RETRY_AFTER_MS
+
+    def _has_other_process(self, instance: str, owner: KeyedInstance | None) -> bool:
+        """Returns whether the silent process of an instance is not listed any more."""
+        if owner is None:
+            return True
+        return self._starts_ms.setdefault(instance, owner.start_ms) != owner.start_ms
+
     def _is_silent(self, instance: str, now_ms: float) -> bool:
         first_ms = self._first_silent_ms.get(instance)
         if first_ms is None or self._call_counts[instance] < MIN_CALL_COUNT:
@@ -61,3 +70,4 @@
     def _forget(self, instance: str) -> None:
         self._first_silent_ms.pop(instance, None)
         self._call_counts.pop(instance, None)
+        self._starts_ms.pop(instance, None)
