Let the leases of an owner run out that stays listed with an earlier start

Keys without an owner for good (found in review): an instance whose clock was set back restarts with an earlier start than the one on record. A daemon that knows only the new entry sent its ranges neither a grant nor a release.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -33,6 +33,7 @@
 from .ranges import OwnedRange, OwnerTable, coalesce, find_gaps
 from .silent_instances import SilentInstances
 
+MAX_LISTING_AGE_MS = 3000.0  # A listing is replaced by a newer one within this time.
 FENCES_PER_TERM = 1 << 24  # Enough for weeks of grants in one term.
 CLOCK_DRIFT_RATIO = 1.03  # The clock of an instance may run 2% slow.
 LEASE_SLACK_MS = 100.0  # Delay of timers on both sides.
@@ -425,8 +426,8 @@
             if item.is_released:
                 continue
             owner = self._owners.get(item.owned.owner)
-            if owner is not None and owner.start_ms > item.process_start_ms:
-                item.observe_incarnation(owner.start_ms, now_ms)
+            if owner is not None:
+                self._observe_start(item, owner.start_ms, now_ms)
             is_ended = owner is None and self._has_owner_ended(item)
             is_idle = item.is_releasing and not item.call_id
             is_expired = is_idle and now_ms >= item.last_lease_end_ms
@@ -437,6 +438,23 @@
             elif owner is None:
                 item.is_releasing = True
 
+    @staticmethod
+    def _observe_start(item: LeasedRange, start_ms: int, now_ms: float) -> None:
+        """Compares the listed start of an owner with the process that is known of it.
+
+        An earlier start means that the listing is older than the records, or, if that
+        lasts, that the clock by which the instance states its start was set back. Its
+        leases then run out, as calls may reach either process.
+        """
+        if start_ms > item.process_start_ms:
+            item.observe_incarnation(start_ms, now_ms)
+        if start_ms >= item.process_start_ms:
+            item.outdated_since_ms = math.inf
+            return
+        item.outdated_since_ms = min(item.outdated_since_ms, now_ms)
+        if now_ms >= item.outdated_since_ms + MAX_LISTING_AGE_MS:
+            item.is_releasing = True
+
     def _mark_released(self, item: LeasedRange, reason: str, now_ms: float) -> None:
         """Handles that the owner of a range holds no lease any more."""
         owned = item.owned
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -18,6 +18,8 @@
             it is known: the owner's incarnation or a later one.
         process_observed_ms: When a later incarnation was listed. It has forgotten all
             fences, so only a granter that was confirmed after this may send it grants.
+        outdated_since_ms: Since when the owner is listed with an earlier start than that;
+            infinite if it is not.
         address: `host:port` of the owner.
         inherited_lease_end_ms: When leases of former granters have expired.
         fence: Fence of the present grant; 0 if there is none.
@@ -48,6 +50,7 @@
         self.owned = owned._replace(next_owner="", next_start_ms=0)
         self.process_start_ms = owned.start_ms
         self.process_observed_ms = -math.inf
+        self.outdated_since_ms = math.inf
         self.address = address
         self.inherited_lease_end_ms = inherited_lease_end_ms
         self.fence = 0
@@ -93,6 +96,7 @@
         )
         self.process_start_ms = self.target_start_ms
         self.process_observed_ms = -math.inf
+        self.outdated_since_ms = math.inf
         self.address = address
         self.fence = 0
         self.is_acknowledged = self.is_releasing = self.is_released = False
