Balance and merge the ranges of each keyed service

With two keyed services only the first was balanced and merged, as one timer served both (found in review; the users' sites have one). test_balanced_services.py failed before.

--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -18,8 +18,8 @@
             it is known: the owner's incarnation or a later one.
         process_observed_ms: When a later incarnation was listed. It has forgotten all
             fences, so only a granter that was confirmed after this may send it grants.
-        outdated_since_ms: Since when the owner is listed with an earlier start than that;
-            infinite if it is not.
+        outdated_since_ms: Since when the owner is listed with an earlier start than
+            that; infinite if it is not.
         address: `host:port` of the owner.
         inherited_lease_end_ms: When leases of former granters have expired.
         fence: Fence of the present grant; 0 if there is none.
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -155,8 +155,8 @@
         self._speeds = Speeds()
         self._term_started_ms = 0.0
         self._writes: list[PendingWrite] = []
-        self._next_rebalance_ms = 0.0
-        self._next_merge_ms = 0.0
+        self._next_rebalance_ms: dict[str, float] = {}
+        self._next_merge_ms: dict[str, float] = {}
         self.is_granter = False
 
     @property
@@ -477,11 +477,11 @@
         is_new_service = service not in self._site.shared.owners
         if is_new_service and at_ms < self._term_started_ms + FIRST_LISTING_WAIT_MS:
             return
-        is_rebalance_due = at_ms >= self._next_rebalance_ms
+        is_rebalance_due = at_ms >= self._next_rebalance_ms.get(service, 0.0)
         if not is_rebalance_due and not granter.has_unassigned_hashes():
             return
         if is_rebalance_due:
-            self._next_rebalance_ms = at_ms + REBALANCE_INTERVAL_MS
+            self._next_rebalance_ms[service] = at_ms + REBALANCE_INTERVAL_MS
         moves = granter.rebalance(load.distribution(at_ms), is_rebalance_due)
         for move in moves:
             self._metrics.count("moved_ranges", service)
@@ -493,8 +493,8 @@
                 owner=move.owner,
                 term=self._term,
             )
-        if at_ms >= self._next_merge_ms:
-            self._next_merge_ms = at_ms + MERGE_INTERVAL_MS
+        if at_ms >= self._next_merge_ms.get(service, 0.0):
+            self._next_merge_ms[service] = at_ms + MERGE_INTERVAL_MS
             granter.merge_adjacent_ranges(at_ms)
 
     def _list_keyed_instances(
