Report a lease call or write that raises an exception as one without an answer

Keys without an owner for good (found in review): a call or write whose task raised an exception was logged and never completed, so its range, or all records of owners, waited for ever. test_unfinished_calls.py failed before.

--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -8,6 +8,7 @@
 
 import cbor2
 import pykka
+from result import Err
 
 from ..core.gateway.capacities import limit_capacities
 from ..core.gateway.former_granters import FormerGranters
@@ -35,6 +36,7 @@
 from ..core.gateway.speeds import Speeds
 from ..daemon.ticker import Tick
 from ..errors import platform as codes
+from ..errors.code import Fault
 from ..peer.gateway_messages import GatewayLoad, GatewayOpenGrants, OpenGrantReport
 from .clock import now_ms
 from .event_log import EventLog
@@ -394,6 +396,7 @@
         self._submit(
             self._writer.submit,
             lambda: WriteCompleted(write, store.share(key, value, position)),
+            WriteCompleted(write, Err(Fault(codes.STORE_SILENT, key))),
         )
 
     def _handle_write_completed(self, completed: WriteCompleted) -> None:
@@ -569,12 +572,27 @@
             return LeaseCallCompleted(service, action, result)
 
         lane = Lane(action.instance, type(action).__name__)
-        self._submit(partial(self._call_queue.submit, lane), send_call)
+        unknown = CallResult(action.call_id, "silent")
+        self._submit(
+            partial(self._call_queue.submit, lane),
+            send_call,
+            LeaseCallCompleted(service, action, unknown),
+        )
 
     def _submit(
-        self, submit: Callable[[Callable[[], None]], Any], task: Callable[[], Any]
+        self,
+        submit: Callable[[Callable[[], None]], Any],
+        task: Callable[[], Any],
+        unknown: LeaseCallCompleted | WriteCompleted,
     ) -> None:
-        """Runs a task in a thread pool and sends its result to this actor."""
+        """Runs a task in a thread pool and sends its result to this actor.
+
+        Args:
+            submit: Submits a function to a thread pool.
+            task: The task, which returns a message to this actor.
+            unknown: Message for a task that raises an exception, so that its outcome
+                is not known.
+        """
         actor_ref = self.actor_ref
 
         def run() -> None:
@@ -582,7 +600,7 @@
                 message = task()
             except Exception as error:
                 self._log.state("order_failed", error=repr(error))
-                return
+                message = unknown
             try:
                 actor_ref.tell(message)
             except pykka.ActorDeadError:
