Go on after a message to the granter that raises an exception

Keys without an owner for good (found in review): an exception ended the granter's actor, while its daemon went on to send listings, so that no other one claimed the role and no lease was renewed. The granter now ends its term, as its state may be inconsistent; its daemon is a candidate then like any other and claims a new one. test_failed_messages.py failed before.

--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -167,7 +167,19 @@
         return self._writes[0] if self._writes else None
 
     def on_receive(self, message: Any) -> None:
-        """Handles one message."""
+        """Handles one message.
+
+        After an exception, a granter ends its term, as its state may be inconsistent.
+        """
+        try:
+            self._handle(message)
+        except Exception as error:
+            kind = type(message).__name__
+            self._log.state("granter_failed", message=kind, error=repr(error))
+            if self.is_granter:
+                self._end_term(self._site.shared.granter)
+
+    def _handle(self, message: Any) -> None:
         if isinstance(message, Tick):
             self._step()
         elif isinstance(message, CandidacyUpdate):
