Give up lease calls whose answers never end

After 6 s a call counts as one without an answer. test_an_owner_whose_answer_never_ends_loses_its_keys failed before (no other owner within 20 s).

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import math
-from typing import Mapping, Sequence
+from typing import Mapping, NamedTuple, Sequence
 
 from .key_load import LoadDistribution
 from .lease_calls import (
@@ -38,6 +38,8 @@
 CLOCK_DRIFT_RATIO = 1.03  # The clock of an instance may run 2% slow.
 LEASE_SLACK_MS = 100.0  # Delay of timers on both sides.
 RETRY_DELAY_MS = 250.0  # Delay before a failed call is retried.
+# Longer than any call whose answer comes at once, with the wait for a thread.
+MAX_CALL_MS = 6000.0
 RECORD_INTERVAL_MS = 60.0  # Changes within this time are recorded together.
 FENCING_LEASE_MS = 300.0  # Of a grant that only fences earlier ones before a release.
 GRANT, FENCING, RELEASE = "grant", "fencing", "release"
@@ -45,6 +47,15 @@
 PROOF_ANSWER_COUNT = 2
 
 
+class _PendingCall(NamedTuple):
+    """A call without a result yet, and the parts of the range that it is about."""
+
+    ranges: list[LeasedRange]
+    lease_ms: float
+    kind: str
+    begun_ms: float
+
+
 class Granter:
     """Grants the ranges of one service during one term of this daemon.
 
@@ -68,7 +79,7 @@
         self._fence_count = 0
         # Results of calls of an earlier term must not match calls of this one.
         self._call_count = term * FENCES_PER_TERM
-        self._pending_calls: dict[int, tuple[list[LeasedRange], float, str]] = {}
+        self._pending_calls: dict[int, _PendingCall] = {}
         end_ms = former_authority_end_ms + self.max_lease_ms(timings.lease_ms)
         self._ranges = [LeasedRange(item, "", end_ms) for item in recorded.ranges]
         for item in self._ranges:
@@ -157,6 +168,7 @@
         self._confirmed_ms = confirmed_ms
         self._owners = self._silent_instances.exclude(owners, now_ms)
         self._addresses = addresses or {}
+        self._give_up_calls(now_ms)
         self._release_ended(now_ms)
         actions = self._make_grants(now_ms) + self._make_releases(now_ms)
         if self._is_recording or now_ms < self._last_record_ms + RECORD_INTERVAL_MS:
@@ -204,18 +216,31 @@
 
     def handle_result(self, result: CallResult, now_ms: float) -> None:
         """Handles the result of a call."""
-        ranges, lease_ms, kind = self._pending_calls.pop(result.call_id, ([], 0.0, ""))
-        ranges = [item for item in ranges if item.call_id == result.call_id]
+        call = self._pending_calls.pop(result.call_id, None)
+        if call is None:
+            return
+        ranges = [item for item in call.ranges if item.call_id == result.call_id]
         if ranges:
             owner = ranges[0].owned.owner
             self._silent_instances.record(owner, result.outcome, now_ms)
         for item in ranges:
             item.call_id = 0
-            if kind == RELEASE:
+            if call.kind == RELEASE:
                 self._handle_release_result(item, result, now_ms)
             else:
-                is_fencing = kind == FENCING
-                self._handle_grant_result(item, result, lease_ms, is_fencing, now_ms)
+                is_fencing = call.kind == FENCING
+                self._handle_grant_result(
+                    item, result, call.lease_ms, is_fencing, now_ms
+                )
+
+    def _give_up_calls(self, now_ms: float) -> None:
+        """Handles calls that have no result for long as calls without an answer.
+
+        An answer that never ends may keep a call open for good.
+        """
+        for call_id, call in list(self._pending_calls.items()):
+            if now_ms > call.begun_ms + MAX_CALL_MS:
+                self.handle_result(CallResult(call_id, "silent"), now_ms)
 
     def handle_recorded(self, is_recorded: bool) -> None:
         """Handles the result of the requested record."""
@@ -330,7 +355,7 @@
             if not item.fence or item.is_releasing:
                 item.fence = self._next_fence()
                 item.is_fence_acknowledged = False
-            actions.append(self._make_grant(item, address, lease_ms))
+            actions.append(self._make_grant(item, address, lease_ms, now_ms))
         return actions
 
     def _is_grant_due(self, item: LeasedRange, now_ms: float) -> bool:
@@ -375,13 +400,13 @@
         return owner.address if owner else item.address
 
     def _make_grant(
-        self, item: LeasedRange, address: str, lease_ms: float
+        self, item: LeasedRange, address: str, lease_ms: float, now_ms: float
     ) -> GrantCall:
         item.address = address
         kind = FENCING if item.is_releasing else GRANT
         owned = item.owned
         return GrantCall(
-            self._begin_call(item, lease_ms, kind),
+            self._begin_call(item, lease_ms, kind, now_ms),
             owned.owner,
             address,
             owned.first,
@@ -401,23 +426,29 @@
             address = self._address_of(item)
             is_reachable = address and self._reaches_known_process(item)
             if is_reachable and item.can_release(now_ms):
-                actions.append(self._make_release(item, address))
+                actions.append(self._make_release(item, address, now_ms))
         return actions
 
-    def _make_release(self, item: LeasedRange, address: str) -> ReleaseCall:
+    def _make_release(
+        self, item: LeasedRange, address: str, now_ms: float
+    ) -> ReleaseCall:
         item.address = address
         item.fence = item.fence or self._next_fence()
-        call = self._begin_call(item, 0.0, RELEASE)
+        call = self._begin_call(item, 0.0, RELEASE, now_ms)
         owned = item.owned
         return ReleaseCall(
             call, owned.owner, address, owned.first, owned.last, item.fence
         )
 
-    def _begin_call(self, item: LeasedRange, lease_ms: float, kind: str) -> int:
+    def _begin_call(
+        self, item: LeasedRange, lease_ms: float, kind: str, now_ms: float
+    ) -> int:
         """Registers a new call about a range and returns its number."""
         self._call_count += 1
         item.call_id = self._call_count
-        self._pending_calls[self._call_count] = ([item], lease_ms, kind)
+        self._pending_calls[self._call_count] = _PendingCall(
+            [item], lease_ms, kind, now_ms
+        )
         return self._call_count
 
     def _release_ended(self, now_ms: float) -> None:
@@ -557,11 +588,11 @@
         """Lets the result of the call in flight apply to all parts of its range."""
         if not item.call_id:
             return
-        ranges, lease_ms, kind = self._pending_calls[item.call_id]
-        others = [other for other in ranges if other is not item]
+        call = self._pending_calls[item.call_id]
+        others = [other for other in call.ranges if other is not item]
         for part in parts:
             part.call_id = item.call_id
-        self._pending_calls[item.call_id] = (others + parts, lease_ms, kind)
+        self._pending_calls[item.call_id] = call._replace(ranges=others + parts)
 
     def _make_unowned(self, first: int, last: int, target: str) -> LeasedRange:
         item = LeasedRange(OwnedRange(first, last, "", 0), "", -math.inf)
--- a/tests/core/gateway/test_two_owners.py
+++ b/tests/core/gateway/test_two_owners.py
@@ -6,10 +6,15 @@
 
 from skylarktrail.core.gateway.granter import Granter
 from skylarktrail.core.gateway.key_load import LoadDistribution
-from skylarktrail.core.gateway.lease_calls import CallResult, GrantCall, KeyedInstance
+from skylarktrail.core.gateway.lease_calls import (
+    CallResult,
+    GrantCall,
+    KeyedInstance,
+    RecordOwners,
+)
 from skylarktrail.core.gateway.ranges import OwnedRange, OwnerTable
 
-from .simulation import STEP_MS, TIMINGS, Simulation
+from .simulation import EVEN_LOAD, STEP_MS, TIMINGS, Simulation
 
 SERVER_COUNT = 3
 LISTING_INTERVAL_MS = 700.0
@@ -156,3 +161,21 @@
     assert [call.instance for call in grants if isinstance(call, GrantCall)] == ["s2"]
     granter.handle_result(CallResult(release.call_id, "done", "late"), 300.0)
     assert [grant.instance for grant in granter.open_grants(300.0)] == ["s2"]
+
+
+def test_an_owner_whose_answer_never_ends_loses_its_keys():
+    """Each byte of the answer comes in time, so the call stays open."""
+    recorded = OwnerTable([OwnedRange(0, 65535, "s1", 1)])
+    owners = {name: KeyedInstance(name, name, 1, True) for name in ("s1", "s2")}
+    granter = Granter(TIMINGS, 2, recorded, 0.0)
+    granter.step(owners, 0.0)
+    owners.pop("s1")
+    granted = set()
+    for now_ms in range(100, 20_000, 100):
+        granter.rebalance(EVEN_LOAD, False)
+        for action in granter.step(owners, float(now_ms)):
+            if isinstance(action, RecordOwners):
+                granter.handle_recorded(True)
+            elif isinstance(action, GrantCall):
+                granted.add(action.instance)
+    assert "s2" in granted
