Take no keys from instances that are silent together

A granter whose own links hang finds most instances silent and would have moved their keys about (named in review; safe for exclusivity). If half of the instances or more are silent, none loses its keys for that.

--- a/src/skylarktrail/core/gateway/silent_instances.py
+++ b/src/skylarktrail/core/gateway/silent_instances.py
@@ -38,19 +38,23 @@
     def exclude(
         self, owners: Mapping[str, KeyedInstance], now_ms: float
     ) -> dict[str, KeyedInstance]:
-        """Returns the instances; silent ones may neither get nor keep keys."""
+        """Returns the instances; silent ones may neither get nor keep keys.
+
+        If half of the instances or more are silent, the links of this daemon are a more
+        likely cause, and none loses its keys.
+        """
         for name in list(self._first_silent_ms):
             is_outdated = now_ms > self._end_ms(name)
             if is_outdated or self._has_other_process(name, owners.get(name)):
                 self._forget(name)
-        return {
-            name: (
-                owner._replace(can_receive_keys=False, can_keep_keys=False)
-                if self._is_silent(name, now_ms)
-                else owner
-            )
-            for name, owner in owners.items()
+        silent = {name for name in owners if self._is_silent(name, now_ms)}
+        if 2 * len(silent) >= len(owners):
+            return dict(owners)
+        excluded = {
+            name: owners[name]._replace(can_receive_keys=False, can_keep_keys=False)
+            for name in silent
         }
+        return {**owners, **excluded}
 
     def _end_ms(self, instance: str) -> float:
         return self._first_silent_ms[instance] + self._patience_ms + RETRY_AFTER_MS
