Hand no state of an earlier owner over

A range whose owner's lease had expired went to the next one with the state that an owner before that had handed over (named in review). test_the_state_of_an_earlier_owner_is_not_handed_over failed before.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -489,6 +489,8 @@
     def _mark_released(self, item: LeasedRange, reason: str, now_ms: float) -> None:
         """Handles that the owner of a range holds no lease any more."""
         owned = item.owned
+        if reason != "released":
+            item.handover = ""  # It belongs to an owner before this one.
         self._lost_ranges.append(
             LostRange(
                 owned.first,
--- a/tests/core/gateway/test_two_owners.py
+++ b/tests/core/gateway/test_two_owners.py
@@ -179,3 +179,28 @@
             elif isinstance(action, GrantCall):
                 granted.add(action.instance)
     assert "s2" in granted
+
+
+def test_the_state_of_an_earlier_owner_is_not_handed_over():
+    """The last owner's lease expires, so it hands nothing over."""
+    recorded = OwnerTable([OwnedRange(0, 65535, "s1", 1, "s2", 1)])
+    owners = {name: KeyedInstance(name, name, 1, True) for name in ("s1", "s2")}
+    granter = Granter(TIMINGS, 2, recorded, 0.0)
+    granter.observe_open_grants(())
+    release = granter.step(owners, 100.0)[0]
+    granter.handle_result(CallResult(release.call_id, "done", "state of s1"), 100.0)
+    actions = granter.step(owners, 200.0)
+    first = next(call for call in actions if isinstance(call, GrantCall))
+    granter.handle_recorded(True)
+    assert first.handover == "state of s1"
+    granter.handle_result(CallResult(first.call_id, "done"), 200.0)
+    owners.pop("s2")
+    handovers = set()
+    for now_ms in range(300, 9000, 100):
+        granter.rebalance(EVEN_LOAD, False)
+        for action in granter.step(owners, float(now_ms)):
+            if isinstance(action, RecordOwners):
+                granter.handle_recorded(True)
+            elif isinstance(action, GrantCall) and action.instance == "s1":
+                handovers.add(action.handover)
+    assert handovers == {""}
