Take no second answer to an earlier grant for the answer to a later one

A second answer to an earlier grant, read in its place, acknowledged a revocation that the server had not read, so that the slice went to another server; or it counted as the fence of a new term. An acceptance that names an earlier term or another version is now treated like no answer.

--- a/src/skylarktrail/core/ownership/server_lease.py
+++ b/src/skylarktrail/core/ownership/server_lease.py
@@ -17,11 +17,13 @@
         version: Version of the set of slices that it contains.
         is_fencing: Whether it gives no lease and only makes the server accept the
             term and return its clock.
+        term: Term of the granter.
     """
 
     sent_ms: float
     version: int
     is_fencing: bool
+    term: int
 
 
 class ServerLease:
@@ -162,7 +164,7 @@
         """
         is_empty = not (self.slices or self._releasing)
         is_fencing = is_empty or not self.fenced or self._is_clock_stale(now_ms)
-        self._outstanding = OutstandingGrant(now_ms, self._version, is_fencing)
+        self._outstanding = OutstandingGrant(now_ms, self._version, is_fencing, term)
         self._next_send_ms = now_ms + self._timings.renew_ms
         if is_fencing:
             return Grant(group, term, "", 0, self._version, None)
@@ -196,6 +198,9 @@
         sent = self._outstanding
         if sent is None or sent.sent_ms != sent_ms:
             return False
+        if _answers_earlier_grant(answer, sent):
+            self.handle_failure(sent_ms, now_ms)
+            return False
         self._outstanding = None
         self._update_clock(answer, now_ms)
         if not answer.accepted:
@@ -249,3 +254,15 @@
             len(self._releasing),
             self.lease_end_ms() - now_ms,
         )
+
+
+def _answers_earlier_grant(answer: GrantAnswer, sent: OutstandingGrant) -> bool:
+    """Returns whether an acceptance is one that was sent again for an earlier grant.
+
+    It names an earlier term, or another version than the grant's; 0 if the server holds
+    nothing any more.
+    """
+    if not answer.accepted:
+        return False
+    has_other_version = not sent.is_fencing and answer.version not in (0, sent.version)
+    return answer.term < sent.term or has_other_version
