--- /dev/null
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -0,0 +1,399 @@
+"""Claims the granter role, and keeps what the authority of a term rests on.
+
+A daemon becomes granter by a conditional write of the granter's record. It may grant
+for a limited time after its last read that showed this record.
+"""
+
+from __future__ import annotations
+
+from typing import Callable, Iterable, Protocol, Sequence
+
+from .former_granters import FormerGranters
+from .granter import Granter
+from .lease_call_gate import LeaseCallGate
+from .lease_calls import MAX_GRANT_DELIVERY_MS, LeaseTimings
+from .open_grants import EndedTerms, OpenGrantReport, select_open_grants
+from .pending_write import PendingWrite
+from .ranges import OwnedRange, OwnerTable
+from .shared_state import (
+    GRANTER_KEY,
+    OWNERS_PREFIX,
+    GranterRecord,
+    SharedState,
+    decode_granter,
+    encode_granter,
+    encode_owners,
+)
+
+# Equals the lifetime of a candidacy in the store: after it the store may have chosen
+# another candidate.
+CANDIDACY_VALID_MS = 1500.0
+# All daemons receive a listing from a new granter within this time.
+SUCCESSOR_GRACE_MS = 2000.0
+# The granter offers its role to another daemon after its next failed read, at least
+# 0.5 s later.
+ROLE_OFFER_VALID_MS = 1000.0
+NEVER_MS = -1e18
+
+
+class RoleEffects(Protocol):
+    """What the role asks of its daemon; no method may block."""
+
+    def send_write(self, write: PendingWrite) -> None:
+        """Sends a write to the store; its result is to be handed to the role."""
+
+    def ask_former_granter(self, daemon: str, term: int) -> None:
+        """Asks a former granter to stop granting, and for its open grants."""
+
+    def on_term_started(self, term: int, position: int) -> None:
+        """Handles that a term has begun, after a position of the shared records."""
+
+    def on_term_ended(self, term: int, successor: GranterRecord) -> None:
+        """Handles that the term has ended."""
+
+    def on_owners_recorded(self, service: str, is_recorded: bool) -> None:
+        """Handles the outcome of a write of owners."""
+
+
+class GranterRole:
+    """The granter role as seen by one process of a daemon.
+
+    Args:
+        daemon: Name of the daemon.
+        process: Identifier of the process.
+        timings: Durations of leases.
+        shared: Records that the daemons share, as last read.
+        gate: Is opened while calls of the term may be sent.
+        effects: What the role asks of its daemon.
+        is_granter_alive: Returns whether the current granter sends listings.
+
+    Attributes:
+        is_granter: Whether this process holds the role, by what it knows.
+        term: Term of this process; 0 if it had none.
+        started_ms: When the term began.
+        confirmed_ms: When the last read began that confirmed the term.
+        granters: Granters of the present term by service.
+    """
+
+    def __init__(
+        self,
+        daemon: str,
+        process: str,
+        timings: LeaseTimings,
+        shared: SharedState,
+        gate: LeaseCallGate,
+        effects: RoleEffects,
+        is_granter_alive: Callable[[], bool],
+    ) -> None:
+        self._daemon = daemon
+        self._process = process
+        self._timings = timings
+        self._shared = shared
+        self._gate = gate
+        self._effects = effects
+        self._is_granter_alive = is_granter_alive
+        # Daemons of earlier releases send until their authority ends.
+        self._former_granters = FormerGranters(
+            timings.authority_ms + MAX_GRANT_DELIVERY_MS
+        )
+        self._open_grants: list[OpenGrantReport] = []
+        self._ended_terms = EndedTerms()
+        self._fenced_at_ms = NEVER_MS
+        self._candidate_at_ms = NEVER_MS
+        self._succeeded_at_ms = NEVER_MS
+        self._offered_term = 0
+        self._offered_at_ms = NEVER_MS
+        self._position = -1
+        self._known_term: int | None = None
+        self._writes: list[PendingWrite] = []
+        self.is_granter = False
+        self.term = 0
+        self.started_ms = 0.0
+        self.confirmed_ms = NEVER_MS
+        self.granters: dict[str, Granter] = {}
+
+    @property
+    def pending_write(self) -> PendingWrite | None:
+        """Returns the write whose outcome must be known before the next is sent."""
+        return self._writes[0] if self._writes else None
+
+    def handle_candidacy(self, is_candidate: bool, now_ms: float) -> None:
+        """Handles whether the store chose this daemon as the next granter."""
+        self._candidate_at_ms = now_ms if is_candidate else NEVER_MS
+        self.step(now_ms)
+
+    def handle_offer(self, term: int, at_ms: float) -> None:
+        """Handles that the granter of a term offers its role to this daemon."""
+        self._offered_term = term
+        self._offered_at_ms = at_ms
+
+    def handle_read(self, position: int, started_ms: float, now_ms: float) -> None:
+        """Handles that a read of the shared records was applied.
+
+        Args:
+            position: Position that the read reached.
+            started_ms: When the read began.
+            now_ms: Present time.
+        """
+        self._observe_records(position, started_ms, now_ms)
+        if self._may_accept_offer(started_ms, now_ms):
+            self._offered_at_ms = NEVER_MS
+            self._claim_role()
+        self.step(now_ms)
+
+    def handle_write_applied(
+        self, write: PendingWrite, position: int, now_ms: float
+    ) -> None:
+        """Handles that a write was applied, and the position after it."""
+        if write is self.pending_write:
+            self._position = max(self._position, position)
+            self._complete_write(write, True, now_ms)
+
+    def handle_write_failed(
+        self, write: PendingWrite, is_conflict: bool, now_ms: float
+    ) -> None:
+        """Handles that a write was refused, or that its outcome is not known.
+
+        Args:
+            write: The write.
+            is_conflict: Whether the log does not end at the expected position, which
+                may be due to the write itself.
+            now_ms: Present time.
+        """
+        if write is not self.pending_write:
+            return
+        write.record_failure(now_ms)
+        if is_conflict:
+            self._resolve_pending_write(now_ms)
+
+    def handle_former_term_ended(
+        self, daemon: str, term: int, at_ms: float, now_ms: float
+    ) -> bool:
+        """Handles that a former granter sends no more grants.
+
+        Returns:
+            Whether this process still holds the term that asked for it.
+        """
+        if not self.is_granter or term != self.term:
+            return False
+        self._former_granters.record_end(daemon, at_ms + MAX_GRANT_DELIVERY_MS)
+        self._shorten_former_authority(now_ms)
+        return True
+
+    def handle_open_grants(
+        self,
+        term: int,
+        process: str,
+        grants: Iterable[OpenGrantReport],
+        now_ms: float,
+    ) -> None:
+        """Handles the open grants that a former granter reports to this one."""
+        if not self.is_granter or term != self.term:
+            return
+        self._open_grants += grants
+        self._former_granters.record_report(process)
+        self._share_open_grants(now_ms)
+
+    def handle_fenced(self, now_ms: float) -> None:
+        """Handles that an instance has seen a higher fence than that of a grant.
+
+        A newer granter may have reached it. This daemon grants again only after a read
+        that began later and shows no newer term.
+        """
+        self._fenced_at_ms = now_ms
+        self._update_gate()
+
+    def list_open_grants(self, now_ms: float) -> list[OpenGrantReport]:
+        """Returns the open grants of the present and the ended terms."""
+        return self._ended_terms.make_reports(self.granters, now_ms)
+
+    def may_grant(self, now_ms: float) -> bool:
+        """Returns whether this daemon may still grant in its term."""
+        return self.is_granter and self._gate.is_open(self.term, now_ms)
+
+    def step(self, now_ms: float) -> None:
+        """Claims the role if it is vacant, and sends the write that is due."""
+        if not self.is_granter and self._may_claim_role(now_ms):
+            self._claim_role()
+        write = self.pending_write
+        if write is None or self._position < 0 or not write.is_due(now_ms):
+            return
+        write.record_sending(self._position)
+        self._effects.send_write(write)
+
+    def record_owners(
+        self, service: str, ranges: Sequence[OwnedRange], now_ms: float
+    ) -> None:
+        """Writes the owners of a service."""
+        value = encode_owners(ranges)
+        self._writes.append(
+            PendingWrite(OWNERS_PREFIX + service, value, service, ranges)
+        )
+        self.step(now_ms)
+
+    def find_granter(self, service: str, now_ms: float) -> Granter:
+        """Returns the granter of a service, which begins with the recorded owners."""
+        if service in self.granters:
+            return self.granters[service]
+        authority_end_ms = self.former_authority_end_ms()
+        recorded = self._shared.owners.get(service, OwnerTable())
+        granter = Granter(self._timings, self.term, recorded, authority_end_ms)
+        self.granters[service] = granter
+        self._share_open_grants(now_ms)
+        return granter
+
+    def former_authority_end_ms(self) -> float:
+        """Returns the time until which grants of former granters may arrive."""
+        return self._former_granters.authority_end_ms(self._daemon)
+
+    def end_term(self, now_ms: float) -> None:
+        """Ends the term of this process."""
+        self.is_granter = False
+        self._ended_terms.add(self.granters, now_ms)
+        self.granters = {}
+        self._writes = []
+        self._update_gate()
+        self._effects.on_term_ended(self.term, self._shared.granter)
+
+    def _observe_records(
+        self, position: int, confirmed_ms: float, now_ms: float
+    ) -> None:
+        self._position = max(self._position, position)
+        granter = self._shared.granter
+        self._record_successor(granter, now_ms)
+        self._former_granters.observe(granter, now_ms)
+        self._compare_with_record(granter, now_ms)
+        if not self.is_granter or granter.term == self.term:
+            self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+        self._update_gate()
+        self._resolve_pending_write(now_ms)
+        if self.is_granter:
+            self._shorten_former_authority(now_ms)
+        elif granter.process == self._process:
+            self._start_term(granter.term, now_ms)
+
+    def _compare_with_record(self, granter: GranterRecord, now_ms: float) -> None:
+        """Ends the term if the record names another granter."""
+        if not self.is_granter:
+            return
+        if granter.process != self._process or granter.term != self.term:
+            self.end_term(now_ms)
+
+    def _record_successor(self, granter: GranterRecord, now_ms: float) -> None:
+        """Records the time when another daemon became granter."""
+        known, self._known_term = self._known_term, granter.term
+        is_new_term = known is not None and granter.term > known
+        if is_new_term and granter.process != self._process:
+            self._succeeded_at_ms = now_ms
+
+    def _update_gate(self) -> None:
+        """Sets until when calls may be sent.
+
+        The last call arrives before the authority ends.
+        """
+        is_fenced = self.confirmed_ms <= self._fenced_at_ms
+        if not self.is_granter or is_fenced:
+            self._gate.close()
+            return
+        authority_end_ms = self.confirmed_ms + self._timings.authority_ms
+        self._gate.open(self.term, authority_end_ms - MAX_GRANT_DELIVERY_MS)
+
+    def _may_claim_role(self, now_ms: float) -> bool:
+        """Returns whether to claim the granter role.
+
+        A granter that sends listings keeps its role, and a new one gets time to send
+        its first. An expired candidacy does not count, as the store may have chosen
+        another candidate during an outage.
+        """
+        is_candidate = now_ms - self._candidate_at_ms <= CANDIDACY_VALID_MS
+        is_new = now_ms - self._succeeded_at_ms <= SUCCESSOR_GRACE_MS
+        if not is_candidate or is_new or self._position < 0 or self._writes:
+            return False
+        return not self._is_granter_alive()
+
+    def _may_accept_offer(self, started_ms: float, now_ms: float) -> bool:
+        """Returns whether to claim the role that the granter offers.
+
+        The read must have begun after the offer. It shows that the store serves this
+        daemon; the store may refuse some daemons and serve others.
+        """
+        if self.is_granter or self._writes:
+            return False
+        is_recent = self._offered_at_ms >= now_ms - ROLE_OFFER_VALID_MS
+        is_after_offer = started_ms >= self._offered_at_ms
+        is_current = self._offered_term == self._shared.granter.term
+        return is_recent and is_after_offer and is_current
+
+    def _claim_role(self) -> None:
+        term = max(self._shared.granter.term, self.term) + 1
+        record = GranterRecord(self._daemon, self._process, term)
+        self._writes = [PendingWrite(GRANTER_KEY, encode_granter(record))]
+
+    def _resolve_pending_write(self, now_ms: float) -> None:
+        """Completes the pending write if the records read show its outcome."""
+        write = self.pending_write
+        if write is None or not write.is_sent or write.is_in_flight:
+            return
+        if self._position > write.expected_position:
+            is_applied = self._read_value(write) == write.value
+            self._complete_write(write, is_applied, now_ms)
+
+    def _read_value(self, write: PendingWrite) -> bytes:
+        """Returns the value that was last read for the key of a write."""
+        if write.key == GRANTER_KEY:
+            return encode_granter(self._shared.granter)
+        table = self._shared.owners.get(write.service)
+        return encode_owners(table.ranges) if table else b""
+
+    def _complete_write(
+        self, write: PendingWrite, is_applied: bool, now_ms: float
+    ) -> None:
+        self._writes = [item for item in self._writes if item is not write]
+        if write.key == GRANTER_KEY:
+            self._complete_claim(write, is_applied, now_ms)
+            return
+        if write.service in self.granters:
+            self.granters[write.service].handle_recorded(is_applied)
+            self._effects.on_owners_recorded(write.service, is_applied)
+        self.step(now_ms)
+
+    def _complete_claim(
+        self, write: PendingWrite, is_applied: bool, now_ms: float
+    ) -> None:
+        term = decode_granter(write.value).term
+        is_superseded = self._shared.granter.term > term
+        if not is_applied or is_superseded:
+            return
+        if not self.is_granter:
+            self._start_term(term, now_ms)
+
+    def _start_term(self, term: int, now_ms: float) -> None:
+        self.term = term
+        self.started_ms = now_ms
+        self.is_granter = True
+        record = GranterRecord(self._daemon, self._process, term)
+        self._former_granters.observe(record, now_ms)
+        for daemon in self._former_granters.daemons_to_ask(self._daemon):
+            self._effects.ask_former_granter(daemon, term)
+        self.granters = {}
+        self._open_grants = []
+        self._update_gate()
+        self._effects.on_term_started(term, self._position)
+        self.step(now_ms)
+
+    def _share_open_grants(self, now_ms: float) -> None:
+        """Passes the reports of all former granters on, once they are complete."""
+        max_lease_ms = Granter.max_lease_ms(self._timings.lease_ms)
+        if not self._former_granters.have_all_reported(now_ms - max_lease_ms):
+            return
+        for service, granter in self.granters.items():
+            granter.observe_open_grants(select_open_grants(self._open_grants, service))
+
+    def _shorten_former_authority(self, now_ms: float) -> None:
+        members = self._shared.members
+        processes = {name: member.process for name, member in members.items()}
+        self._former_granters.update_processes(processes, now_ms)
+        end_ms = self.former_authority_end_ms()
+        for granter in self.granters.values():
+            granter.shorten_former_authority(end_ms)
+        self._share_open_grants(now_ms)
--- a/src/skylarktrail/gateway/open_grants.py
+++ b/src/skylarktrail/core/gateway/open_grants.py
@@ -4,14 +4,29 @@
 
 from typing import Mapping, NamedTuple, Sequence
 
-from ..core.gateway.granter import Granter
-from ..core.gateway.lease_calls import OpenGrant
-from ..peer.gateway_messages import OpenGrantReport
+from .granter import Granter
+from .lease_calls import OpenGrant
 
 # Leases of a term have expired this long after its end.
 KEEP_MS = 20_000.0
 
 
+class OpenGrantReport(NamedTuple):
+    """A range for which a grant may still take effect after a release.
+
+    Attributes:
+        service: Name of the service.
+        instance: Instance that the grant was sent to.
+        first: First hash.
+        last: Last hash, inclusive.
+    """
+
+    service: str
+    instance: str
+    first: int
+    last: int
+
+
 class _EndedTerm(NamedTuple):
     granters: Mapping[str, Granter]
     ended_ms: float
--- /dev/null
+++ b/src/skylarktrail/core/gateway/pending_write.py
@@ -0,0 +1,60 @@
+"""Writes of the granter to the shared records, until their outcome is known."""
+
+from __future__ import annotations
+
+from typing import Sequence
+
+from .ranges import OwnedRange
+
+WRITE_RETRY_MS = 200.0  # Delay before a write of unknown outcome is retried.
+
+
+class PendingWrite:
+    """A write to the shared records whose outcome is not known yet.
+
+    Args:
+        key: Key of the record.
+        value: Value of the record.
+        service: Service whose owners are written; empty for other records.
+        ranges: The owners that the value encodes.
+
+    Attributes:
+        expected_position: The write applies only if the log ends at this position.
+        is_sent: Whether the write was sent at least once.
+        retry_at_ms: When to send it again; 0 while a call is in flight.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        value: bytes,
+        service: str = "",
+        ranges: Sequence[OwnedRange] = (),
+    ) -> None:
+        self.ranges = ranges
+        self.key = key
+        self.value = value
+        self.service = service
+        self.expected_position = -1
+        self.is_sent = False
+        self.retry_at_ms = 0.0
+
+    @property
+    def is_in_flight(self) -> bool:
+        """Returns whether a call that carries the write has not ended yet."""
+        return self.is_sent and self.retry_at_ms == 0.0
+
+    def is_due(self, now_ms: float) -> bool:
+        """Returns whether to send the write, or to send it again."""
+        return not self.is_sent or 0.0 < self.retry_at_ms <= now_ms
+
+    def record_sending(self, position: int) -> None:
+        """Records that a call starts; the log has to end at the first's position."""
+        if not self.is_sent:
+            self.expected_position = position
+        self.is_sent = True
+        self.retry_at_ms = 0.0
+
+    def record_failure(self, now_ms: float) -> None:
+        """Records that a call ended without a position."""
+        self.retry_at_ms = now_ms + WRITE_RETRY_MS
--- a/src/skylarktrail/core/gateway/shared_state.py
+++ b/src/skylarktrail/core/gateway/shared_state.py
@@ -50,6 +50,11 @@
     return cbor2.dumps(list(record))
 
 
+def decode_granter(value: bytes) -> GranterRecord:
+    """Decodes the record of the granter."""
+    return GranterRecord(*cbor2.loads(value))
+
+
 def encode_owners(ranges: Iterable[OwnedRange]) -> bytes:
     """Encodes the owners of the key hashes of a service."""
     return cbor2.dumps([list(item) for item in ranges])
@@ -98,7 +103,7 @@
 
     def _apply_one(self, key: str, value: bytes) -> None:
         if key == GRANTER_KEY and value:
-            self.granter = GranterRecord(*cbor2.loads(value))
+            self.granter = decode_granter(value)
         elif key.startswith(MEMBER_PREFIX):
             name = key.removeprefix(MEMBER_PREFIX)
             if value:
--- a/src/skylarktrail/gateway/adapters.py
+++ b/src/skylarktrail/gateway/adapters.py
@@ -4,7 +4,7 @@
 
 from typing import Callable, Protocol, TypeVar
 
-from .granter_actor import LeaseClient
+from .granter_messages import LeaseClient
 from .router import HeaderCodec
 from .site_store import SiteStore
 
--- a/src/skylarktrail/gateway/granter_messages.py
+++ b/src/skylarktrail/gateway/granter_messages.py
@@ -1,13 +1,13 @@
-"""Messages to the granter actor, and the protocols and state that it uses."""
+"""Messages to the granter actor, and the client of lease calls that it uses."""
 
 from __future__ import annotations
 
-from typing import NamedTuple, Protocol, Sequence
+from typing import NamedTuple, Protocol
 
 from result import Result
 
 from ..core.gateway.lease_calls import CallResult, GrantCall, ReleaseCall
-from ..core.gateway.ranges import OwnedRange
+from ..core.gateway.pending_write import PendingWrite
 from ..errors.code import Fault
 from ..peer.gateway_messages import GatewayLoad, GatewayOpenGrants
 from ..peer.hub import Responder
@@ -107,33 +107,6 @@
     result: CallResult
 
 
-class PendingWrite:
-    """A write to the shared records whose outcome is not known yet.
-
-    Args:
-        key: Key of the record.
-        value: Value of the record.
-        service: Service whose owners are written; empty for the granter's record.
-        ranges: The owners that the value encodes.
-
-    Attributes:
-        expected_position: The write applies only if the log ends at this position.
-        is_sent: Whether the write was sent at least once.
-        retry_at_ms: When to send it again; 0 while a call is in flight.
-    """
-
-    def __init__(
-        self, key: str, value: bytes, service: str, ranges: Sequence[OwnedRange] = ()
-    ) -> None:
-        self.ranges = ranges
-        self.key = key
-        self.value = value
-        self.service = service
-        self.expected_position = -1
-        self.is_sent = False
-        self.retry_at_ms = 0.0
-
-
 class WriteCompleted(NamedTuple):
     """A call that writes a shared record has completed.
 
@@ -154,14 +127,3 @@
     """
 
     report: GatewayLoad
-
-
-class SupersedingTerm:
-    """Highest term whose granter asked this daemon to stop granting.
-
-    The thread of the peer links sets it, and each lease call reads it before it is
-    sent. Grants of lower terms thus stop before the daemon confirms that they have.
-    """
-
-    def __init__(self) -> None:
-        self.term = 0
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -13,6 +13,7 @@
 from ..config.gateway_settings import GatewaySettings, SiteBounds
 from ..config.settings import LimitSettings
 from ..core.gateway.forward_targets import ForwardTarget
+from ..core.gateway.lease_call_gate import LeaseCallGate
 from ..core.gateway.ranges import OwnedRange
 from ..core.gateway.shared_state import Member
 from ..daemon.caller_app import CallerApp, make_caller_server
@@ -38,7 +39,6 @@
     OpenGrantsRequested,
     RoleOfferReceived,
     SharedRecordsRead,
-    SupersedingTerm,
 )
 from .health_app import HealthApp
 from .messenger import Messenger
@@ -89,7 +89,7 @@
         self._bounds = settings.bounds
         self._adapter = ADAPTERS[settings.store.adapter]
         self._process = str(uuid7())
-        self._superseding_term = SupersedingTerm()
+        self._lease_call_gate = LeaseCallGate()
         self._log = EventLog(settings.daemon)
         self._metrics = GatewayMetrics()
         header_codec = self._adapter.header_codec()
@@ -265,7 +265,7 @@
             self._messenger.request_term_end,
             self._messenger.request_open_grants,
             self._reach_monitor.record_unanswered_call,
-            self._superseding_term,
+            self._lease_call_gate,
         )
         tell = self._granter.tell
         self._instances = InstanceWatcher(
@@ -359,7 +359,7 @@
 
     def _on_term_end_request(self, term: int) -> None:
         """Stops grants of lower terms at once, ahead of the actor's messages."""
-        self._superseding_term.term = max(self._superseding_term.term, term)
+        self._lease_call_gate.supersede(term)
 
     def _on_open_grants_request(
         self, daemon: str, message: GatewayOpenGrantsRequest, reply: Responder
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ..core.gateway.model import InstanceEntry
+from ..core.gateway.open_grants import OpenGrantReport
 from ..core.gateway.ranges import OwnedRange
 from .messages import message
 
@@ -149,22 +150,6 @@
     term: int
 
 
-class OpenGrantReport(NamedTuple):
-    """A range for which a grant may still take effect after a release.
-
-    Attributes:
-        service: Name of the service.
-        instance: Instance that the grant was sent to.
-        first: First hash.
-        last: Last hash, inclusive.
-    """
-
-    service: str
-    instance: str
-    first: int
-    last: int
-
-
 @message("gateway_open_grants_ask")
 class GatewayOpenGrantsRequest(NamedTuple):
     """A new granter asks a former one to stop, and for its grants without an answer.
--- a/src/skylarktrail/platform/adapter.py
+++ b/src/skylarktrail/platform/adapter.py
@@ -5,7 +5,7 @@
 from typing import cast
 
 from ..gateway.adapters import register_adapter
-from ..gateway.granter_actor import LeaseClient
+from ..gateway.granter_messages import LeaseClient
 from ..gateway.router import HeaderCodec
 from ..gateway.site_store import SiteStore
 from . import headers
--- a/tests/core/gateway/lease_world.py
+++ b/tests/core/gateway/lease_world.py
@@ -66,17 +66,17 @@
             when the client gives up, as it resets the connection; if not, they arrive
             when the link heals.
         drops_calls_at_kill: Whether they are dropped when its process is killed.
-        ignores_stray_answers: Whether it ignores answers to earlier calls.
+        keeps_connections: Whether calls other than renewals use a kept connection too,
+            on which answers to earlier calls may arrive.
     """
 
     drops_given_up_calls: bool
     drops_calls_at_kill: bool
-    ignores_stray_answers: bool
+    keeps_connections: bool
 
 
 # Follows platform/lease_client.py and has to change with it.
-PRESENT_CLIENT = ClientModel(False, False, False)
-RESETTING_CLIENT = ClientModel(True, True, True)
+PRESENT_CLIENT = ClientModel(True, True, False)
 
 
 class StoreFaults:
@@ -129,7 +129,7 @@
         seed: int,
         daemons: int = 3,
         instances: int = 4,
-        client: ClientModel = RESETTING_CLIENT,
+        client: ClientModel = PRESENT_CLIENT,
         owners: tuple[OwnedRange, ...] = (),
     ) -> None:
         self.random = random.Random(seed)
@@ -695,6 +695,9 @@
         self._sent_ms = world.now_ms
         self._is_completed = False
         self._had_stray_answer = False
+        # Whether it uses a connection of its own, on which no other answer arrives.
+        is_renewal = isinstance(call, GrantCall) and call.is_renewal
+        self._is_alone = not is_renewal and not world.client.keeps_connections
 
     def send(self) -> None:
         """Sends the call, over a kept connection or a new one."""
@@ -703,9 +706,9 @@
         state = self._state()
         process = world.addresses.get(address)
         is_kept = sender.connections.get(address) is process and process is not None
-        if not is_kept:
-            sender.stray_answers.discard(address)
-            sender.connections.pop(address, None)
+        if not is_kept or self._is_alone:
+            if not self._is_alone:
+                self._forget_connection()
             if state == HANG:
                 self._finish("unsent", CONNECT_TIMEOUT_MS)
                 return
@@ -716,7 +719,7 @@
                 self._finish("unsent", self._delay())
                 return
         elif state in (REFUSE, RESET):
-            sender.connections.pop(address, None)
+            self._forget_connection()
             self._finish("silent", self._delay())
             return
         self._await_answer(address)
@@ -727,7 +730,7 @@
         timeout_ms = GRANT_TIMEOUT_MS if is_grant else RELEASE_TIMEOUT_MS
         self._give_up_ms = self._world.now_ms + timeout_ms
         stray_answers = self._sender.stray_answers
-        if address in stray_answers and not self._world.client.ignores_stray_answers:
+        if address in stray_answers and not self._is_alone:
             stray_answers.discard(address)
             self._had_stray_answer = True
             self._finish("done", self._delay())
@@ -749,8 +752,8 @@
             if self._is_completed:
                 return
             self._is_completed = True
-            if outcome == "silent":
-                self._sender.connections.pop(self._call.address, None)
+            if outcome == "silent" and not self._is_alone:
+                self._forget_connection()
             self._complete(outcome)
 
         self._sender.after(delay_ms, finish)
@@ -777,7 +780,7 @@
         if process is None:
             self._finish("silent", self._delay())
         elif process.name != call.instance:
-            self._finish("refused", self._delay())
+            self._finish("replaced", self._delay())
         else:
             self._execute(process)
 
@@ -821,7 +824,13 @@
 
         world.schedule(delay_ms, answer)
 
+    def _forget_connection(self) -> None:
+        self._sender.stray_answers.discard(self._call.address)
+        self._sender.connections.pop(self._call.address, None)
+
     def _keep_connection(self, process: InstanceProcess) -> None:
+        if self._is_alone:
+            return
         self._sender.connections[self._call.address] = process
         if process.has_second_answers:
             self._sender.stray_answers.add(self._call.address)
--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -1,9 +1,9 @@
 """One process of a simulated daemon: its view of the site, and its granter role.
 
-It uses the granter, the former granters, the fleet and the shared state of the product.
-The code around them follows `gateway/granter_actor.py`, `gateway/watchers.py`,
-`gateway/messenger.py` and `gateway/lease_call_queue.py`; each method names what it
-follows, and has to change with it.
+It uses the granter, its role, the fleet and the shared state of the product. The code
+around them follows `gateway/service_stepper.py`, `gateway/granter_actor.py`,
+`gateway/watchers.py`, `gateway/messenger.py` and `gateway/lease_call_queue.py`; each
+method names what it follows, and has to change with it.
 """
 
 from __future__ import annotations
@@ -13,8 +13,9 @@
 from typing import TYPE_CHECKING, Callable, NamedTuple
 
 from skylarktrail.core.gateway.fleet import Fleet
-from skylarktrail.core.gateway.former_granters import FormerGranters
 from skylarktrail.core.gateway.granter import Granter
+from skylarktrail.core.gateway.granter_role import NEVER_MS, GranterRole
+from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import (
     CallResult,
     GrantCall,
@@ -25,17 +26,34 @@
     ReleaseCall,
 )
 from skylarktrail.core.gateway.model import InstanceEntry
+from skylarktrail.core.gateway.open_grants import OpenGrantReport
+from skylarktrail.core.gateway.pending_write import PendingWrite
 from skylarktrail.core.gateway.ranges import OwnedRange, OwnerTable
 from skylarktrail.core.gateway.shared_state import (
-    GRANTER_KEY,
     MEMBER_PREFIX,
-    OWNERS_PREFIX,
     GranterRecord,
     Member,
     SharedState,
-    encode_granter,
     encode_member,
-    encode_owners,
+)
+from skylarktrail.gateway.lease_call_queue import MAX_RUNNING_PER_LANE
+from skylarktrail.gateway.messenger import LISTING_FRESH_MS
+from skylarktrail.gateway.service_stepper import (
+    FIRST_LISTING_WAIT_MS,
+    MERGE_INTERVAL_MS,
+    REBALANCE_INTERVAL_MS,
+)
+from skylarktrail.gateway.watchers import (
+    BATCHING_PAUSE_MS,
+    CANDIDACY_INTERVAL_MS,
+    CANDIDACY_TTL_MS,
+    FAILURE_BACKOFF_MS,
+    FOLLOWER_POLL_MS,
+    FOLLOWER_WAIT_MS,
+    LONG_POLL_MS,
+    MAX_FAILURE_BACKOFF_MS,
+    STORE_LOST_FAILURES,
+    TERM_CONFIRM_INTERVAL_MS,
 )
 
 from .lease_world_store import SNAPSHOT, TRIMMED, SharedRead
@@ -45,31 +63,7 @@
 
 TIMINGS = LeaseTimings()
 SERVICE = "stock"
-NEVER_MS = -1e18
-
-# The constants of gateway/granter_actor.py.
 TICK_MS = 100.0
-REBALANCE_INTERVAL_MS = 1000.0
-MERGE_INTERVAL_MS = 3000.0
-WRITE_RETRY_MS = 200.0
-MAX_GRANT_DELIVERY_MS = 1000.0
-CANDIDACY_VALID_MS = 1500.0
-SUCCESSOR_GRACE_MS = 2000.0
-ROLE_OFFER_VALID_MS = 1000.0
-FIRST_LISTING_WAIT_MS = 2500.0
-# The constants of gateway/lease_call_queue.py, gateway/watchers.py,
-# gateway/messenger.py and gateway/reach_monitor.py.
-MAX_RUNNING_PER_LANE = 3
-LONG_POLL_MS = 2000.0
-FOLLOWER_WAIT_MS = 300.0
-BATCHING_PAUSE_MS = 400.0
-TERM_CONFIRM_INTERVAL_MS = 1000.0
-FAILURE_BACKOFF_MS = 250.0
-MAX_FAILURE_BACKOFF_MS = 1500.0
-STORE_LOST_FAILURES = 2
-CANDIDACY_INTERVAL_MS = 600.0
-CANDIDACY_TTL_MS = 1500.0
-LISTING_FRESH_MS = 1300.0
 TERM_END_TIMEOUT_MS = 3000.0
 CUT_REPEAT_MS = 500.0
 # Requests of callers show this often which instances a daemon reaches.
@@ -90,20 +84,6 @@
     read_lag_ms: float = 5.0
 
 
-class PendingWrite:
-    """A write whose outcome is not known; follows `granter_messages.PendingWrite`."""
-
-    def __init__(
-        self, key: str, value: bytes, ranges: tuple[OwnedRange, ...] = ()
-    ) -> None:
-        self.key = key
-        self.value = value
-        self.ranges = ranges
-        self.expected_position = -1
-        self.is_sent = False
-        self.retry_at_ms = 0.0
-
-
 class CallQueue:
     """Limits the running calls per instance and kind; follows `LeaseCallQueue`."""
 
@@ -138,8 +118,7 @@
         ended_ms: When it was killed; infinite while it runs.
         frozen_until_ms: Until when it runs nothing.
         thawed_ms: When it was thawed last.
-        is_granter: Whether it holds the role, by what it knows.
-        term: Its term.
+        role: Its granter role.
         connections: Process that accepted the kept connection to each address.
         stray_answers: Addresses whose kept connection has an unread answer.
     """
@@ -158,37 +137,43 @@
         self.stray_answers: set[str] = set()
         self.shared = SharedState()
         self.fleet = Fleet()
-        self.is_granter = False
-        self.term = 0
-        self.granter: Granter | None = None
+        self._gate = LeaseCallGate()
+        self.role = GranterRole(
+            name,
+            process,
+            TIMINGS,
+            self.shared,
+            self._gate,
+            self,
+            self.is_granter_alive,
+        )
         self.is_cut = False
         self._cut_repeated_ms = NEVER_MS
-        self._former = FormerGranters(TIMINGS.authority_ms)
-        self._superseding_term = 0
-        self._term_confirmed_ms = NEVER_MS
-        self._fenced_at_ms = NEVER_MS
-        self._term_started_ms = NEVER_MS
-        self._succeeded_at_ms = NEVER_MS
-        self._known_term: int | None = None
-        self._candidate_at_ms = NEVER_MS
-        self._offer = (0, NEVER_MS)
         self._offer_count = 0
-        self._position = SNAPSHOT
         self._read_position = SNAPSHOT
         self._is_reading = False
         self._is_read_wanted = False
         self._read_failures = 0
+        self._is_candidate = False
         self._listing_position = -1
         self._listing_sender = ""
         self._listing_received_ms = NEVER_MS
-        self._writes: list[PendingWrite] = []
-        self._granter_count = 0
         self._is_writing = False
         self._queued_writes: deque[PendingWrite] = deque()
         self._next_rebalance_ms = 0.0
         self._next_merge_ms = 0.0
         self._calls = CallQueue()
 
+    @property
+    def is_granter(self) -> bool:
+        """Returns whether it holds the role, by what it knows."""
+        return self.role.is_granter
+
+    @property
+    def term(self) -> int:
+        """Returns its term; 0 if it had none."""
+        return self.role.term
+
     def start(self) -> None:
         """Starts its periodic tasks."""
         uniform = self.world.random.uniform
@@ -304,9 +289,10 @@
                 self,
                 lambda peer: peer.receive_records(self.name, position, read),
             )
-        self._handle_shared_read(read.position, started_ms)
+        self.role.handle_read(read.position, started_ms, self.world.now_ms)
+        self._step()
         self._register_member()
-        is_urgent = is_granter or self._is_candidate()
+        is_urgent = is_granter or self._is_candidate
         pause_ms = BATCHING_PAUSE_MS if read.records and not is_urgent else 0.0
         self.after(pause_ms, self._read_shared)
 
@@ -347,7 +333,7 @@
     def _read_listing(self) -> float:
         is_granter = self.shared.granter.process == self.process
         if not is_granter and self.is_granter_alive():
-            return 100.0
+            return FOLLOWER_POLL_MS
 
         def complete(read: tuple[list[InstanceEntry], int] | None) -> None:
             if read is None:
@@ -384,165 +370,42 @@
         if self.world.now_ms >= self.world.listing_held_until_ms.get(self.name, 0.0):
             self._apply_listing(entries, position)
 
-    # The granter role, as in granter_actor.GranterActor.
+    # What the granter's actor does around the role.
 
     def _tick(self) -> float:
         self._step()
         return TICK_MS
 
     def _step(self) -> None:
-        at_ms = self.world.now_ms
-        if self.is_granter:
-            if self._may_grant(at_ms):
-                self._step_service(at_ms)
-        elif self._may_claim_role():
-            self._claim_role()
-        self._send_write()
-
-    def _may_grant(self, at_ms: float) -> bool:
-        is_confirmed = at_ms - self._term_confirmed_ms <= TIMINGS.authority_ms
-        is_fenced = self._term_confirmed_ms <= self._fenced_at_ms
-        is_superseded = self._superseding_term > self.term
-        return is_confirmed and not is_fenced and not is_superseded
-
-    def _is_candidate(self) -> bool:
-        return self.world.now_ms - self._candidate_at_ms <= CANDIDACY_VALID_MS
-
-    def _may_claim_role(self) -> bool:
-        is_new = self.world.now_ms - self._succeeded_at_ms <= SUCCESSOR_GRACE_MS
-        if not self._is_candidate() or is_new or self._position < 0 or self._writes:
-            return False
-        return not self.is_granter_alive()
-
-    def _claim_role(self) -> None:
-        record = GranterRecord(self.name, self.process, self.shared.granter.term + 1)
-        self._writes.append(PendingWrite(GRANTER_KEY, encode_granter(record)))
+        """Follows `GranterActor._step`."""
+        now_ms = self.world.now_ms
+        if self.role.may_grant(now_ms):
+            self._step_service(now_ms)
+        self.role.step(now_ms)
 
     def _renew_candidacy(self) -> float:
         """Follows `CandidacyRenewer.run_once`."""
         if self.is_granter_alive() or self.is_cut:
+            self._is_candidate = False
             return CANDIDACY_INTERVAL_MS
 
         def complete(is_chosen: bool | None) -> None:
             if is_chosen is None:
                 return
-            self._candidate_at_ms = self.world.now_ms if is_chosen else NEVER_MS
+            self._is_candidate = is_chosen
+            self.role.handle_candidacy(is_chosen, self.world.now_ms)
             self._step()
 
         self.world.renew_candidacy(self, CANDIDACY_TTL_MS, complete)
         return CANDIDACY_INTERVAL_MS
 
-    def _handle_shared_read(self, position: int, started_ms: float) -> None:
-        now_ms = self.world.now_ms
-        self._position = max(self._position, position)
-        self._term_confirmed_ms = max(self._term_confirmed_ms, started_ms)
-        granter = self.shared.granter
-        self._record_successor(granter)
-        self._former.observe(granter, now_ms)
-        is_own_record = granter.process == self.process
-        if self.is_granter and (not is_own_record or granter.term != self.term):
-            self._end_term(granter)
-        self._resolve_pending_write()
-        if self.is_granter:
-            self._shorten_former_authority()
-        if is_own_record and not self.is_granter:
-            self._start_term(granter.term)
-        if self._may_accept_offer(started_ms):
-            self._offer = (0, NEVER_MS)
-            self._claim_role()
-        self._step()
-
-    def _may_accept_offer(self, started_ms: float) -> bool:
-        if self.is_granter or self._writes:
-            return False
-        term, at_ms = self._offer
-        is_after = started_ms >= at_ms >= self.world.now_ms - ROLE_OFFER_VALID_MS
-        return is_after and term == self.shared.granter.term
-
-    def _record_successor(self, granter: GranterRecord) -> None:
-        known, self._known_term = self._known_term, granter.term
-        is_new_term = known is not None and granter.term > known
-        if is_new_term and granter.process != self.process:
-            self._succeeded_at_ms = self.world.now_ms
-
-    def _resolve_pending_write(self) -> None:
-        if not self._writes or not self._writes[0].is_sent:
-            return
-        write = self._writes[0]
-        if self._position <= write.expected_position or write.retry_at_ms == 0.0:
-            return
-        self._complete_write(write, self._read_value(write) == write.value)
-
-    def _read_value(self, write: PendingWrite) -> bytes:
-        if write.key == GRANTER_KEY:
-            return encode_granter(self.shared.granter)
-        table = self.shared.owners.get(SERVICE)
-        return encode_owners(table.ranges) if table else b""
-
-    def _start_term(self, term: int) -> None:
-        now_ms = self.world.now_ms
-        self.term = term
-        self._term_started_ms = now_ms
-        self.is_granter = True
-        self._former.observe(GranterRecord(self.name, self.process, term), now_ms)
-        for daemon in self._former.daemons_to_ask(self.name):
-            self._request_term_end(daemon, term)
-        self.granter = None
-        self._log(f"term {term} begins")
-        self._step()
-
-    def _request_term_end(self, daemon: str, term: int) -> None:
-        """Follows `Messenger.request_term_end`."""
-        timeout_ms = self.world.now_ms + TERM_END_TIMEOUT_MS
-
-        def confirm() -> None:
-            is_current = self.is_granter and self.term == term
-            if is_current and self.world.now_ms <= timeout_ms:
-                self._former.record_end(
-                    daemon, self.world.now_ms + MAX_GRANT_DELIVERY_MS
-                )
-                self._log(f"{daemon} has ended its term")
-                self._shorten_former_authority()
-
-        def ask(peer: DaemonProcess) -> None:
-            peer.receive_term_end_request(term)
-            self.world.send_peer(peer, self.name, lambda _: confirm(), self.process)
-
-        self.world.send_peer(self, daemon, ask)
-
-    def receive_term_end_request(self, term: int) -> None:
-        """Stops grants of lower terms at once."""
-        self._superseding_term = max(self._superseding_term, term)
-
-    def _shorten_former_authority(self) -> None:
-        processes = {name: item.process for name, item in self.shared.members.items()}
-        self._former.update_processes(processes, self.world.now_ms)
-        end_ms = self._former.authority_end_ms(self.name)
-        if self.granter is not None:
-            self.granter.shorten_former_authority(end_ms)
-
-    def _end_term(self, granter: GranterRecord) -> None:
-        self.is_granter = False
-        self.granter = None
-        self._writes = []
-        self._log(f"term {self.term} ends, {granter.daemon} has term {granter.term}")
-
-    def _send_write(self) -> None:
-        if not self._writes or self._position < 0:
-            return
-        write = self._writes[0]
-        is_waiting = not write.retry_at_ms or self.world.now_ms < write.retry_at_ms
-        if write.is_sent and is_waiting:
-            return
-        if not write.is_sent:
-            write.expected_position = self._position
-        write.is_sent = True
-        write.retry_at_ms = 0.0
+    def send_write(self, write: PendingWrite) -> None:
+        """Sends a write, as the writer thread does."""
         self._queued_writes.append(write)
         self._run_writer()
 
     def _run_writer(self) -> None:
-        """Sends one write at a time, as the writer thread does."""
+        """Sends one write at a time."""
         if self._is_writing or not self._queued_writes:
             return
         self._is_writing = True
@@ -550,68 +413,80 @@
 
         def complete(result: int | str) -> None:
             self._is_writing = False
-            self._handle_write_completed(result)
+            self._handle_write_completed(write, result)
             self._run_writer()
 
         self.world.append_to_store(
             self, write.key, write.value, write.expected_position, complete
         )
 
-    def _handle_write_completed(self, result: int | str) -> None:
-        if not self._writes:
-            return
-        write = self._writes[0]
-        if isinstance(result, int):
-            self._position = max(self._position, result)
-            if write.ranges:
-                self.receive_owners(write.ranges, write.expected_position)
-                self.world.broadcast(
-                    self,
-                    lambda peer: peer.receive_owners(
-                        write.ranges, write.expected_position
-                    ),
-                )
-            self._complete_write(write, True)
-            return
-        write.retry_at_ms = self.world.now_ms + WRITE_RETRY_MS
-        if result == "conflict":
-            self._resolve_pending_write()
-
-    def _complete_write(self, write: PendingWrite, is_applied: bool) -> None:
-        self._writes = [item for item in self._writes if item is not write]
-        if write.key == GRANTER_KEY:
-            if is_applied and not self.is_granter:
-                self._start_term(self.shared_term_of(write))
-            return
-        if self.granter is not None:
-            self.granter.handle_recorded(is_applied)
+    def _handle_write_completed(self, write: PendingWrite, result: int | str) -> None:
+        """Follows `GranterActor._handle_write_completed`."""
+        now_ms = self.world.now_ms
+        if isinstance(result, str):
+            self.role.handle_write_failed(write, result == "conflict", now_ms)
+        else:
+            if write.ranges and write is self.role.pending_write:
+                self._publish_owners(write)
+            self.role.handle_write_applied(write, result, now_ms)
         self._step()
 
-    @staticmethod
-    def shared_term_of(write: PendingWrite) -> int:
-        """Returns the term of a claim."""
-        state = SharedState()
-        state.apply([(GRANTER_KEY, write.value)], False)
-        return state.granter.term
+    def _publish_owners(self, write: PendingWrite) -> None:
+        """Follows `GatewayService._publish_owners`."""
+        self.receive_owners(write.ranges, write.expected_position)
+        self.world.broadcast(
+            self,
+            lambda peer: peer.receive_owners(write.ranges, write.expected_position),
+        )
 
-    def _step_service(self, at_ms: float) -> None:
-        if self.granter is None:
-            recorded = self.shared.owners.get(SERVICE, OwnerTable())
-            end_ms = self._former.authority_end_ms(self.name)
-            self.granter = Granter(TIMINGS, self.term, recorded, end_ms)
-            self._granter_count += 1
-            self._log(
-                f"granting begins, {len(recorded.ranges)} ranges, "
-                f"former authority left {end_ms - at_ms:.0f} ms"
+    def ask_former_granter(self, daemon: str, term: int) -> None:
+        """Follows `Messenger.request_term_end` and `request_open_grants`."""
+        timeout_ms = self.world.now_ms + TERM_END_TIMEOUT_MS
+
+        def confirm(process: str, grants: list[OpenGrantReport]) -> None:
+            now_ms = self.world.now_ms
+            if now_ms > timeout_ms:
+                return
+            if self.role.handle_former_term_ended(daemon, term, now_ms, now_ms):
+                self._log(f"{daemon} has ended its term")
+            self.role.handle_open_grants(term, process, grants, now_ms)
+
+        def ask(peer: DaemonProcess) -> None:
+            grants = peer.receive_term_end_request(term)
+            self.world.send_peer(
+                peer, self.name, lambda _: confirm(peer.process, grants), self.process
             )
-        granter = self.granter
+
+        self.world.send_peer(self, daemon, ask)
+
+    def receive_term_end_request(self, term: int) -> list[OpenGrantReport]:
+        """Stops grants of lower terms at once; returns the open ones."""
+        self._gate.supersede(term)
+        return list(self.role.list_open_grants(self.world.now_ms))
+
+    def on_term_started(self, term: int, position: int) -> None:
+        """Logs that a term has begun."""
+        self._log(f"term {term} begins")
+
+    def on_term_ended(self, term: int, successor: GranterRecord) -> None:
+        """Logs that the term has ended."""
+        self._log(f"term {term} ends, {successor.daemon} has {successor.term}")
+
+    def on_owners_recorded(self, service: str, is_recorded: bool) -> None:
+        """Logs the outcome of a write of owners."""
+        self._log(f"owners are {'recorded' if is_recorded else 'not recorded'}")
+
+    def _step_service(self, at_ms: float) -> None:
+        """Follows `ServiceStepper.step`."""
+        granter = self.role.find_granter(SERVICE, at_ms)
         owners = self._list_keyed_instances(at_ms)
-        if not owners:
+        if granter is None or not owners:
             return
         addresses = {i.entry.address: n for n, i in self.fleet.instances.items()}
-        actions = granter.step(owners, at_ms, addresses)
+        confirmed_ms = self.role.confirmed_ms
+        actions = granter.step(owners, at_ms, addresses, confirmed_ms)
         self._plan_moves(granter, at_ms)
-        actions += granter.step(owners, at_ms, addresses)
+        actions += granter.step(owners, at_ms, addresses, confirmed_ms)
         for lost in granter.pop_lost_ranges():
             self._log(
                 f"{lost.first}-{lost.last} left {lost.owner}: {lost.reason}"
@@ -623,7 +498,7 @@
 
     def _plan_moves(self, granter: Granter, at_ms: float) -> None:
         is_new_service = SERVICE not in self.shared.owners
-        if is_new_service and at_ms < self._term_started_ms + FIRST_LISTING_WAIT_MS:
+        if is_new_service and at_ms < self.role.started_ms + FIRST_LISTING_WAIT_MS:
             return
         is_rebalance_due = at_ms >= self._next_rebalance_ms
         if not is_rebalance_due and not granter.has_unassigned_hashes():
@@ -650,21 +525,22 @@
         return keyed
 
     def _execute(self, action: GranterAction) -> None:
+        """Follows `GranterActor._execute`."""
+        now_ms = self.world.now_ms
         if isinstance(action, RecordOwners):
-            key = OWNERS_PREFIX + SERVICE
-            self._writes.append(
-                PendingWrite(key, encode_owners(action.ranges), action.ranges)
-            )
-            self._send_write()
+            self.role.record_owners(SERVICE, action.ranges, now_ms)
             return
-        issuer = f"{self.process}, granter {self._granter_count}"
-        self.world.record_fence(action.fence, issuer)
+        self.world.record_fence(action.fence, self.process)
         lane = (action.instance, type(action).__name__)
         term = self.term
-        self._calls.submit(lane, lambda: self._begin_call(action, lane, term))
+        self._calls.submit(lane, lambda: self._begin_call(action, lane, term, now_ms))
 
     def _begin_call(
-        self, call: GrantCall | ReleaseCall, lane: tuple[str, str], term: int
+        self,
+        call: GrantCall | ReleaseCall,
+        lane: tuple[str, str],
+        term: int,
+        queued_ms: float,
     ) -> None:
         """Follows `send_call`: checks before the call is sent, in another thread.
 
@@ -675,8 +551,8 @@
             self._calls.finish(lane)
             self._handle_call_completed(call, outcome)
 
-        if self._superseding_term > term:
-            self.after(0.0, lambda: complete("unsent"))
+        if not self._gate.allows(term, queued_ms, self.world.now_ms):
+            self.after(0.0, lambda: complete("withheld"))
             return
         delay_ms = self.world.random.uniform(0.0, 2.0)
         self.after(delay_ms, lambda: self.world.send_call(self, call, complete))
@@ -684,22 +560,24 @@
     def _handle_call_completed(
         self, call: GrantCall | ReleaseCall, outcome: str
     ) -> None:
+        """Follows `GranterActor._handle_call_completed`."""
         now_ms = self.world.now_ms
         if outcome != "done":
             self._log(
                 f"{outcome}: {type(call).__name__} {call.first}-{call.last} "
                 f"fence {self.world.name_fence(call.fence)} to {call.instance}"
             )
-        if self.granter is None:
+        granter = self.role.granters.get(SERVICE)
+        if granter is None:
             return
-        self.granter.handle_result(CallResult(call.call_id, outcome), now_ms)
+        granter.handle_result(CallResult(call.call_id, outcome), now_ms)
         if outcome == "fenced":
-            self._fenced_at_ms = now_ms
-        elif outcome in ("refused", "unsent"):
+            self.role.handle_fenced(now_ms)
+        elif outcome in ("replaced", "refused", "unsent"):
             found = self.fleet.find(call.instance)
             if found is not None:
                 found.suspend(now_ms)
-        if self.granter.has_ungranted_ranges():
+        if granter.has_ungranted_ranges():
             self._step()
 
     # Offers of the role, as in role_transfer.RoleTransfer and service.GatewayService.
@@ -718,7 +596,7 @@
         """Follows `GatewayService._on_role_offer`."""
         granter = self.shared.granter
         if term == granter.term and sender.name == granter.daemon and not self.is_cut:
-            self._offer = (term, self.world.now_ms)
+            self.role.handle_offer(term, self.world.now_ms)
             self.trigger_read()
 
     # Requests of callers, which show whether instances are reached.
--- a/tests/gateway/test_balanced_services.py
+++ b/tests/gateway/test_balanced_services.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import CallResult, LeaseTimings
 from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
 from skylarktrail.core.gateway.ranges import OwnedRange
@@ -21,7 +22,7 @@
 from skylarktrail.gateway import granter_actor
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.granter_actor import GranterActor
-from skylarktrail.gateway.granter_messages import SharedRecordsRead, SupersedingTerm
+from skylarktrail.gateway.granter_messages import SharedRecordsRead
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import Listing, SharedUpdate
@@ -93,7 +94,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
-        SupersedingTerm(),
+        LeaseCallGate(),
     )
     for _ in range(100):
         actor.ask(SharedRecordsRead(1, clock.at_ms))
--- a/tests/gateway/test_failed_messages.py
+++ b/tests/gateway/test_failed_messages.py
@@ -8,10 +8,11 @@
 import pytest
 
 from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import LeaseTimings
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.granter_actor import GranterActor
-from skylarktrail.gateway.granter_messages import OpenGrantsRequested, SupersedingTerm
+from skylarktrail.gateway.granter_messages import OpenGrantsRequested
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
 
@@ -33,7 +34,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
-        SupersedingTerm(),
+        LeaseCallGate(),
     )
     yield reference
     if reference.is_alive():
--- a/tests/gateway/test_granter_actor.py
+++ b/tests/gateway/test_granter_actor.py
@@ -9,7 +9,14 @@
 from result import Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.granter_role import (
+    CANDIDACY_VALID_MS,
+    ROLE_OFFER_VALID_MS,
+    SUCCESSOR_GRACE_MS,
+)
+from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import LeaseTimings
+from skylarktrail.core.gateway.pending_write import PendingWrite
 from skylarktrail.core.gateway.shared_state import (
     GRANTER_KEY,
     GranterRecord,
@@ -17,18 +24,11 @@
 )
 from skylarktrail.gateway import granter_actor
 from skylarktrail.gateway.event_log import EventLog
-from skylarktrail.gateway.granter_actor import (
-    CANDIDACY_VALID_MS,
-    ROLE_OFFER_VALID_MS,
-    SUCCESSOR_GRACE_MS,
-    GranterActor,
-)
+from skylarktrail.gateway.granter_actor import GranterActor
 from skylarktrail.gateway.granter_messages import (
     CandidacyUpdate,
-    PendingWrite,
     RoleOfferReceived,
     SharedRecordsRead,
-    SupersedingTerm,
     WriteCompleted,
 )
 from skylarktrail.gateway.metrics import GatewayMetrics
@@ -94,7 +94,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
-        SupersedingTerm(),
+        LeaseCallGate(),
     )
     yield actor
     actor.on_stop()
--- a/tests/gateway/test_lease_call_authority.py
+++ b/tests/gateway/test_lease_call_authority.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import CallResult, LeaseTimings
 from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
 from skylarktrail.core.gateway.ranges import OwnedRange
@@ -26,7 +27,6 @@
 from skylarktrail.gateway.granter_actor import GranterActor
 from skylarktrail.gateway.granter_messages import (
     SharedRecordsRead,
-    SupersedingTerm,
 )
 from skylarktrail.gateway.lease_call_queue import MAX_RUNNING_PER_LANE
 from skylarktrail.gateway.metrics import GatewayMetrics
@@ -116,7 +116,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
-        SupersedingTerm(),
+        LeaseCallGate(),
     )
     yield reference
     lease_client.proceed.set()
--- a/tests/gateway/test_term_restart.py
+++ b/tests/gateway/test_term_restart.py
@@ -10,6 +10,7 @@
 from result import Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import CallResult, LeaseTimings
 from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
 from skylarktrail.core.gateway.ranges import OwnedRange
@@ -25,7 +26,6 @@
 from skylarktrail.gateway.granter_messages import (
     CandidacyUpdate,
     SharedRecordsRead,
-    SupersedingTerm,
 )
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
@@ -117,7 +117,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
-        SupersedingTerm(),
+        LeaseCallGate(),
     )
     yield reference
     reference.stop()
