Ignore a read of the shared records that was served before the claim of a term

Seen in review of OWNER: a slow read that was served before a daemon's claim and handled after it showed the former granter, ended the new term, and the next read began it again, with the same fences and call numbers.

Cause: a read was taken for the present whatever position it had reached.

--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -135,6 +135,8 @@
             started_ms: When the read began.
             now_ms: Present time.
         """
+        if position < self._position:
+            return  # Served before a write of this process; it tells of a past state.
         self._observe_records(position, started_ms, now_ms)
         if self._may_accept_offer(started_ms, now_ms):
             self._offered_at_ms = NEVER_MS
@@ -258,7 +260,7 @@
     def _observe_records(
         self, position: int, confirmed_ms: float, now_ms: float
     ) -> None:
-        self._position = max(self._position, position)
+        self._position = position
         granter = self._shared.granter
         self._record_successor(granter, now_ms)
         self._former_granters.observe(granter, now_ms)
