Claim the granter role at the position of the last broadcast record

Cause: a daemon that hears every record from the granter does not read the store, and its granter role knew only the position of its last read. Its claim is conditional on that position, so after each record of owners it was refused, until the long poll of 2 s that had begun when the granter fell silent was over.

Change: the watcher of the shared records tells the role which position a broadcast reached. A broadcast confirms no term. A claim that was applied does, from when it was sent, as the daemon's last read may be long ago.

Ruled out: the time until the granter is missed, and the candidates' turn.

--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -143,6 +143,16 @@
             self._claim_role()
         self.step(now_ms)
 
+    def handle_broadcast(self, position: int, now_ms: float) -> None:
+        """Handles that records up to a position, sent by the granter, were applied.
+
+        They confirm no term. A later claim needs the position: a daemon that hears all
+        records from the granter does not read the store.
+        """
+        if position >= self._position:
+            self._observe_records(position, NEVER_MS, now_ms)
+            self.step(now_ms)
+
     def handle_write_applied(
         self, write: PendingWrite, position: int, now_ms: float
     ) -> None:
@@ -220,7 +230,7 @@
         write = self.pending_write
         if write is None or self._position < 0 or not write.is_due(now_ms):
             return
-        write.record_sending(self._position)
+        write.record_sending(self._position, now_ms)
         self._effects.send_write(write)
 
     def record_owners(
@@ -366,6 +376,7 @@
         is_superseded = self._shared.granter.term > term
         if not is_applied or is_superseded:
             return
+        self.confirmed_ms = max(self.confirmed_ms, write.sent_ms)
         if not self.is_granter:
             self._start_term(term, now_ms)
 
--- a/src/skylarktrail/core/gateway/pending_write.py
+++ b/src/skylarktrail/core/gateway/pending_write.py
@@ -21,6 +21,7 @@
     Attributes:
         expected_position: The write applies only if the log ends at this position.
         is_sent: Whether the write was sent at least once.
+        sent_ms: When it was sent last.
         retry_at_ms: When to send it again; 0 while a call is in flight.
     """
 
@@ -37,6 +38,7 @@
         self.service = service
         self.expected_position = -1
         self.is_sent = False
+        self.sent_ms = 0.0
         self.retry_at_ms = 0.0
 
     @property
@@ -48,11 +50,12 @@
         """Returns whether to send the write, or to send it again."""
         return not self.is_sent or 0.0 < self.retry_at_ms <= now_ms
 
-    def record_sending(self, position: int) -> None:
+    def record_sending(self, position: int, now_ms: float) -> None:
         """Records that a call starts; the log has to end at the first's position."""
         if not self.is_sent:
             self.expected_position = position
         self.is_sent = True
+        self.sent_ms = now_ms
         self.retry_at_ms = 0.0
 
     def record_failure(self, now_ms: float) -> None:
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -38,6 +38,7 @@
     OpenGrantsRequested,
     RoleOfferReceived,
     SharedRecordsRead,
+    SharedRecordsReceived,
     WriteCompleted,
 )
 from .lease_call_queue import Lane, LeaseCallQueue
@@ -144,6 +145,8 @@
             return
         elif isinstance(message, SharedRecordsRead):
             role.handle_read(message.position, message.started_ms, at_ms)
+        elif isinstance(message, SharedRecordsReceived):
+            role.handle_broadcast(message.position, at_ms)
         elif isinstance(message, WriteCompleted):
             self._handle_write_completed(message)
         elif isinstance(message, FormerTermEnded):
--- a/src/skylarktrail/gateway/granter_messages.py
+++ b/src/skylarktrail/gateway/granter_messages.py
@@ -57,6 +57,16 @@
     started_ms: float
 
 
+class SharedRecordsReceived(NamedTuple):
+    """Shared records that the granter sent have been applied.
+
+    Attributes:
+        position: Position in the log that they reach.
+    """
+
+    position: int
+
+
 class FormerTermEnded(NamedTuple):
     """A former granter has confirmed that it sends no more grants.
 
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -39,6 +39,7 @@
     OpenGrantsRequested,
     RoleOfferReceived,
     SharedRecordsRead,
+    SharedRecordsReceived,
 )
 from .health_app import HealthApp
 from .messenger import Messenger
@@ -292,6 +293,7 @@
             self._forward_target(),
             self._make_call_monitor("shared"),
             lambda position, at_ms: tell(SharedRecordsRead(position, at_ms)),
+            lambda position: tell(SharedRecordsReceived(position)),
             self._messenger.is_granter,
             lambda: self._candidacy.is_candidate,
             self._messenger,
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -339,6 +339,7 @@
         forward_target: Where this daemon accepts forwarded requests; None if it does
             not.
         on_read: Called with the position reached and the time when the read began.
+        on_broadcast: Called with the position that broadcast records reached.
         is_candidate: Returns whether the store chose this daemon as next granter.
         on_store_lost: Called after each failed read of the granter from the
             `STORE_LOST_FAILURES`th consecutive one on.
@@ -354,6 +355,7 @@
         forward_target: ForwardTarget | None,
         monitor: StoreCallMonitor,
         on_read: Callable[[int, float], None],
+        on_broadcast: Callable[[int], None],
         is_granter: Callable[[], bool],
         is_candidate: Callable[[], bool],
         messenger: Messenger,
@@ -364,6 +366,7 @@
         self._member = member
         self._forward_target = forward_target
         self._on_read = on_read
+        self._on_broadcast = on_broadcast
         self._is_candidate = is_candidate
 
     def run_once(self) -> float:
@@ -422,6 +425,7 @@
             if self._position == position:
                 self._advance(position + 1)
                 self._site.apply_owner_changes(service, changed, now_ms())
+                self._on_broadcast(position + 1)
                 return
             is_known = self._position is not None and self._position > position
         if not is_known:
@@ -440,6 +444,7 @@
 
     def _apply_records(self, records: list[tuple[str, bytes]], position: int) -> bool:
         self._apply_update(SharedUpdate(records, False, position))
+        self._on_broadcast(position)
         return True
 
     def _finish_read(
--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -311,6 +311,7 @@
         if self._read_position == base:
             self._read_position = read.position
             self.shared.apply(read.records, False)
+            self.role.handle_broadcast(read.position, self.world.now_ms)
         elif read.position > self._read_position:
             self.trigger_read()
 
@@ -319,6 +320,7 @@
         if self._read_position == position:
             self._read_position = position + 1
             self.shared.owners[SERVICE] = OwnerTable(ranges)
+            self.role.handle_broadcast(position + 1, self.world.now_ms)
         elif self._read_position < position:
             self.trigger_read()
 
--- a/tests/core/gateway/test_lease_world.py
+++ b/tests/core/gateway/test_lease_world.py
@@ -124,6 +124,18 @@
         assert not world.unheld_ranges(), world.trace()
 
 
+@pytest.mark.parametrize("seed", (10, 18, 36, 39))
+def test_a_granter_killed_after_it_recorded_owners_is_replaced_in_time(seed):
+    """The others heard of the last record from the granter and have not read it."""
+    world = LeaseWorld(seed)
+    world.wait_for_granter()
+    world.advance(2000)
+    world.kill_daemon(world.find_granter().name)
+    for _ in range(100):
+        world.advance(100)
+        assert not world.unheld_ranges(), world.trace()
+
+
 def test_all_keys_stay_held_when_the_granter_loses_the_store(world):
     former = world.find_granter()
     world.store_faults.states[former.name] = REFUSE
--- a/tests/gateway/test_owner_broadcasts.py
+++ b/tests/gateway/test_owner_broadcasts.py
@@ -78,6 +78,7 @@
         None,
         StoreCallMonitor("shared", log, GatewayMetrics()),
         lambda position, at_ms: None,
+        lambda position: None,
         lambda: is_granter,
         lambda: False,
         messenger,
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -191,6 +191,7 @@
         None,
         StoreCallMonitor("shared", log, GatewayMetrics()),
         on_read,
+        lambda position: None,
         lambda: role == "granter",
         lambda: role == "candidate",
         messenger,
