Record owners again when the store comes back from an older copy

What callers saw (tests of restored stores and the model): after the store had lost the granter's record or moves, keys were not served for 17 s; and a daemon that started then claimed a term that the lost granter still held, with the same fences.

Cause: offsets were taken for positions, which go back when the store does, so daemons kept what they had read and the granter ended its term; and the term on record, not the highest that was in use, decided the next one.

Change: platform/ makes positions of the era that the store names and the offset, so that all positions of a later era follow; a read or condition from an earlier era finds the log gone. The granter in office goes on with what it knows of all leases, claims a term above all of the earlier era, records the owners again and then the era (a record of a new kind). The others leave it 3 s for that. A daemon that becomes granter while the recorded era is older than the store's grants nothing until all leases have ended (13 s), as the recorded owners may be wrong. Where the store names no era nothing changes.

Not covered: a store whose first copy is older than the first record of an era, and daemons of earlier builds, which do not read the era.

Weighed: an owner table per era (a field of a record, which older builds would not read); taking the former granter's tables over links (nobody may be left to ask).

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -110,6 +110,24 @@
                 item.former_calls_end_ms, former_authority_end_ms
             )
 
+    @property
+    def is_recorded(self) -> bool:
+        """Returns whether the present owners and next owners are all on record."""
+        return not self._is_recording and not self._unrecorded_ranges()
+
+    def continue_in_term(self, term: int, recorded: OwnerTable) -> None:
+        """Goes on in a later term after the store has lost records of this one.
+
+        Args:
+            term: The later term.
+            recorded: Owners that are still on record.
+        """
+        self._term = term
+        self._fence_count = 0
+        self._recorded = list(recorded.ranges)
+        for item in self._ranges:
+            item.is_target_recorded = item.is_inherited_move
+
     def open_grants(self, now_ms: float) -> list[OpenGrant]:
         """Returns the ranges for which a release would need fencing first."""
         return [
@@ -603,20 +621,10 @@
         return item
 
     def _make_record(self, now_ms: float) -> RecordOwners | None:
-        """Returns a record of the owners and next owners if it has changed.
-
-        A released range is recorded with its target as the owner.
-        """
-        wanted = coalesce(
-            (
-                item.owned._replace(owner=item.target, start_ms=item.target_start_ms)
-                if item.is_released
-                else item.recorded
-            )
-            for item in self._ranges
-        )
-        if not set(wanted) - set(self._recorded):
+        """Returns a record of the owners and next owners if it has changed."""
+        if not self._unrecorded_ranges():
             return None
+        wanted = self._ranges_to_record()
         self._moves_being_recorded = [
             i for i in self._ranges if i.target and not i.is_target_recorded
         ]
@@ -624,3 +632,17 @@
         self._is_recording = True
         self._last_record_ms = now_ms
         return RecordOwners(tuple(wanted))
+
+    def _unrecorded_ranges(self) -> set[OwnedRange]:
+        return set(self._ranges_to_record()) - set(self._recorded)
+
+    def _ranges_to_record(self) -> list[OwnedRange]:
+        """Returns all ranges; a released one has its target as the owner."""
+        return coalesce(
+            (
+                item.owned._replace(owner=item.target, start_ms=item.target_start_ms)
+                if item.is_released
+                else item.recorded
+            )
+            for item in self._ranges
+        )
--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -1,7 +1,9 @@
 """Claims the granter role, and keeps what the authority of a term rests on.
 
 A daemon becomes granter by a conditional write of the granter's record. It may grant
-for a limited time after its last read that showed this record.
+for a limited time after its last read that showed this record. When the store returns
+to an older copy, the granter in office claims a new term and records all owners again.
+Until that is done the recorded owners may be wrong, which the recorded era shows.
 """
 
 from __future__ import annotations
@@ -14,13 +16,16 @@
 from .lease_calls import MAX_GRANT_DELIVERY_MS, LeaseTimings
 from .open_grants import EndedTerms, OpenGrantReport, select_open_grants
 from .pending_write import PendingWrite
+from .positions import era_of
 from .ranges import OwnedRange, OwnerTable
 from .shared_state import (
+    ERA_KEY,
     GRANTER_KEY,
     OWNERS_PREFIX,
     GranterRecord,
     SharedState,
     decode_granter,
+    encode_era,
     encode_granter,
     encode_owners,
 )
@@ -33,6 +38,10 @@
 # The granter offers its role to another daemon after its next failed read, at least
 # 0.5 s later.
 ROLE_OFFER_VALID_MS = 1000.0
+# A granter in office claims its next term within this time after the store is back.
+RESTORE_GRACE_MS = 3000.0
+# Terms of a later era exceed all of an earlier one, also those that the store has lost.
+TERMS_PER_ERA = 1 << 16
 NEVER_MS = -1e18
 
 
@@ -101,6 +110,8 @@
         self._fenced_at_ms = NEVER_MS
         self._candidate_at_ms = NEVER_MS
         self._succeeded_at_ms = NEVER_MS
+        self._restored_at_ms = NEVER_MS
+        self._has_lost_records = False
         self._offered_term = 0
         self._offered_at_ms = NEVER_MS
         self._position = -1
@@ -227,6 +238,9 @@
         """Claims the role if it is vacant, and sends the write that is due."""
         if not self.is_granter and self._may_claim_role(now_ms):
             self._claim_role()
+        if self._is_era_due():
+            era = era_of(self._position)
+            self._writes.append(PendingWrite(ERA_KEY, encode_era(era)))
         write = self.pending_write
         if write is None or self._position < 0 or not write.is_due(now_ms):
             return
@@ -243,11 +257,18 @@
         )
         self.step(now_ms)
 
-    def find_granter(self, service: str, now_ms: float) -> Granter:
-        """Returns the granter of a service, which begins with the recorded owners."""
+    def find_granter(self, service: str, now_ms: float) -> Granter | None:
+        """Returns the granter of a service, which begins with the recorded owners.
+
+        While the recorded owners may be wrong there is none until all leases of former
+        granters have expired.
+        """
         if service in self.granters:
             return self.granters[service]
         authority_end_ms = self.former_authority_end_ms()
+        max_lease_ms = Granter.max_lease_ms(self._timings.lease_ms)
+        if not self._are_owners_current() and now_ms < authority_end_ms + max_lease_ms:
+            return None
         recorded = self._shared.owners.get(service, OwnerTable())
         granter = Granter(self._timings, self.term, recorded, authority_end_ms)
         self.granters[service] = granter
@@ -261,6 +282,7 @@
     def end_term(self, now_ms: float) -> None:
         """Ends the term of this process."""
         self.is_granter = False
+        self._has_lost_records = False
         self._ended_terms.add(self.granters, now_ms)
         self.granters = {}
         self._writes = []
@@ -270,7 +292,10 @@
     def _observe_records(
         self, position: int, confirmed_ms: float, now_ms: float
     ) -> None:
+        is_restored = 0 <= self._position and era_of(self._position) < era_of(position)
         self._position = position
+        if is_restored:
+            self._handle_restored_store(now_ms)
         granter = self._shared.granter
         self._record_successor(granter, now_ms)
         self._former_granters.observe(granter, now_ms)
@@ -285,12 +310,35 @@
             self._start_term(granter.term, now_ms)
 
     def _compare_with_record(self, granter: GranterRecord, now_ms: float) -> None:
-        """Ends the term if the record names another granter."""
+        """Ends the term, or claims another one, if the record names another granter.
+
+        The record is older than the term where the store has lost that of the term.
+        """
         if not self.is_granter:
             return
-        if granter.process != self._process or granter.term != self.term:
+        if granter.term > self.term:
+            if granter.process == self._process:
+                self._continue_in_term(granter.term, now_ms)
+            else:
+                self.end_term(now_ms)
+        elif self._has_lost_records and not self._writes:
+            self._claim_role()
+        elif granter.term < self.term and not self._has_lost_records:
             self.end_term(now_ms)
 
+    def _handle_restored_store(self, now_ms: float) -> None:
+        """Handles that the store has lost the last records that it acknowledged.
+
+        The granter in office knows all owners. It claims a term of the new era, as its
+        own may not be on record, and records the owners again.
+        """
+        self._restored_at_ms = now_ms
+        self._has_lost_records = self.is_granter
+        for write in self._writes:
+            if write.service in self.granters:
+                self.granters[write.service].handle_recorded(False)
+        self._writes = []
+
     def _record_successor(self, granter: GranterRecord, now_ms: float) -> None:
         """Records the time when another daemon became granter."""
         known, self._known_term = self._known_term, granter.term
@@ -319,7 +367,10 @@
         """
         is_candidate = now_ms - self._candidate_at_ms <= CANDIDACY_VALID_MS
         is_new = now_ms - self._succeeded_at_ms <= SUCCESSOR_GRACE_MS
-        if not is_candidate or is_new or self._position < 0 or self._writes:
+        is_restored = now_ms - self._restored_at_ms <= RESTORE_GRACE_MS
+        if not is_candidate or is_new or is_restored:
+            return False
+        if self._position < 0 or self._writes:
             return False
         return not self._is_granter_alive()
 
@@ -338,6 +389,8 @@
 
     def _claim_role(self) -> None:
         term = max(self._shared.granter.term, self.term) + 1
+        if self._restored_at_ms > NEVER_MS or not self._are_owners_current():
+            term = max(term, era_of(self._position) * TERMS_PER_ERA)
         record = GranterRecord(self._daemon, self._process, term)
         self._writes = [PendingWrite(GRANTER_KEY, encode_granter(record))]
 
@@ -354,6 +407,8 @@
         """Returns the value that was last read for the key of a write."""
         if write.key == GRANTER_KEY:
             return encode_granter(self._shared.granter)
+        if write.key == ERA_KEY:
+            return encode_era(self._shared.era)
         table = self._shared.owners.get(write.service)
         return encode_owners(table.ranges) if table else b""
 
@@ -374,10 +429,12 @@
     ) -> None:
         term = decode_granter(write.value).term
         is_superseded = self._shared.granter.term > term
-        if not is_applied or is_superseded:
+        if not is_applied or is_superseded or term <= self.term:
             return
         self.confirmed_ms = max(self.confirmed_ms, write.sent_ms)
-        if not self.is_granter:
+        if self.is_granter:
+            self._continue_in_term(term, now_ms)
+        else:
             self._start_term(term, now_ms)
 
     def _start_term(self, term: int, now_ms: float) -> None:
@@ -394,6 +451,32 @@
         self._effects.on_term_started(term, self._position)
         self.step(now_ms)
 
+    def _continue_in_term(self, term: int, now_ms: float) -> None:
+        """Goes on as granter in a later term, with what is known of all leases."""
+        self.term = term
+        self._has_lost_records = False
+        record = GranterRecord(self._daemon, self._process, term)
+        self._former_granters.observe(record, now_ms)
+        for service, granter in self.granters.items():
+            recorded = self._shared.owners.get(service, OwnerTable())
+            granter.continue_in_term(term, recorded)
+        self._update_gate()
+        self._effects.on_term_started(term, self._position)
+
+    def _are_owners_current(self) -> bool:
+        """Returns whether the recorded owners are the last that were recorded."""
+        return not self._shared.era or self._shared.era >= era_of(self._position)
+
+    def _is_era_due(self) -> bool:
+        """Returns whether to record that all owners are recorded in this era."""
+        if not self.is_granter or self._has_lost_records or self._writes:
+            return False
+        if self._shared.era >= era_of(self._position):
+            return False
+        services = set(self._shared.owners) | set(self.granters)
+        granters = [self.granters.get(service) for service in services]
+        return all(item is not None and item.is_recorded for item in granters)
+
     def _share_open_grants(self, now_ms: float) -> None:
         """Passes the reports of all former granters on, once they are complete."""
         max_lease_ms = Granter.max_lease_ms(self._timings.lease_ms)
--- a/src/skylarktrail/core/gateway/shared_state.py
+++ b/src/skylarktrail/core/gateway/shared_state.py
@@ -13,6 +13,7 @@
 MEMBER_PREFIX = "member/"
 OWNERS_PREFIX = "owners/"
 FORWARD_PREFIX = "forward/"
+ERA_KEY = "era"
 
 
 class GranterRecord(NamedTuple):
@@ -70,10 +71,24 @@
     return cbor2.dumps(list(target))
 
 
+def encode_era(era: int) -> bytes:
+    """Encodes the era of the store in which all owners were recorded last."""
+    return cbor2.dumps(era)
+
+
 class SharedState:
-    """State that results from all shared records."""
+    """State that results from all shared records.
+
+    Attributes:
+        granter: The present granter.
+        members: Daemons by name.
+        forward_targets: Where daemons accept forwarded requests, by name.
+        owners: Owners of the key hashes by service.
+        era: Era of the store in which all owners were recorded last; 0 if unknown.
+    """
 
     def __init__(self) -> None:
+        self.era = 0
         self.granter = NO_GRANTER
         self.members: dict[str, Member] = {}
         self.forward_targets: dict[str, ForwardTarget] = {}
@@ -90,6 +105,7 @@
         records = list(records)
         if is_snapshot:
             names = {key for key, _ in records}
+            self.era = 0
             self.members = {
                 k: v for k, v in self.members.items() if MEMBER_PREFIX + k in names
             }
@@ -104,6 +120,8 @@
     def _apply_one(self, key: str, value: bytes) -> None:
         if key == GRANTER_KEY and value:
             self.granter = decode_granter(value)
+        elif key == ERA_KEY and value:
+            self.era = cbor2.loads(value)
         elif key.startswith(MEMBER_PREFIX):
             name = key.removeprefix(MEMBER_PREFIX)
             if value:
--- a/src/skylarktrail/platform/site_store.py
+++ b/src/skylarktrail/platform/site_store.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from ..core.gateway.model import SiteConfig
+from ..core.gateway.positions import era_of, make_position, offset_of
 from ..errors import platform as codes
 from ..errors.code import Fault
 from ..gateway.site_store import Listing, OperatorUpdate, SharedUpdate
@@ -57,7 +58,8 @@
 
     def read_instances(self) -> Result[Listing, Fault]:
         """Reads the entries of all instances."""
-        return self._client.read_newest(INSTANCES).map(_to_listing)
+        newest = self._client.read_newest(INSTANCES)
+        return newest.map(lambda item: _to_listing(item, self._client.era))
 
     def read_operators(
         self, position: int | None, wait_ms: int
@@ -99,9 +101,14 @@
         Returns:
             The position after the record.
         """
-        return self._client.append(
-            SHARED, encode_keyed_record(KeyedRecord(key, value)), position
-        )
+        record = encode_keyed_record(KeyedRecord(key, value))
+        offset = None if position is None else offset_of(position)
+        appended = self._client.append(SHARED, record, offset)
+        era = self._client.era
+        if appended.is_ok() and position is not None and era_of(position) != era:
+            # The log that the condition was about does not exist any more.
+            return Err(Fault(codes.STORE_CONFLICT, key))
+        return appended.map(lambda end: make_position(era, end))
 
     def renew_candidacy(self, daemon: str, ttl_ms: int) -> Result[bool, Fault]:
         """Renews a candidacy; returns whether the store has chosen the candidate."""
@@ -121,23 +128,28 @@
         self, topic: str, position: int | None, wait_ms: int
     ) -> Result[KeyedRead, Fault]:
         if position is None:
-            return self._client.read_newest(topic).map(_to_snapshot)
-        read = self._client.read(topic, position, wait_ms)
+            newest = self._client.read_newest(topic)
+            return newest.map(lambda item: _to_snapshot(item, self._client.era))
+        read = self._client.read(topic, offset_of(position), wait_ms)
         if read.is_err():
             return Err(read.unwrap_err())
+        era = self._client.era
+        if era_of(position) != era:
+            return Err(Fault(codes.STORE_TRIMMED, topic, f"era {era}"))
         batch = read.unwrap()
         records = [decode_keyed_record(item) for item in batch.records]
-        return Ok(KeyedRead(records, False, batch.next_offset))
+        return Ok(KeyedRead(records, False, make_position(era, batch.next_offset)))
 
 
-def _to_snapshot(newest: NewestRecords) -> KeyedRead:
+def _to_snapshot(newest: NewestRecords, era: int) -> KeyedRead:
     records = [KeyedRecord(key, value) for key, value in newest.values.items()]
-    return KeyedRead(records, True, newest.end)
+    return KeyedRead(records, True, make_position(era, newest.end))
 
 
-def _to_listing(newest: NewestRecords) -> Listing:
+def _to_listing(newest: NewestRecords, era: int) -> Listing:
     entries = [decode_entry(key, value) for key, value in newest.values.items()]
-    return Listing([item for item in entries if item is not None], newest.end)
+    listed = [item for item in entries if item is not None]
+    return Listing(listed, make_position(era, newest.end))
 
 
 def _to_operator_update(read: KeyedRead) -> Result[OperatorUpdate, Fault]:
--- a/src/skylarktrail/platform/store_client.py
+++ b/src/skylarktrail/platform/store_client.py
@@ -29,6 +29,7 @@
 }
 FRAME_LENGTH_BYTES = 4
 POSITION_BYTES = 8
+ERA_HEADER = "Store-Era"
 
 
 class KeyedRecord(NamedTuple):
@@ -69,9 +70,14 @@
 
     Args:
         address: `host:port`.
+
+    Attributes:
+        era: Era that the store named in its last answer; 0 if it names none. It rises
+            each time when the store returns to an older copy.
     """
 
     def __init__(self, address: str) -> None:
+        self.era = 0
         host, _, port = address.rpartition(":")
         self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=2, block=False)
 
@@ -79,11 +85,15 @@
         """Reads the newest record of each key of a keyed log, page by page."""
         values: dict[str, bytes] = {}
         end: int | None = None
+        era: int | None = None
         query = {"topic": topic, "part": "0"}
         while True:
             page = self._send("GET", "/api/log-newest", query)
             if page.is_err():
                 return Err(page.unwrap_err())
+            era = self.era if era is None else era
+            if self.era != era:
+                return Err(Fault(codes.STORE_TRIMMED, topic, f"era {self.era}"))
             document = json.loads(page.unwrap())
             end = document["endOffset"] if end is None else end
             for item in document["items"]:
@@ -177,11 +187,17 @@
             self._pool.close()
             self._reopen()
             return Err(Fault(codes.STORE_SILENT, path, str(error)))
+        self._record_era(response.headers.get(ERA_HEADER, ""))
         if response.status == 200:
             return Ok(response.data)
         code = STATUS_FAULTS.get(response.status, codes.STORE_SILENT)
         return Err(Fault(code, path, f"status {response.status}"))
 
+    def _record_era(self, value: str) -> None:
+        """Records the era of an answer; a late answer may name an earlier one."""
+        if value.isascii() and value.isdigit():
+            self.era = max(self.era, int(value))
+
     def _reopen(self) -> None:
         """Replaces the pool, as its connections may never respond again."""
         pool = self._pool
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -224,7 +224,8 @@
             self._era += 1
             for topic in (OPERATORS_TOPIC, SERVERS_TOPIC):
                 log = self._get_log(topic)
-                for key, (value, _, _) in lost[topic].newest_by_key.items():
+                newest = lost[topic].newest_by_key if topic in lost else {}
+                for key, (value, _, _) in newest.items():
                     log.append(bytes([len(key.encode())]) + key.encode() + value)
             self._changed.notify_all()
         return json_response({"era": self._era})
--- a/tests/core/gateway/lease_world.py
+++ b/tests/core/gateway/lease_world.py
@@ -423,7 +423,7 @@
                     daemon.settings.read_lag_ms,
                 )
 
-        is_waiting = wait_ms and position == len(self.store.records)
+        is_waiting = wait_ms and position == self.store.position
         if not is_waiting or self._store_state(daemon) != OK:
             read()
             return
--- a/tests/core/gateway/lease_world_store.py
+++ b/tests/core/gateway/lease_world_store.py
@@ -5,6 +5,7 @@
 from typing import Callable, NamedTuple
 
 from skylarktrail.core.gateway.model import InstanceEntry
+from skylarktrail.core.gateway.positions import era_of, make_position, offset_of
 
 SNAPSHOT = -1  # Position of a reader that has read nothing.
 TRIMMED = "trimmed"  # Result of a read from a position after the end of the log.
@@ -42,6 +43,11 @@
         self._candidates: dict[str, float] = {}
         self._waiting: list[Callable[[], None]] = []
 
+    @property
+    def position(self) -> int:
+        """Returns the position after the last record."""
+        return make_position(self.era, len(self.records))
+
     def append(self, key: str, value: bytes, position: int | None) -> int | None:
         """Appends a record.
 
@@ -53,22 +59,22 @@
         Returns:
             The position after the record; None if the condition does not hold.
         """
-        if position is not None and position != len(self.records):
+        if position is not None and position != self.position:
             return None
         self.records.append((key, value))
         waiting, self._waiting = self._waiting, []
         for wake in waiting:
             wake()
-        return len(self.records)
+        return self.position
 
     def read(self, position: int) -> SharedRead | str:
         """Returns the records from a position on, or the newest of each key."""
-        if position > len(self.records):
-            return TRIMMED
         if position == SNAPSHOT:
             newest = dict(self.records)
-            return SharedRead(list(newest.items()), True, len(self.records))
-        return SharedRead(self.records[position:], False, len(self.records))
+            return SharedRead(list(newest.items()), True, self.position)
+        if era_of(position) != self.era:
+            return TRIMMED
+        return SharedRead(self.records[offset_of(position) :], False, self.position)
 
     def wait_for_records(self, wake: Callable[[], None]) -> None:
         """Calls back at the next append."""
--- a/tests/core/gateway/test_granter_role.py
+++ b/tests/core/gateway/test_granter_role.py
@@ -4,17 +4,26 @@
 
 import pytest
 
-from skylarktrail.core.gateway.granter_role import GranterRole
+from skylarktrail.core.gateway.granter import Granter
+from skylarktrail.core.gateway.granter_role import RESTORE_GRACE_MS, GranterRole
 from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import (
+    MAX_GRANT_DELIVERY_MS,
+    CallResult,
+    KeyedInstance,
     LeaseTimings,
+    RecordOwners,
 )
+from skylarktrail.core.gateway.positions import make_position
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.core.gateway.shared_state import (
+    ERA_KEY,
     GRANTER_KEY,
     OWNERS_PREFIX,
     GranterRecord,
     SharedState,
+    decode_granter,
+    encode_era,
     encode_granter,
     encode_owners,
 )
@@ -22,6 +31,15 @@
 TIMINGS = LeaseTimings()
 SERVICE = "stock"
 OWNERS = (OwnedRange(0, 65535, "i-1", 1),)
+MOVED_OWNERS = (OwnedRange(0, 65535, "i-2", 1),)
+INSTANCES = {
+    name: KeyedInstance(name, f"{name}:80", 1, True) for name in ("i-1", "i-2")
+}
+FORMER_LEASES_MS = (
+    TIMINGS.authority_ms
+    + MAX_GRANT_DELIVERY_MS
+    + Granter.max_lease_ms(TIMINGS.lease_ms)
+)
 
 
 class Daemon:
@@ -79,6 +97,24 @@
         assert self.land() == GRANTER_KEY
         assert self.role.is_granter
 
+    def step_service(self):
+        """Steps the service as its granter's actor does; returns the actions."""
+        granter = self.role.find_granter(SERVICE, self.now_ms)
+        if granter is None:
+            return []
+        actions = granter.step(INSTANCES, self.now_ms)
+        for action in actions:
+            if isinstance(action, RecordOwners):
+                self.role.record_owners(SERVICE, action.ranges, self.now_ms)
+        return actions
+
+    def answer_grants(self, actions):
+        """Lets the instances accept all grants."""
+        granter = self.role.granters[SERVICE]
+        for action in actions:
+            if not isinstance(action, RecordOwners):
+                granter.handle_result(CallResult(action.call_id, "done"), self.now_ms)
+
 
 @pytest.fixture
 def daemon():
@@ -119,3 +155,69 @@
     daemon.role.handle_candidacy(True, daemon.now_ms)
     daemon.land()
     assert daemon.role.may_grant(daemon.now_ms)
+
+
+def test_a_granter_in_office_records_all_owners_again_in_a_new_era(daemon):
+    """The store comes back without the last owners and the record of their granter."""
+    first = make_position(1, 5)
+    former = granter_record("d2", "p2", 4)
+    daemon.become_granter(first, former, owners_record(MOVED_OWNERS))
+    daemon.answer_grants(daemon.step_service())
+    daemon.now_ms += 100
+    daemon.role.step(daemon.now_ms)
+    assert daemon.land() == ERA_KEY
+    daemon.now_ms += 1000
+    old_copy = [former, owners_record(OWNERS), (ERA_KEY, encode_era(1))]
+    daemon.read(make_position(2, 4), *old_copy, is_snapshot=True)
+    assert decode_granter(daemon.writes[0].value).term > 5
+    assert daemon.land() == GRANTER_KEY
+    daemon.step_service()
+    assert daemon.writes[0].ranges == MOVED_OWNERS
+    assert daemon.land() == OWNERS_PREFIX + SERVICE
+    daemon.role.step(daemon.now_ms)
+    assert daemon.land() == ERA_KEY
+    assert daemon.shared.era == 2
+
+
+def test_leases_are_renewed_while_the_granter_claims_its_next_term(daemon):
+    daemon.become_granter(make_position(1, 5), owners_record(OWNERS))
+    daemon.answer_grants(daemon.step_service())
+    daemon.read(make_position(2, 3), owners_record(OWNERS), is_snapshot=True)
+    daemon.now_ms += TIMINGS.renew_ms
+    assert daemon.role.may_grant(daemon.now_ms)
+    assert daemon.step_service()
+
+
+def test_terms_of_a_new_era_exceed_those_that_the_store_has_lost(daemon):
+    """A daemon that started later knows only the records of the older copy."""
+    records = [granter_record("d2", "p2", 4), (ERA_KEY, encode_era(1))]
+    daemon.read(make_position(2, 5), *records)
+    daemon.role.handle_candidacy(True, daemon.now_ms)
+    assert decode_granter(daemon.writes[0].value).term > 1000
+
+
+def test_owners_of_an_earlier_era_get_no_grants_before_all_leases_have_ended(daemon):
+    """The keys may have moved by a record that the store has lost."""
+    records = [granter_record("d2", "p2", 4), (ERA_KEY, encode_era(1))]
+    daemon.become_granter(make_position(2, 5), *records, owners_record(OWNERS))
+    assert not daemon.step_service()
+    daemon.now_ms += FORMER_LEASES_MS - 1
+    assert not daemon.step_service()
+    daemon.now_ms += 2
+    assert daemon.step_service()
+
+
+def test_a_granter_in_office_has_time_to_claim_its_next_term(daemon):
+    daemon.read(make_position(1, 5), granter_record("d2", "p2", 4))
+    daemon.read(make_position(2, 3), granter_record("d3", "p3", 3), is_snapshot=True)
+    daemon.role.handle_candidacy(True, daemon.now_ms)
+    assert not daemon.writes
+    daemon.now_ms += RESTORE_GRACE_MS + 1
+    daemon.role.handle_candidacy(True, daemon.now_ms)
+    assert daemon.writes
+
+
+def test_owners_are_trusted_where_the_store_names_no_era(daemon):
+    daemon.become_granter(5, granter_record("d2", "p2", 4), owners_record(OWNERS))
+    assert daemon.step_service()
+    assert not daemon.writes
