--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from functools import cached_property
 from typing import NamedTuple
 
+from ..core.gateway.fingerprints import make_fingerprint
 from ..core.gateway.model import Route
 from ..core.gateway.scheduler import Ticket
 from ..daemon.response import Response
@@ -90,6 +92,13 @@
         self.is_forwarded = False
         self.earlier_run_count = 0
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Returns the fingerprint, the same for each attempt of the caller."""
+        request = self.request
+        target = request.path + ("?" + request.query if request.query else "")
+        return make_fingerprint(request.method, target, request.headers, request.body)
+
     def refusal_log_fields(self) -> dict[str, object]:
         """Returns the fields of the refusal in the request log."""
         refused = self.refused
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -468,6 +468,7 @@
             time_ms=round(job.end_ms - job.start_ms),
             is_return=job.is_return,
             is_forwarded=job.is_forwarded,
+            fingerprint=job.fingerprint if _has_broken_attempt(job) else "",
             **job.refusal_log_fields(),
             attempts=[item.log_fields() for item in job.attempts],
             **self._site.versions(now_ms())._asdict(),
@@ -489,6 +490,11 @@
         return self._router.handle_forwarded(request)
 
 
+def _has_broken_attempt(job: Job) -> bool:
+    """Returns whether an instance broke off while it may have run the request."""
+    return any(item.outcome == codes.INSTANCE_BROKEN.name for item in job.attempts)
+
+
 def _refusal_code(job: Job, ticket: Ticket) -> Code:
     if ticket.refusal_reason == "rate_limited":
         return codes.INSTANCE_LIMITED
