--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -180,6 +180,7 @@
         gateway: str,
         key: int | None = None,
         keep_alive: bool = True,
+        path: str = "/x",
     ) -> GatewayResponse:
         """Sends a request of a client through a gateway.
 
@@ -188,6 +189,7 @@
             gateway: Name of the daemon.
             key: Key of a keyed request; random by default.
             keep_alive: Whether the connection may be reused.
+            path: Path after the route's prefix.
         """
         request_id = f"{self.random.getrandbits(64):016x}"
         headers = {
@@ -201,7 +203,7 @@
         if not keep_alive:
             headers["Connection"] = "close"
         method = "GET" if kind.is_idempotent else "POST"
-        url = f"http://{self.caller_addresses[gateway]}/{kind.name}/x"
+        url = f"http://{self.caller_addresses[gateway]}/{kind.name}{path}"
         return self._send(method, url, headers, b"", DEADLINE_MS / 1000 + 1)
 
     def runs(self) -> dict[str, int]:
--- a/standins/platform/instance.py
+++ b/standins/platform/instance.py
@@ -7,6 +7,7 @@
 
 import argparse
 import json
+import os
 import threading
 import time
 from typing import Any
@@ -26,6 +27,8 @@
 THREAD_COUNT = 48
 QUEUE_LIMIT = 12
 NOT_EXECUTED = (("Not-Executed", "1"),)
+# An instance that begins to run a request with this in its path ends at once.
+CRASH_PATH = "/crash"
 
 
 class KeyRanges:
@@ -212,6 +215,8 @@
             self._runs[name] = self._runs.get(name, 0) + 1
             self._run_times_ms.append(now_ms())
             print(f"run {name} {time.time():.3f}", flush=True)
+        if CRASH_PATH in request.path:
+            os._exit(1)
         time.sleep(self.controls["work_ms"] / 1000)
         with self._lock:
             self._running -= 1
