--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -49,6 +49,7 @@
     state.apply([(key, bytes.fromhex(form.encoded))], is_snapshot=True)
     name = key.partition("/")[2]
     values = {
+        "era": state.era,
         "granter": state.granter,
         "member": state.members.get(name),
         "forward": state.forward_targets.get(name),
--- a/tests/wire_forms.py
+++ b/tests/wire_forms.py
@@ -123,6 +123,8 @@
             shared_state.ForwardTarget,
             shared_state.encode_forward_target,
         )
+    if hasattr(shared_state, "encode_era"):
+        encoders["era"] = (int, shared_state.encode_era)
     for key, (cls, encode) in sorted(encoders.items()):
         sample = make_sample(cls)
         yield WireForm(
