Block requests that end the instances that run them

What callers saw: a request that crashes each instance that begins to run it was sent to 22 and 23 instances, and whole services were away for seconds.

Cause: each attempt of the caller was a request of its own; its crash counted against the instance only, and the next attempt went to the next one.

Change: a request has a fingerprint of what its attempts have in common. Daemons report each instance that broke one off to the granter; after two instances it is blocked everywhere for ten minutes, and refused at once as not run. Recent answers clear a request, so that the loss of a zone blocks nothing that others send too. Three messages of new kinds.

Ruled out: counting by daemon (each attempt comes through another one), limits by path.

--- a/src/skylarktrail/errors/upstream.py
+++ b/src/skylarktrail/errors/upstream.py
@@ -104,3 +104,10 @@
     "Try again after the time given, through another daemon.",
     status=503,
 )
+REQUEST_BLOCKED = declare(
+    5015,
+    "REQUEST_BLOCKED",
+    "Instances ended while they ran this request, so none gets it at present.",
+    "Find out why the service ends on it. Look for the fingerprint in the log.",
+    status=503,
+)
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from ..core.gateway.caller_retries import CallerRetryDetector
+from ..core.gateway.harmful_requests import InstanceEnd
 from ..core.gateway.model import InstanceEntry, Route
 from ..core.gateway.scheduler import Ticket
 from ..daemon import fields
@@ -34,6 +35,7 @@
 from .outgoing import make_outgoing_request
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
+from .request_guard import RequestGuard
 from .site_state import SiteState
 
 QUEUE_POLL_MS = 20.0  # Longest time between two scheduling decisions for a request.
@@ -86,6 +88,7 @@
         forwarder: Forwards requests to other daemons.
         reach_monitor: Decides whether this daemon reaches the instances.
         rate_limiter: Keeps the requests to an instance within the rate that it names.
+        request_guard: Blocks requests that end the instances that run them.
         disconnect_monitor: Aborts requests whose callers disconnect.
         log: Receives a line for each request.
         metrics: Counts replies, refusals and attempts.
@@ -103,6 +106,7 @@
         forwarder: Forwarder,
         reach_monitor: ReachMonitor,
         rate_limiter: RateLimiter,
+        request_guard: RequestGuard,
         disconnect_monitor: DisconnectMonitor,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -113,6 +117,7 @@
         self._forwarder = forwarder
         self._reach_monitor = reach_monitor
         self._rate_limiter = rate_limiter
+        self._request_guard = request_guard
         self._disconnect_monitor = disconnect_monitor
         self._log = log
         self._metrics = metrics
@@ -168,10 +173,15 @@
             job = self._make_job(request, metadata, route)
         else:
             job = self._make_forwarded_job(request, metadata, route, state)
-        reply = self._serve(job)
+        reply = self._refuse_blocked(job) or self._serve(job)
         self._record_reply(job, reply)
         return reply
 
+    def _refuse_blocked(self, job: Job) -> Problem | None:
+        """Returns the refusal of a request that ends the instances that run it."""
+        blocked_ms = self._request_guard.blocked_ms(job.fingerprint)
+        return _make_refusal(codes.REQUEST_BLOCKED, blocked_ms) if blocked_ms else None
+
     def _is_configured(self, state: ForwardedState | None) -> bool:
         """Returns whether there is a configuration.
 
@@ -361,6 +371,10 @@
             instance.record_failure()
         if fault.code is codes.INSTANCE_SILENT:
             self._connections.close_idle(name)
+        if fault.code is codes.INSTANCE_BROKEN:
+            self._request_guard.record_end(
+                InstanceEnd(job.fingerprint, name, instance.entry.start_ms)
+            )
         return Attempt(name, fault.code.name)
 
     def _handle_response(
@@ -391,6 +405,7 @@
             instance.record_failure()
             return Attempt(name, "FAILED", True, response, not job.route.is_idempotent)
         self._site.scheduler.record_response(ticket, elapsed_ms)
+        self._request_guard.record_answer(job.fingerprint)
         return Attempt(name, "ANSWERED", True, response, True)
 
     def _handle_misdirected(
@@ -415,6 +430,8 @@
                 return False
         if len(job.attempts) >= MAX_SENDS or now_ms() >= job.end_ms:
             return False
+        if self._request_guard.blocked_ms(job.fingerprint):
+            return False
         if job.key_hash is not None and not attempt.was_sent:
             return False
         return not attempt.was_sent or self._site.try_acquire_retry(
@@ -468,7 +485,7 @@
             time_ms=round(job.end_ms - job.start_ms),
             is_return=job.is_return,
             is_forwarded=job.is_forwarded,
-            fingerprint=job.fingerprint if _has_broken_attempt(job) else "",
+            fingerprint=job.fingerprint if _is_suspect(job, reply) else "",
             **job.refusal_log_fields(),
             attempts=[item.log_fields() for item in job.attempts],
             **self._site.versions(now_ms())._asdict(),
@@ -490,8 +507,10 @@
         return self._router.handle_forwarded(request)
 
 
-def _has_broken_attempt(job: Job) -> bool:
-    """Returns whether an instance broke off while it may have run the request."""
+def _is_suspect(job: Job, reply: Reply) -> bool:
+    """Returns whether instances may have ended while they ran the request."""
+    if isinstance(reply, Problem) and reply.code is codes.REQUEST_BLOCKED:
+        return True
     return any(item.outcome == codes.INSTANCE_BROKEN.name for item in job.attempts)
 
 
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -47,6 +47,7 @@
 from .overload_broadcaster import OverloadBroadcaster
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
+from .request_guard import RequestGuard
 from .role_transfer import RoleTransfer
 from .router import ForwardedHandler, GatewayRouter
 from .site_state import SiteState
@@ -119,6 +120,7 @@
             GatewayOpenGrantsRequest, self._on_open_grants_request
         )
         self._rate_limiter = RateLimiter(self._site, self._messenger, self._log)
+        self._request_guard = RequestGuard(self._messenger, self._log)
         self._reach_monitor = ReachMonitor(
             self._site,
             self._connections,
@@ -141,6 +143,7 @@
             forwarder,
             self._reach_monitor,
             self._rate_limiter,
+            self._request_guard,
             self._disconnect_monitor,
             self._log,
             self._metrics,
@@ -314,6 +317,7 @@
             "load-report": LoadReporter(self._messenger, site).run_once,
             "load-teller": self._overload_broadcaster.run_once,
             "rate-limits": self._rate_limiter.run_once,
+            "request-guard": self._request_guard.run_once,
             "reachability": self._reach_monitor.run_once,
         }
         self._workers = [Worker(name, task, log) for name, task in tasks.items()]
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from ..core.gateway.harmful_requests import BlockedRequest
 from ..core.gateway.model import InstanceEntry
 from ..core.gateway.open_grants import OpenGrantReport
 from ..core.gateway.ranges import OwnedRange
@@ -294,3 +295,40 @@
     """
 
     is_cut: bool
+
+
+@message("gateway_instance_end")
+class GatewayInstanceEnd(NamedTuple):
+    """A daemon tells the granter that an instance broke off a request.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        instance: Identifier of the instance.
+        start_ms: Start of its incarnation.
+    """
+
+    fingerprint: str
+    instance: str
+    start_ms: int
+
+
+@message("gateway_blocked_requests")
+class GatewayBlockedRequests(NamedTuple):
+    """Requests that no instance gets, as they end the instances that run them.
+
+    Attributes:
+        requests: The requests, in any order.
+    """
+
+    requests: tuple[BlockedRequest, ...]
+
+
+@message("gateway_answered_requests")
+class GatewayAnsweredRequests(NamedTuple):
+    """Requests to which the sender has an answer, so that they are not harmful.
+
+    Attributes:
+        fingerprints: Their fingerprints, in any order.
+    """
+
+    fingerprints: tuple[str, ...]
