Send offsets, not positions with an era, to other daemons

Since positions carry the era of the store, offsets that a granter of an earlier build sends looked like the distant past to a daemon of this build, which then read nothing any more; the other way round an earlier build would ignore all listings of its own kind after one of this build.

Offsets go out as before. The granter sends its era, by a message of a new kind, before each full listing; a daemon that names none is taken to be in the receiver's own era.

--- a/src/skylarktrail/core/gateway/positions.py
+++ b/src/skylarktrail/core/gateway/positions.py
@@ -12,8 +12,11 @@
 
 
 def make_position(era: int, offset: int) -> int:
-    """Returns the position of an offset in an era; 0 if the store names none."""
-    return (era << OFFSET_BITS) | offset
+    """Returns the position of an offset in an era; 0 if the store names none.
+
+    Negative offsets, which mean that a position is not known, stay as they are.
+    """
+    return (era << OFFSET_BITS) | offset if offset >= 0 else offset
 
 
 def era_of(position: int) -> int:
@@ -22,5 +25,5 @@
 
 
 def offset_of(position: int) -> int:
-    """Returns the offset of a position within its era."""
-    return position & _OFFSET_MASK
+    """Returns the offset of a position within its era; negative ones stay."""
+    return position & _OFFSET_MASK if position >= 0 else position
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -1,4 +1,8 @@
-"""Messages between gateways: load reports, broadcast records and listings."""
+"""Messages between gateways: load reports, broadcast records and listings.
+
+Positions go out as offsets, as daemons of earlier builds do not know eras. The granter
+sends its era before each full listing.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +13,7 @@
 
 from ..core.gateway.fleet import Fleet
 from ..core.gateway.model import InstanceEntry
+from ..core.gateway.positions import era_of, make_position, offset_of
 from ..core.gateway.ranges import OwnedRange
 from ..errors.code import Fault
 from ..peer.gateway_messages import (
@@ -20,6 +25,7 @@
     GatewayOwners,
     GatewayRecords,
     GatewayRoleOffer,
+    GatewayStoreEra,
     GatewayTermEnded,
     GatewayTermEndRequest,
     SharedRecord,
@@ -63,6 +69,8 @@
             or _is_changed(self._sent_entries[name], entry)
         ]
         removed = tuple(set(self._sent_entries) - set(current))
+        if era_of(position) != self.era:
+            self._sent_positions.clear()
         base, self._position = self._position, position
         for entry in changed:
             self._sent_entries[entry.instance] = entry
@@ -78,14 +86,19 @@
         self, base: int, entries: tuple[InstanceEntry, ...], removed: tuple[str, ...]
     ) -> GatewayListing:
         return GatewayListing(
-            base,
-            self._position,
-            self.shared,
-            self.operators,
+            offset_of(base),
+            offset_of(self._position),
+            offset_of(self.shared),
+            offset_of(self.operators),
             entries,
             removed,
         )
 
+    @property
+    def era(self) -> int:
+        """Returns the era of the last listing; 0 if the store names none."""
+        return era_of(max(0, self._position))
+
     def select_listing(self, daemon: str, change: GatewayListing) -> GatewayListing:
         """Returns the change for a daemon, or all entries if it missed a change."""
         sent_position = self._sent_positions.get(daemon)
@@ -159,6 +172,8 @@
         self._listing_sender = ""
         self._peers: dict[str, str] = {}
         self._handlers: dict[type, Callable[[str, Any, Responder], None]] = {}
+        self._own_era = 0
+        self._eras_by_sender: dict[str, int] = {}
         self._links = PeerLinks(
             site.daemon,
             process,
@@ -248,6 +263,7 @@
         """
         if shared is not None:
             self._feed.shared = shared
+            self._own_era = max(self._own_era, era_of(shared))
         if operators is not None:
             self._feed.operators = operators
 
@@ -267,7 +283,7 @@
         self, service: str, changed: Sequence[OwnedRange], position: int
     ) -> None:
         """Sends the ranges that a record of owners changed to all other daemons."""
-        message = GatewayOwners(service, tuple(changed), position)
+        message = GatewayOwners(service, tuple(changed), offset_of(position))
         self.broadcast(message)
 
     def broadcast_records(
@@ -275,8 +291,8 @@
     ) -> None:
         """Sends records that the granter has read to all other daemons."""
         shared_records = tuple(SharedRecord(key, value) for key, value in records)
-        message = GatewayRecords(log, base, position, shared_records)
-        self.broadcast(message)
+        offsets = (offset_of(base), offset_of(position))
+        self.broadcast(GatewayRecords(log, *offsets, shared_records))
 
     def send(self, daemon: str, message: Message) -> None:
         """Sends a message to one daemon."""
@@ -303,7 +319,10 @@
         with self._site.lock:
             change = self._feed.make_change(self._site.fleet, listing.position)
         for name in self._peers:
-            self._links.send(name, self._feed.select_listing(name, change))
+            selected = self._feed.select_listing(name, change)
+            if selected.base < 0 and self._feed.era:
+                self._links.send(name, GatewayStoreEra(self._feed.era))
+            self._links.send(name, selected)
 
     def _handle_message(self, daemon: str, message: Message, reply: Responder) -> None:
         handle = self._handlers.get(type(message))
@@ -316,20 +335,33 @@
             self._feed.record_reported_position(daemon, message.listing)
             self._on_load(daemon, message)
         elif isinstance(message, GatewayOwners):
-            self._on_owners(message.service, message.changed, message.position)
+            position = self._to_position(daemon, message.position)
+            self._on_owners(message.service, message.changed, position)
         elif isinstance(message, GatewayRecords):
             if self._is_granter_daemon(daemon):
-                self._on_records(message)
+                base = self._to_position(daemon, message.base)
+                position = self._to_position(daemon, message.position)
+                self._on_records(message._replace(base=base, position=position))
         elif isinstance(message, GatewayListing):
             self._handle_listing(daemon, message)
         elif isinstance(message, GatewayRoleOffer):
             is_current_term = message.term == self._site.shared.granter.term
             if is_current_term and self._is_granter_daemon(daemon):
                 self._on_offer(message.term)
+        elif isinstance(message, GatewayStoreEra):
+            self._eras_by_sender[daemon] = message.era
         elif isinstance(message, GatewayOverload):
             if self._is_granter_daemon(daemon):
                 self._site.apply_overloads(message.instances, now_ms())
 
+    def _to_position(self, daemon: str, offset: int) -> int:
+        """Returns the position of an offset that a daemon has sent.
+
+        A daemon of an earlier build names no era; it is taken for that of this daemon.
+        """
+        era = self._eras_by_sender.get(daemon, self._own_era)
+        return make_position(era, offset)
+
     def _is_granter_daemon(self, daemon: str) -> bool:
         return daemon == self._site.shared.granter.daemon
 
@@ -350,9 +382,13 @@
             self._entries.pop(name, None)
         self._listing_sender = daemon
         self._listing_received_ms = now_ms()
-        self._on_positions(message.shared, message.operators)
+        self._on_positions(
+            self._to_position(daemon, message.shared),
+            self._to_position(daemon, message.operators),
+        )
         self._site.granter_listing_position = message.position
-        listing = Listing(list(self._entries.values()), message.position)
+        position = self._to_position(daemon, message.position)
+        listing = Listing(list(self._entries.values()), position)
         for change in self._site.apply_listing(listing, now_ms()):
             self._log.state(
                 "instance_" + change.change,
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -332,3 +332,14 @@
     """
 
     fingerprints: tuple[str, ...]
+
+
+@message("gateway_store_era")
+class GatewayStoreEra(NamedTuple):
+    """Era of the store to which the offsets in the sender's next messages belong.
+
+    Attributes:
+        era: The era, as in `core.gateway.positions`.
+    """
+
+    era: int
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -72,6 +72,12 @@
     gateway_messages.GatewayRoleOffer(5),
     gateway_messages.GatewayTermEnded(5),
     gateway_messages.GatewayOpenGrantsRequest(5),
+    gateway_messages.GatewayInstanceEnd("0c1f", "i-1", 1 << 41),
+    gateway_messages.GatewayBlockedRequests(
+        (gateway_messages.BlockedRequest("0c1f", 12.5),)
+    ),
+    gateway_messages.GatewayAnsweredRequests(("0c1f",)),
+    gateway_messages.GatewayStoreEra(2),
     gateway_messages.GatewayOpenGrants(
         "p1", (gateway_messages.OpenGrantReport("stock", "i-1", 0, 99),)
     ),
