Leave the role to the granter in office when the store is back from a copy

Found in 2 of 6 runs of tests/processes/test_restored_store.py: the granter took the position that the store did not know any more for a second failure of the store and offered its role. The daemon that took it may not trust the recorded owners and waited for all leases, 13 s.

A read from a position that is gone is no failure of the store: it answered. And no daemon takes the role by an offer from before the return. Both by a test of the role; the model of lease calls follows.

--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -367,20 +367,23 @@
         """
         is_candidate = now_ms - self._candidate_at_ms <= CANDIDACY_VALID_MS
         is_new = now_ms - self._succeeded_at_ms <= SUCCESSOR_GRACE_MS
-        is_restored = now_ms - self._restored_at_ms <= RESTORE_GRACE_MS
-        if not is_candidate or is_new or is_restored:
+        if not is_candidate or is_new or self._is_just_restored(now_ms):
             return False
         if self._position < 0 or self._writes:
             return False
         return not self._is_granter_alive()
 
+    def _is_just_restored(self, now_ms: float) -> bool:
+        """Returns whether the granter in office still claims its next term."""
+        return now_ms - self._restored_at_ms <= RESTORE_GRACE_MS
+
     def _may_accept_offer(self, started_ms: float, now_ms: float) -> bool:
         """Returns whether to claim the role that the granter offers.
 
         The read must have begun after the offer. It shows that the store serves this
         daemon; the store may refuse some daemons and serve others.
         """
-        if self.is_granter or self._writes:
+        if self.is_granter or self._writes or self._is_just_restored(now_ms):
             return False
         is_recent = self._offered_at_ms >= now_ms - ROLE_OFFER_VALID_MS
         is_after_offer = started_ms >= self._offered_at_ms
--- a/src/skylarktrail/gateway/watchers.py
+++ b/src/skylarktrail/gateway/watchers.py
@@ -281,12 +281,18 @@
         raise NotImplementedError
 
     def _record_read_result(self, read: Result[Any, Fault]) -> float | None:
-        """Records the result of a read; returns the backoff after a failure."""
+        """Records the result of a read; returns the backoff after a failure.
+
+        A position that does not exist any more is no failure of the store: a snapshot
+        is read next.
+        """
+        if read.is_err() and read.unwrap_err().code is codes.STORE_TRIMMED:
+            self._position = None
+            self._wakeup.set()
+            return 0.0
         pause_ms = self._monitor.check(read)
         if pause_ms is not None:
             self._wakeup.set()
-            if read.unwrap_err().code is codes.STORE_TRIMMED:
-                self._position = None
         return pause_ms
 
 
--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -269,10 +269,12 @@
 
     def _handle_read_failure(self, fault: str | None) -> None:
         """Follows `_record_read_result` of both classes."""
-        self._read_failures += 1
+        self._is_read_wanted = True
         if fault == TRIMMED:
             self._read_position = SNAPSHOT
-        self._is_read_wanted = True
+            self.after(0.0, self._read_shared)
+            return
+        self._read_failures += 1
         is_granter = self.shared.granter.process == self.process
         if is_granter and self._read_failures >= STORE_LOST_FAILURES:
             self._offer_role()
--- a/tests/core/gateway/test_granter_role.py
+++ b/tests/core/gateway/test_granter_role.py
@@ -233,3 +233,11 @@
     daemon.now_ms += 3 * TIMINGS.renew_ms
     (renewal,) = daemon.step_service()
     assert renewal.lease_ms == TIMINGS.outage_lease_ms
+
+
+def test_an_offer_from_before_a_return_of_the_store_is_not_taken(daemon):
+    """The granter offered its role as its reads failed, and is still in office."""
+    daemon.read(make_position(1, 5), granter_record("d2", "p2", 4))
+    daemon.role.handle_offer(4, daemon.now_ms)
+    daemon.read(make_position(2, 3), granter_record("d2", "p2", 4), is_snapshot=True)
+    assert not daemon.writes
