--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -8,7 +8,7 @@
 import json
 import threading
 import time
-from collections import deque
+from collections import Counter, deque
 from typing import Any
 
 from ..serving import (
@@ -142,7 +142,7 @@
         self._changed = threading.Condition()
         self._era = 1
         self._copy: dict[str, PartitionLog] = {}
-        self._call_count = 0
+        self._call_counts: Counter[str] = Counter()
         self._loss_accumulator = 0.0
         route = self.application.route
         route("POST", "/api/log-append")(self._with_controls(self._handle_append))
@@ -153,11 +153,11 @@
         route("POST", "/operator/put")(self._handle_operator_put)
         route("POST", "/operator/copy")(self._handle_copy)
         route("POST", "/operator/restore")(self._handle_restore)
-        route("GET", "/calls")(lambda _: json_response({"calls": self._call_count}))
+        route("GET", "/calls")(lambda _: json_response(self._call_counts))
 
     def _with_controls(self, handler):
         def handle(request: Request) -> Response:
-            self._call_count += 1
+            self._call_counts[_name_call(request)] += 1
             mode = self.controls["mode"]
             if mode == "silent":
                 self._wait_while_silent()
@@ -192,15 +192,17 @@
 
     def _handle_append(self, request: Request) -> Response:
         query = request.parameters()
-        size = int.from_bytes(request.body[:FRAME_LENGTH_BYTES], "big")
-        record = request.body[FRAME_LENGTH_BYTES : FRAME_LENGTH_BYTES + size]
+        records = _split_frames(request.body)
         with self._changed:
             log = self._get_log(query["topic"])
             if "at" in query and int(query["at"]) != log.end:
                 return json_response({"endOffset": log.end}, 412)
-            offset = log.append(record)
+            offset = log.end
+            for record in records:
+                log.append(record)
+            end = log.end
             self._changed.notify_all()
-        return json_response({"offset": offset, "endOffset": offset + 1})
+        return json_response({"offset": offset, "endOffset": end})
 
     def _handle_operator_put(self, request: Request) -> Response:
         """Appends a keyed record, as operators and instances do."""
@@ -290,6 +292,22 @@
         return json_response({})
 
 
+def _split_frames(data: bytes) -> list[bytes]:
+    """Returns the records of a body, each of which follows its length."""
+    records = []
+    while data:
+        end = FRAME_LENGTH_BYTES + int.from_bytes(data[:FRAME_LENGTH_BYTES], "big")
+        records.append(data[FRAME_LENGTH_BYTES:end])
+        data = data[end:]
+    return records
+
+
+def _name_call(request: Request) -> str:
+    """Returns the last part of the path of a call, and the topic if it names one."""
+    topic = request.parameters().get("topic", "")
+    return f"{request.path.rpartition('/')[2]} {topic}".strip()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--address", required=True, help="host:port")
