Spend fewer store calls at the start of daemons; one module for each watcher

Cause: a process start cost about 9.6 calls to the store on the large site: each record that another starting daemon wrote was read by all, claims of the role that the store had refused were sent again without a read, and daemons without a listing read the entries themselves.

Change: a daemon that has just started waits 1.5 s for the granter before it follows the log; it writes its first records in one call; a granter sends a listing at once to a daemon that has none, and a daemon keeps a listing that comes before it knows its granter; a refused claim waits for a read. gateway/watchers.py (533 lines) becomes a module for each task.

--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -32,7 +32,7 @@
 
 # Equals the lifetime of a candidacy in the store: after it the store may have chosen
 # another candidate.
-CANDIDACY_VALID_MS = 1500.0
+CANDIDACY_VALID_MS = 1000.0
 # All daemons receive a listing from a new granter within this time.
 SUCCESSOR_GRACE_MS = 2000.0
 # The granter offers its role to another daemon after its next failed read, at least
@@ -51,6 +51,9 @@
     def send_write(self, write: PendingWrite) -> None:
         """Sends a write to the store; its result is to be handed to the role."""
 
+    def request_read(self) -> None:
+        """Lets the shared records be read at once."""
+
     def ask_former_granter(self, daemon: str, term: int) -> None:
         """Asks a former granter to stop granting, and for its open grants."""
 
@@ -185,9 +188,13 @@
         """
         if write is not self.pending_write:
             return
-        write.record_failure(now_ms)
-        if is_conflict:
-            self._resolve_pending_write(now_ms)
+        if not is_conflict:
+            write.record_failure(now_ms)
+            return
+        write.record_conflict()
+        self._resolve_pending_write(now_ms)
+        if write is self.pending_write:
+            self._effects.request_read()
 
     def handle_former_term_ended(
         self, daemon: str, term: int, at_ms: float, now_ms: float
--- a/src/skylarktrail/core/gateway/pending_write.py
+++ b/src/skylarktrail/core/gateway/pending_write.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Sequence
 
 from .ranges import OwnedRange
@@ -22,7 +23,8 @@
         expected_position: The write applies only if the log ends at this position.
         is_sent: Whether the write was sent at least once.
         sent_ms: When it was sent last.
-        retry_at_ms: When to send it again; 0 while a call is in flight.
+        retry_at_ms: When to send it again; 0 while a call is in flight, infinite if
+            that is of no use.
     """
 
     def __init__(
@@ -61,3 +63,10 @@
     def record_failure(self, now_ms: float) -> None:
         """Records that a call ended without a position."""
         self.retry_at_ms = now_ms + WRITE_RETRY_MS
+
+    def record_conflict(self) -> None:
+        """Records that the log does not end at the expected position any more.
+
+        The write cannot be applied after that; a read shows whether it was before.
+        """
+        self.retry_at_ms = math.inf
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -69,6 +69,7 @@
         request_open_grants: Asks a former granter for its open grants and calls back
             with its reply.
         on_unanswered_call: Called with an instance that did not respond to a call.
+        trigger_read: Lets the shared records be read at once.
         gate: Checks each lease call before it is sent.
     """
 
@@ -90,12 +91,14 @@
             [str, int, Callable[[GatewayOpenGrants], None]], None
         ],
         on_unanswered_call: Callable[[str], None],
+        trigger_read: Callable[[], None],
         gate: LeaseCallGate,
     ) -> None:
         super().__init__()
         self._request_term_end = request_term_end
         self._request_open_grants = request_open_grants
         self._on_unanswered_call = on_unanswered_call
+        self._trigger_read = trigger_read
         self._on_owners_written = on_owners_written
         self._site = site
         self._process = process
@@ -194,6 +197,10 @@
             WriteCompleted(write, Err(Fault(codes.STORE_SILENT, key))),
         )
 
+    def request_read(self) -> None:
+        """Lets the shared records be read at once."""
+        self._trigger_read()
+
     def ask_former_granter(self, daemon: str, term: int) -> None:
         """Asks a former granter to stop granting, and for its open grants."""
         tell = self.actor_ref.tell
--- /dev/null
+++ b/src/skylarktrail/gateway/instance_watcher.py
@@ -0,0 +1,90 @@
+"""Periodic task that reads the entries of the instances from the store."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+from .clock import now_ms
+from .connection_pool import ConnectionPool
+from .event_log import EventLog
+from .messenger import Messenger
+from .site_state import SiteState
+from .site_store import SiteStore
+from .store_monitor import StoreCallMonitor
+
+# An instance must get no more requests 2 s after it announces its shutdown.
+LISTING_INTERVAL_MS = 1000.0
+# The granter reads for all daemons; its broadcast takes further time.
+GRANTER_LISTING_INTERVAL_MS = 700.0
+FOLLOWER_POLL_MS = 100.0
+# A daemon that has just started expects a listing of the granter for this long.
+SETTLE_MS = 1500.0
+
+
+class InstanceWatcher:
+    """Reads the instances' entries and, as granter, broadcasts their changes.
+
+    Other daemons read the store only while the granter sends no listings.
+
+    Attributes:
+        has_listing: Whether a listing was read or received at least once.
+    """
+
+    def __init__(
+        self,
+        store: SiteStore,
+        site: SiteState,
+        connections: ConnectionPool,
+        monitor: StoreCallMonitor,
+        log: EventLog,
+        messenger: Messenger,
+        is_granter: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._site = site
+        self._messenger = messenger
+        self._is_granter = is_granter
+        self._connections = connections
+        self._monitor = monitor
+        self._log = log
+        self.has_listing = False
+        self._settled_ms = 0.0
+
+    def run_once(self) -> float:
+        """Reads the entries unless the granter broadcasts them.
+
+        Returns:
+            Milliseconds until the next run.
+        """
+        if not self._is_granter() and self._messenger.expects_listings():
+            self.has_listing = True
+            self._connections.keep_only(set(self._site.fleet.instances))
+            return FOLLOWER_POLL_MS
+        if not self._is_granter() and now_ms() < self._settled_ms:
+            return FOLLOWER_POLL_MS
+        started_ms = now_ms()
+        read = self._store.read_instances()
+        pause_ms = self._monitor.check(read)
+        if pause_ms is not None:
+            self._site.record_listing_failure(now_ms())
+            return pause_ms
+        listing = read.unwrap()
+        changes = self._site.apply_listing(listing, now_ms())
+        for change in changes:
+            self._log.state(
+                "instance_" + change.change,
+                instance=change.instance,
+                service=change.service,
+                position=listing.position,
+            )
+        if changes:
+            self._connections.keep_only(set(self._site.fleet.instances))
+        if not self.has_listing:
+            self._settled_ms = now_ms() + SETTLE_MS
+        self.has_listing = True
+        if now_ms() < self._settled_ms and not self._is_granter():
+            return FOLLOWER_POLL_MS
+        if not self._is_granter():
+            return LISTING_INTERVAL_MS - (now_ms() - started_ms)
+        self._messenger.broadcast_listing(listing)
+        return GRANTER_LISTING_INTERVAL_MS - (now_ms() - started_ms)
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import threading
 from concurrent.futures import Future
 from typing import Any, Callable, Sequence
 
@@ -40,8 +41,11 @@
 
 HEARTBEAT_MS = 500
 TERM_END_TIMEOUT_MS = 3000
-# Without a listing for this long, daemons read the instances' entries from the store.
+# A granter that sends no listing for this long is replaced.
 LISTING_FRESH_MS = 1300.0
+# Without a listing for this long, daemons read the store. A successor sends its first
+# listing before, and shutdowns that are announced have to be known within 2 s.
+LISTING_MISSED_MS = 1750.0
 
 
 class ListingFeed:
@@ -78,8 +82,14 @@
             del self._sent_entries[name]
         return self._make_listing(base, tuple(changed), removed)
 
-    def make_full_listing(self) -> GatewayListing:
-        """Returns a listing of all entries."""
+    @property
+    def has_listing(self) -> bool:
+        """Returns whether there is a listing to send."""
+        return self._position >= 0
+
+    def make_full_listing(self, daemon: str) -> GatewayListing:
+        """Returns a listing of all entries for a daemon."""
+        self._sent_positions[daemon] = offset_of(self._position)
         return self._make_listing(-1, tuple(self._sent_entries.values()), ())
 
     def _make_listing(
@@ -101,13 +111,10 @@
 
     def select_listing(self, daemon: str, change: GatewayListing) -> GatewayListing:
         """Returns the change for a daemon, or all entries if it missed a change."""
-        sent_position = self._sent_positions.get(daemon)
+        if self._sent_positions.get(daemon) != change.base or change.base < 0:
+            return self.make_full_listing(daemon)
         self._sent_positions[daemon] = change.position
-        return (
-            change
-            if sent_position == change.base and change.base >= 0
-            else self.make_full_listing()
-        )
+        return change
 
     def record_reported_position(self, daemon: str, position: int) -> None:
         """Records the last position that a daemon reports.
@@ -137,6 +144,8 @@
         on_records: Called with records that the granter has read.
         on_positions: Called with the granter's positions in the shared and the
             operators' records.
+        on_unknown_granter: Called when a daemon sends listings as granter that is not
+            known to be, while no known granter does.
         on_offer: Called with the term of a granter that offers its role.
         on_term_end_request: Called with the term of a new granter, to stop grants of
             lower terms before the request is confirmed.
@@ -153,12 +162,14 @@
         on_owners: Callable[[str, Sequence[OwnedRange], int], None],
         on_records: Callable[[GatewayRecords], None],
         on_positions: Callable[[int, int], None],
+        on_unknown_granter: Callable[[], None],
         on_offer: Callable[[int], None],
         on_term_end_request: Callable[[int], None],
     ) -> None:
         self._site = site
         self._process = process
         self._is_eligible = is_eligible
+        self._on_unknown_granter = on_unknown_granter
         self._on_offer = on_offer
         self._log = log
         self._on_load = on_load
@@ -170,6 +181,8 @@
         self._entries: dict[str, InstanceEntry] = {}
         self._listing_received_ms = -1e18
         self._listing_sender = ""
+        self._early_listing: tuple[str, GatewayListing] | None = None
+        self._listing_lock = threading.Lock()
         self._peers: dict[str, str] = {}
         self._handlers: dict[type, Callable[[str, Any, Responder], None]] = {}
         self._own_era = 0
@@ -224,6 +237,10 @@
             is_same_granter and now_ms() - self._listing_received_ms < LISTING_FRESH_MS
         )
 
+    def expects_listings(self) -> bool:
+        """Returns whether a granter sends listings, or its successor soon will."""
+        return now_ms() - self._listing_received_ms < LISTING_MISSED_MS
+
     def request_term_end(
         self, daemon: str, term: int, on_ended: Callable[[], None]
     ) -> None:
@@ -319,10 +336,12 @@
         with self._site.lock:
             change = self._feed.make_change(self._site.fleet, listing.position)
         for name in self._peers:
-            selected = self._feed.select_listing(name, change)
-            if selected.base < 0 and self._feed.era:
-                self._links.send(name, GatewayStoreEra(self._feed.era))
-            self._links.send(name, selected)
+            self._send_listing(name, self._feed.select_listing(name, change))
+
+    def _send_listing(self, daemon: str, listing: GatewayListing) -> None:
+        if listing.base < 0 and self._feed.era:
+            self._links.send(daemon, GatewayStoreEra(self._feed.era))
+        self._links.send(daemon, listing)
 
     def _handle_message(self, daemon: str, message: Message, reply: Responder) -> None:
         handle = self._handlers.get(type(message))
@@ -332,8 +351,7 @@
             self._on_term_end_request(message.term)
             reply(GatewayTermEnded(message.term))
         elif isinstance(message, GatewayLoad):
-            self._feed.record_reported_position(daemon, message.listing)
-            self._on_load(daemon, message)
+            self._handle_load(daemon, message)
         elif isinstance(message, GatewayOwners):
             position = self._to_position(daemon, message.position)
             self._on_owners(message.service, message.changed, position)
@@ -365,9 +383,28 @@
     def _is_granter_daemon(self, daemon: str) -> bool:
         return daemon == self._site.shared.granter.daemon
 
+    def _handle_load(self, daemon: str, report: GatewayLoad) -> None:
+        """Handles a load report; as granter, sends a listing that is asked for."""
+        self._feed.record_reported_position(daemon, report.listing)
+        if report.listing < 0 and self.is_granter() and self._feed.has_listing:
+            self._send_listing(daemon, self._feed.make_full_listing(daemon))
+        self._on_load(daemon, report)
+
+    def apply_early_listing(self) -> None:
+        """Applies a listing that came before the record of its granter was read."""
+        early, self._early_listing = self._early_listing, None
+        if early is not None and self._is_granter_daemon(early[0]):
+            self._handle_listing(*early)
+
     def _handle_listing(self, daemon: str, message: GatewayListing) -> None:
-        if not self._is_granter_daemon(daemon):
-            return
+        if self._is_granter_daemon(daemon):
+            with self._listing_lock:
+                self._apply_listing(daemon, message)
+        elif not self.is_granter_alive():
+            self._early_listing = (daemon, message)
+            self._on_unknown_granter()
+
+    def _apply_listing(self, daemon: str, message: GatewayListing) -> None:
         if message.base >= 0 and (
             message.base != self._site.granter_listing_position
             or daemon != self._listing_sender
--- /dev/null
+++ b/src/skylarktrail/gateway/operator_watcher.py
@@ -0,0 +1,60 @@
+"""Reads the operators' records: configuration and evacuated zones."""
+
+from __future__ import annotations
+
+from typing import Any, Callable
+
+from result import Result
+
+from ..errors.code import Fault
+from .clock import now_ms
+from .event_log import EventLog
+from .log_reader import BATCHING_PAUSE_MS, LogReader
+from .messenger import Messenger
+from .site_state import SiteState
+from .site_store import OperatorUpdate, SiteStore
+from .store_monitor import StoreCallMonitor
+
+
+class OperatorWatcher(LogReader):
+    """Reads the operators' records: configuration and evacuated zones."""
+
+    log_name = "operators"
+
+    def __init__(
+        self,
+        store: SiteStore,
+        site: SiteState,
+        monitor: StoreCallMonitor,
+        log: EventLog,
+        messenger: Messenger,
+        is_granter: Callable[[], bool],
+    ) -> None:
+        super().__init__(store, site, monitor, messenger, is_granter)
+        self._log = log
+
+    def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
+        return self._store.read_operators(position, wait_ms)
+
+    def _apply_update(self, update: OperatorUpdate) -> None:
+        self._position = update.position
+        self._messenger.record_positions(None, update.position)
+        config = self._site.apply_operators(update, now_ms())
+        if config is not None:
+            routes = len(config.routes)
+            self._log.state("config_in_force", version=config.version, routes=routes)
+        for zone, is_out in update.zones.items():
+            self._log.state("zone_out" if is_out else "zone_back", zone=zone)
+
+    def _apply_records(self, records: list[tuple[str, bytes]], position: int) -> bool:
+        decoded = self._store.decode_operators(records, position)
+        if decoded.is_err():
+            self._log.state("records_refused", fault=str(decoded.unwrap_err()))
+            return False
+        self._apply_update(decoded.unwrap())
+        return True
+
+    def _finish_read(
+        self, update: OperatorUpdate, position: int | None, started_ms: float
+    ) -> float:
+        return BATCHING_PAUSE_MS if update.position != position else 0.0
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -27,6 +27,7 @@
 )
 from ..peer.hub import Responder
 from .adapters import ADAPTERS
+from .candidacy import CandidacyRenewer
 from .clock import now_ms
 from .connection_pool import ConnectionPool
 from .disconnect_monitor import DisconnectMonitor
@@ -42,24 +43,21 @@
     SharedRecordsReceived,
 )
 from .health_app import HealthApp
+from .instance_watcher import InstanceWatcher
+from .load_reporter import LoadReporter
 from .messenger import Messenger
 from .metrics import GatewayMetrics
+from .operator_watcher import OperatorWatcher
 from .overload_broadcaster import OverloadBroadcaster
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
 from .request_guard import RequestGuard
 from .role_transfer import RoleTransfer
 from .router import ForwardedHandler, GatewayRouter
+from .shared_watcher import SharedWatcher
 from .site_state import SiteState
 from .site_store import SiteStore
-from .watchers import (
-    CandidacyRenewer,
-    InstanceWatcher,
-    LoadReporter,
-    OperatorWatcher,
-    SharedWatcher,
-    StoreCallMonitor,
-)
+from .store_monitor import StoreCallMonitor
 from .worker import Worker
 
 TICK_MS = 100.0
@@ -113,6 +111,7 @@
             self._on_owners,
             self._on_records,
             self._on_positions,
+            self._on_unknown_granter,
             self._on_role_offer,
             self._on_term_end_request,
         )
@@ -269,6 +268,7 @@
             self._messenger.request_term_end,
             self._messenger.request_open_grants,
             self._reach_monitor.record_unanswered_call,
+            lambda: self._shared.trigger_read(),
             self._lease_call_gate,
         )
         tell = self._granter.tell
@@ -353,6 +353,10 @@
         self._shared.record_granter_position(shared)
         self._operators.record_granter_position(operators)
 
+    def _on_unknown_granter(self) -> None:
+        """Reads who the granter is, at once."""
+        self._shared.trigger_read()
+
     def _on_cut(self) -> None:
         """Hands the granter's role over, as grants reach no instance from here."""
         if self._messenger.is_granter():
--- a/src/skylarktrail/gateway/site_store.py
+++ b/src/skylarktrail/gateway/site_store.py
@@ -91,6 +91,16 @@
             The position after the record.
         """
 
+    def share_all(self, records: Sequence[tuple[str, bytes]]) -> Result[int, Fault]:
+        """Appends records to the daemons' records, all or none.
+
+        Args:
+            records: Keys and values.
+
+        Returns:
+            The position after the last record.
+        """
+
     def renew_candidacy(self, daemon: str, ttl_ms: int) -> Result[bool, Fault]:
         """Renews a candidacy for the granter role.
 
--- a/src/skylarktrail/platform/site_store.py
+++ b/src/skylarktrail/platform/site_store.py
@@ -103,13 +103,26 @@
         """
         record = encode_keyed_record(KeyedRecord(key, value))
         offset = None if position is None else offset_of(position)
-        appended = self._client.append(SHARED, record, offset)
+        appended = self._client.append(SHARED, [record], offset)
         era = self._client.era
         if appended.is_ok() and position is not None and era_of(position) != era:
             # The log that the condition was about does not exist any more.
             return Err(Fault(codes.STORE_CONFLICT, key))
         return appended.map(lambda end: make_position(era, end))
 
+    def share_all(self, records: Sequence[tuple[str, bytes]]) -> Result[int, Fault]:
+        """Appends records to the daemons' records, all or none.
+
+        Args:
+            records: Keys and values.
+
+        Returns:
+            The position after the last record.
+        """
+        encoded = [encode_keyed_record(KeyedRecord(*record)) for record in records]
+        appended = self._client.append(SHARED, encoded)
+        return appended.map(lambda end: make_position(self._client.era, end))
+
     def renew_candidacy(self, daemon: str, ttl_ms: int) -> Result[bool, Fault]:
         """Renews a candidacy; returns whether the store has chosen the candidate."""
         joined = self._client.join(
--- a/src/skylarktrail/platform/store_client.py
+++ b/src/skylarktrail/platform/store_client.py
@@ -8,7 +8,7 @@
 
 import base64
 import json
-from typing import Any, Iterator, NamedTuple
+from typing import Any, Iterator, NamedTuple, Sequence
 from urllib.parse import urlencode
 
 import urllib3
@@ -114,23 +114,26 @@
         return Ok(RecordBatch(end, offset + len(records), records))
 
     def append(
-        self, topic: str, record: bytes, at: int | None = None
+        self, topic: str, records: Sequence[bytes], at: int | None = None
     ) -> Result[int, Fault]:
-        """Appends one record.
+        """Appends records, all or none.
 
         Args:
             topic: Name of the log.
-            record: The record.
-            at: If given, the record is appended only if the log ends at this offset.
+            records: The records.
+            at: If given, they are appended only if the log ends at this offset.
 
         Returns:
-            The offset after the record. After a fault other than `STORE_CONFLICT` and
-            `STORE_REFUSED` the record may or may not have been appended.
+            The offset after the last record. After a fault other than `STORE_CONFLICT`
+            and `STORE_REFUSED` the records may or may not have been appended.
         """
         query: dict[str, Any] = {"topic": topic, "part": "0"}
         if at is not None:
             query["at"] = at
-        body = len(record).to_bytes(FRAME_LENGTH_BYTES, "big") + record
+        body = b"".join(
+            len(record).to_bytes(FRAME_LENGTH_BYTES, "big") + record
+            for record in records
+        )
         response = self._send("POST", "/api/log-append", query, body)
         return response.map(lambda data: json.loads(data)["endOffset"])
 
--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -1,9 +1,9 @@
 """One process of a simulated daemon: its view of the site, and its granter role.
 
 It uses the granter, its role, the fleet and the shared state of the product. The code
-around them follows `gateway/service_stepper.py`, `gateway/granter_actor.py`,
-`gateway/watchers.py`, `gateway/messenger.py` and `gateway/lease_call_queue.py`; each
-method names what it follows, and has to change with it.
+around them follows `service_stepper.py`, `granter_actor.py`, `log_reader.py`,
+`shared_watcher.py`, `messenger.py` and `lease_call_queue.py` of `gateway/`; each method
+names what it follows, and has to change with it.
 """
 
 from __future__ import annotations
@@ -36,26 +36,32 @@
     SharedState,
     encode_member,
 )
+from skylarktrail.gateway.candidacy import (
+    CANDIDACY_INTERVAL_MS,
+    CANDIDACY_POLL_MS,
+    CANDIDACY_TTL_MS,
+)
+from skylarktrail.gateway.instance_watcher import FOLLOWER_POLL_MS
 from skylarktrail.gateway.lease_call_queue import MAX_RUNNING_PER_LANE
+from skylarktrail.gateway.log_reader import (
+    BATCHING_PAUSE_MS,
+    FOLLOWER_WAIT_MS,
+    LONG_POLL_MS,
+)
 from skylarktrail.gateway.messenger import LISTING_FRESH_MS
 from skylarktrail.gateway.service_stepper import (
     FIRST_LISTING_WAIT_MS,
     MERGE_INTERVAL_MS,
     REBALANCE_INTERVAL_MS,
 )
-from skylarktrail.gateway.watchers import (
-    BATCHING_PAUSE_MS,
-    CANDIDACY_INTERVAL_MS,
-    CANDIDACY_POLL_MS,
-    CANDIDACY_TTL_MS,
-    FAILURE_BACKOFF_MS,
-    FOLLOWER_POLL_MS,
-    FOLLOWER_WAIT_MS,
-    LONG_POLL_MS,
-    MAX_FAILURE_BACKOFF_MS,
+from skylarktrail.gateway.shared_watcher import (
     STORE_LOST_FAILURES,
     TERM_CONFIRM_INTERVAL_MS,
 )
+from skylarktrail.gateway.store_monitor import (
+    FAILURE_BACKOFF_MS,
+    MAX_FAILURE_BACKOFF_MS,
+)
 
 from .lease_world_store import SNAPSHOT, TRIMMED, SharedRead
 
@@ -444,6 +450,10 @@
             lambda peer: peer.receive_owners(write.ranges, write.expected_position),
         )
 
+    def request_read(self) -> None:
+        """Lets the shared records be read at once."""
+        self.trigger_read()
+
     def ask_former_granter(self, daemon: str, term: int) -> None:
         """Follows `Messenger.request_term_end` and `request_open_grants`."""
         timeout_ms = self.world.now_ms + TERM_END_TIMEOUT_MS
--- a/tests/core/gateway/test_granter_role.py
+++ b/tests/core/gateway/test_granter_role.py
@@ -49,12 +49,14 @@
         role: The role.
         shared: The shared records.
         writes: The writes that were sent and have no result yet.
+        read_request_count: Reads that the role asked for.
         now_ms: Present time.
     """
 
     def __init__(self) -> None:
         self.shared = SharedState()
         self.writes = []
+        self.read_request_count = 0
         self.now_ms = 10_000.0
         self.gate = LeaseCallGate()
         self.role = GranterRole(
@@ -65,6 +67,10 @@
         """Keeps a write."""
         self.writes.append(write)
 
+    def request_read(self):
+        """Counts the reads that the role asks for."""
+        self.read_request_count += 1
+
     def ask_former_granter(self, daemon, term):
         """Gets no reply."""
 
@@ -241,3 +247,31 @@
     daemon.role.handle_offer(4, daemon.now_ms)
     daemon.read(make_position(2, 3), granter_record("d2", "p2", 4), is_snapshot=True)
     assert not daemon.writes
+
+
+def test_a_refused_claim_is_not_sent_again_before_a_read(daemon):
+    """Other daemons write their records while a site starts, so claims are refused."""
+    daemon.read(5, granter_record("d2", "p2", 4))
+    daemon.role.handle_candidacy(True, daemon.now_ms)
+    daemon.role.handle_write_failed(daemon.writes.pop(), True, daemon.now_ms)
+    assert daemon.read_request_count == 1
+    daemon.now_ms += 500
+    daemon.role.step(daemon.now_ms)
+    assert not daemon.writes
+    daemon.read(6)
+    daemon.role.handle_candidacy(True, daemon.now_ms)
+    assert daemon.writes[0].expected_position == 6
+
+
+def test_a_refused_claim_that_was_applied_before_begins_a_term(daemon):
+    """Its first answer was lost, and the same claim was sent again."""
+    daemon.read(5, granter_record("d2", "p2", 4))
+    daemon.role.handle_candidacy(True, daemon.now_ms)
+    claim = daemon.writes.pop()
+    daemon.role.handle_write_failed(claim, False, daemon.now_ms)
+    daemon.now_ms += 500
+    daemon.role.step(daemon.now_ms)
+    assert daemon.writes == [claim]
+    daemon.role.handle_write_failed(claim, True, daemon.now_ms)
+    daemon.read(6, (claim.key, claim.value))
+    assert daemon.role.is_granter
--- a/tests/core/gateway/test_shedding.py
+++ b/tests/core/gateway/test_shedding.py
@@ -14,9 +14,9 @@
 from skylarktrail.core.gateway.model import LoadReport, ServiceSpec
 from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView, Ticket
 from skylarktrail.core.gateway.shedding import MIN_ADMITTED_RATIO, LoadShedder
+from skylarktrail.gateway.load_reporter import LOAD_REPORT_INTERVAL_MS
 from skylarktrail.gateway.overload_broadcaster import BROADCAST_INTERVAL_MS
 from skylarktrail.gateway.router import QUEUE_POLL_MS
-from skylarktrail.gateway.watchers import LOAD_REPORT_INTERVAL_MS
 
 OWNER, SLOTS = "i-1", 3
 DAEMONS = 17
--- a/tests/gateway/test_balanced_services.py
+++ b/tests/gateway/test_balanced_services.py
@@ -94,6 +94,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
+        lambda: None,
         LeaseCallGate(),
     )
     for _ in range(100):
--- a/tests/gateway/test_failed_messages.py
+++ b/tests/gateway/test_failed_messages.py
@@ -34,6 +34,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
+        lambda: None,
         LeaseCallGate(),
     )
     yield reference
--- a/tests/gateway/test_granter_actor.py
+++ b/tests/gateway/test_granter_actor.py
@@ -94,6 +94,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
+        lambda: None,
         LeaseCallGate(),
     )
     yield actor
--- a/tests/gateway/test_listing_eras.py
+++ b/tests/gateway/test_listing_eras.py
@@ -57,6 +57,7 @@
             lambda service, changed, position: None,
             lambda message: None,
             lambda shared, operators: self.positions.append(shared),
+            lambda: None,
             lambda term: None,
             lambda term: None,
         )
--- a/tests/gateway/test_owner_broadcasts.py
+++ b/tests/gateway/test_owner_broadcasts.py
@@ -14,9 +14,10 @@
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.service import GatewayService
+from skylarktrail.gateway.shared_watcher import SharedWatcher
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import SharedUpdate
-from skylarktrail.gateway.watchers import SharedWatcher, StoreCallMonitor
+from skylarktrail.gateway.store_monitor import StoreCallMonitor
 from skylarktrail.peer.gateway_messages import GatewayRecords, SharedRecord
 
 SERVICE = "stock"
@@ -47,10 +48,13 @@
     def __init__(self) -> None:
         self.sent = []
 
-    def is_granter_alive(self):
+    def expects_listings(self):
         """Returns False, so that the daemon reads the store."""
         return False
 
+    def apply_early_listing(self):
+        """There is none."""
+
     def record_positions(self, shared, operators):
         """Ignores positions."""
 
--- a/tests/gateway/test_term_restart.py
+++ b/tests/gateway/test_term_restart.py
@@ -117,6 +117,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
+        lambda: None,
         LeaseCallGate(),
     )
     yield reference
--- a/tests/gateway/test_unfinished_calls.py
+++ b/tests/gateway/test_unfinished_calls.py
@@ -103,6 +103,7 @@
         lambda daemon, term, on_ended: None,
         lambda daemon, term, on_reply: None,
         lambda instance: None,
+        lambda: None,
         LeaseCallGate(),
     )
     yield reference
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -12,17 +12,20 @@
 from skylarktrail.core.gateway.shared_state import Member, encode_member
 from skylarktrail.errors import platform as codes
 from skylarktrail.errors.code import Fault
+from skylarktrail.gateway import log_reader
 from skylarktrail.gateway.event_log import EventLog
+from skylarktrail.gateway.log_reader import (
+    BATCHING_PAUSE_MS,
+    MAX_BROADCAST_BYTES,
+    UNKNOWN_POSITION,
+)
 from skylarktrail.gateway.metrics import GatewayMetrics
+from skylarktrail.gateway.operator_watcher import OperatorWatcher
+from skylarktrail.gateway.shared_watcher import SharedWatcher
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import OperatorUpdate, SharedUpdate
-from skylarktrail.gateway.watchers import (
-    BATCHING_PAUSE_MS,
-    MAX_BROADCAST_BYTES,
+from skylarktrail.gateway.store_monitor import (
     MAX_FAILURE_BACKOFF_MS,
-    UNKNOWN_POSITION,
-    OperatorWatcher,
-    SharedWatcher,
     StoreCallMonitor,
 )
 from skylarktrail.peer.gateway_messages import GatewayRecords, SharedRecord
@@ -58,11 +61,17 @@
 
     read_shared = read_operators
 
-    def share(self, key, value, position):
+    def share_all(self, records):
         """Accepts a write."""
         return Ok(0)
 
 
+@pytest.fixture(autouse=True)
+def settle_ms(monkeypatch):
+    """Lets readers follow the log at once; tests of a start set the time again."""
+    monkeypatch.setattr(log_reader, "SETTLE_MS", 0.0)
+
+
 @pytest.fixture
 def site():
     return SiteState("d1", "east", SiteBounds())
@@ -84,10 +93,15 @@
         self.has_live_granter = has_live_granter
         self.broadcasts = []
 
-    def is_granter_alive(self):
+    def expects_listings(self):
         """Returns whether the granter sends listings."""
         return self.has_live_granter
 
+    is_granter_alive = expects_listings
+
+    def apply_early_listing(self):
+        """There is none."""
+
     def record_positions(self, shared, operators):
         """Ignores positions."""
 
@@ -360,3 +374,33 @@
     positions.clear()
     watcher.run_once()
     assert positions == reported
+
+
+def test_a_daemon_that_has_just_started_waits_for_the_granter(site, log, monkeypatch):
+    """All daemons of a site start at once, and each writes a record."""
+    monkeypatch.setattr(log_reader, "SETTLE_MS", 60_000.0)
+    monkeypatch.setattr(log_reader, "FOLLOWER_WAIT_MS", 1.0)
+    store = ScriptedStore(shared(7, is_snapshot=True))
+    watcher = make_shared_watcher(store, site, log, Messenger())
+    for _ in range(3):
+        watcher.run_once()
+    assert [position for position, _ in store.calls] == [None]
+
+
+def test_a_candidate_does_not_wait_for_the_granter(site, log, monkeypatch):
+    monkeypatch.setattr(log_reader, "SETTLE_MS", 60_000.0)
+    store = ScriptedStore(shared(7, is_snapshot=True), shared(8))
+    watcher = make_shared_watcher(store, site, log, Messenger(), "candidate")
+    for _ in range(2):
+        watcher.run_once()
+    assert [position for position, _ in store.calls] == [None, 7]
+
+
+def test_a_record_that_a_starting_daemon_missed_is_read(site, log, monkeypatch):
+    monkeypatch.setattr(log_reader, "SETTLE_MS", 60_000.0)
+    store = ScriptedStore(shared(7, is_snapshot=True), shared(9))
+    watcher = make_shared_watcher(store, site, log, Messenger())
+    watcher.run_once()
+    watcher.record_granter_position(9)
+    watcher.run_once()
+    assert [position for position, _ in store.calls] == [None, 7]
