Forget the failures of a forward target when its process is replaced

Cause, by reading: the backoff of a target belonged to its name, and each of several requests that failed together doubled it, so one burst of 12 led to 3 s.

Change: failures belong to a process of the target, and one that is avoided already counts no further failure.

--- a/src/skylarktrail/gateway/forwarding.py
+++ b/src/skylarktrail/gateway/forwarding.py
@@ -14,7 +14,7 @@
 
 from result import Result
 
-from ..core.gateway.forward_targets import ForwardTarget, ForwardTargets
+from ..core.gateway.forward_targets import ForwardTargets, TargetProcess
 from ..core.gateway.scheduler import Ticket
 from ..daemon import fields
 from ..daemon.problem import Problem
@@ -158,20 +158,22 @@
         result = self._exchange(name, target, job, ticket)
         took_ms = now_ms() - started_ms
         if result.is_err():
-            return self._handle_fault(name, job, result.unwrap_err(), took_ms)
+            return self._handle_fault(name, target, job, result.unwrap_err(), took_ms)
         raw_response = result.unwrap()
         with self._lock:
             self._targets.record_success(name)
         self._count_bytes(target, job, raw_response)
         headers = raw_response.field_map()
         if fields.OUTCOME.lower() in headers:
-            return self._handle_refusal(name, job, raw_response, headers, took_ms)
+            return self._handle_refusal(
+                name, target, job, raw_response, headers, took_ms
+            )
         job.attempts.append(Attempt(name, "FORWARDED", took_ms=took_ms))
         self._count(target, "answered")
         return Response(raw_response.status, raw_response.fields, raw_response.body)
 
     def _exchange(
-        self, name: str, target: ForwardTarget, job: Job, ticket: Ticket
+        self, name: str, target: TargetProcess, job: Job, ticket: Ticket
     ) -> Result[RawResponse, Fault]:
         acquired = self._connections.acquire(
             name, target.address, job.end_ms - now_ms(), not job.route.is_idempotent
@@ -189,7 +191,7 @@
         return result
 
     def _make_request(
-        self, target: ForwardTarget, job: Job, ticket: Ticket
+        self, target: TargetProcess, job: Job, ticket: Ticket
     ) -> OutgoingRequest:
         state = ForwardedState(
             self._site.versions(now_ms()).config,
@@ -203,7 +205,7 @@
         return make_outgoing_request(job, target.address, self._replaced_fields, added)
 
     def _handle_fault(
-        self, name: str, job: Job, fault: Fault, took_ms: float
+        self, name: str, target: TargetProcess, job: Job, fault: Fault, took_ms: float
     ) -> Reply | None:
         was_sent = fault.code is not codes.INSTANCE_UNREACHED
         outcome = f"FORWARD_{fault.code.name}"
@@ -214,13 +216,14 @@
         )
         if fault.code is not codes.ATTEMPT_CUT:
             with self._lock:
-                self._targets.record_failure(name, now_ms())
+                self._targets.record_failure(name, target, now_ms())
         self._metrics.count("forwards", "", fault.code.name)
         return None
 
     def _handle_refusal(
         self,
         name: str,
+        target: TargetProcess,
         job: Job,
         raw_response: RawResponse,
         headers: Mapping[str, str],
@@ -237,7 +240,7 @@
             if problem.code is codes.DAEMON_CUT_OFF:
                 self._reach_monitor.record_peer(name, True)
             with self._lock:
-                self._targets.record_failure(name, now_ms())
+                self._targets.record_failure(name, target, now_ms())
             return None
         if is_not_run and job.may_have_run:
             return problem._replace(
@@ -253,17 +256,17 @@
         is_allowed = job.route.is_idempotent and job.run_count < job.route.max_attempts
         return is_allowed and self._site.try_acquire_retry(job.service, now_ms())
 
-    def _count(self, target: ForwardTarget, outcome: str) -> None:
+    def _count(self, target: TargetProcess, outcome: str) -> None:
         self._metrics.count("forwards", self._zone_label(target), outcome)
 
     def _count_bytes(
-        self, target: ForwardTarget, job: Job, raw_response: RawResponse
+        self, target: TargetProcess, job: Job, raw_response: RawResponse
     ) -> None:
         byte_count = len(job.request.body) + len(raw_response.body)
         label = self._zone_label(target)
         self._metrics.count("forwarded_bytes", label, amount=byte_count)
 
-    def _zone_label(self, target: ForwardTarget) -> str:
+    def _zone_label(self, target: TargetProcess) -> str:
         return "same" if target.zone == self._site.zone else "other"
 
 
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -10,7 +10,7 @@
 from ..config.gateway_settings import SiteBounds
 from ..core.gateway.budget import RetryBudget
 from ..core.gateway.fleet import Fleet, FleetChange
-from ..core.gateway.forward_targets import ForwardTarget
+from ..core.gateway.forward_targets import TargetProcess
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
 from ..core.gateway.permits import (
     MAX_DENIAL_MS,
@@ -270,12 +270,15 @@
         with self.lock:
             return self._get_retry_budget(service).try_acquire(now_ms)
 
-    def forward_targets(self) -> dict[str, ForwardTarget]:
+    def forward_targets(self) -> dict[str, TargetProcess]:
         """Returns the other daemons that accept forwarded requests."""
         with self.lock:
-            targets = dict(self.shared.forward_targets)
-            targets.pop(self.daemon, None)
-            return targets
+            members = self.shared.members
+            return {
+                name: TargetProcess(*target, members[name].process)
+                for name, target in self.shared.forward_targets.items()
+                if name in members and name != self.daemon
+            }
 
     def set_cut(self, is_cut: bool, now_ms: float) -> bool:
         """Records whether this daemon is cut off; returns whether that changed."""
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from skylarktrail.core.gateway.forward_targets import ForwardTarget
+from skylarktrail.core.gateway.forward_targets import TargetProcess
 from skylarktrail.core.gateway.model import Route, WeightedService
 from skylarktrail.core.gateway.scheduler import Ticket
 from skylarktrail.daemon import fields
@@ -54,7 +54,8 @@
     def __init__(self, addresses):
         self.zone = "east"
         self.targets = {
-            name: ForwardTarget("east", address) for name, address in addresses.items()
+            name: TargetProcess("east", address, "p1")
+            for name, address in addresses.items()
         }
         self.retries = 10
 
@@ -259,7 +260,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     setup = make_setup()
     address = "127.0.0.1:%d" % listener.getsockname()[1]
-    setup.site.targets = {"d2": ForwardTarget("east", address)}
+    setup.site.targets = {"d2": TargetProcess("east", address, "p1")}
     closed = threading.Event()
 
     def accept():
