Take no late copy without an id for the next response on a connection

Cause: a response without an id counted as one that names the request.

Change: on a connection that has carried a request before, such a response is skipped as one with another id is. Refusals between daemons have no id, so connections to daemons stay as they were. Three tests; two of them failed before.

Ruled out: closing connections after responses without an id, as the copy may also follow a response that had one.

--- a/src/skylarktrail/gateway/connection_pool.py
+++ b/src/skylarktrail/gateway/connection_pool.py
@@ -24,14 +24,16 @@
 
     Args:
         id_field: Name, in lower case, of the header field with the request id.
+        names_requests: Whether all responses of the servers have that field.
 
     Attributes:
         opened_count: Number of connections opened so far.
         on_connect: Called with an instance and whether a connection to it was opened.
     """
 
-    def __init__(self, id_field: str) -> None:
+    def __init__(self, id_field: str, names_requests: bool = True) -> None:
         self._id_field = id_field
+        self._names_requests = names_requests
         self._idle: dict[str, list[Connection]] = {}
         self._lock = threading.Lock()
         self.opened_count = 0
@@ -54,7 +56,7 @@
         connection = self._acquire_idle(instance, address, must_run_once)
         if connection is not None:
             return Ok(connection)
-        connection = Connection(address, self._id_field)
+        connection = self._make_connection(address)
         open_result = connection.open(timeout_ms)
         self.opened_count += 1
         self.on_connect(instance, open_result.is_ok())
@@ -62,7 +64,7 @@
 
     def can_connect(self, address: str, timeout_ms: float) -> bool:
         """Returns whether a connection to `host:port` can be opened, and closes it."""
-        connection = Connection(address, self._id_field)
+        connection = self._make_connection(address)
         self.opened_count += 1
         is_open = connection.open(timeout_ms).is_ok()
         connection.close()
@@ -100,6 +102,9 @@
         for name in set(self._idle) - instances:
             self.close_idle(name)
 
+    def _make_connection(self, address: str) -> Connection:
+        return Connection(address, self._id_field, self._names_requests)
+
     def _acquire_idle(
         self, instance: str, address: str, must_run_once: bool
     ) -> Connection | None:
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -109,19 +109,23 @@
     Args:
         address: `host:port` of the instance.
         id_field: Name, in lower case, of the header field with the request id.
+        names_requests: Whether all responses of the server have that field.
 
     Attributes:
         is_aborted: Whether `abort` was called.
-        idle_since_ms: When the last exchange ended.
+        idle_since_ms: When the last exchange ended; 0 before the first.
         idle_limit_ms: How long the connection may stay idle after it.
     """
 
-    def __init__(self, address: str, id_field: str) -> None:
+    def __init__(
+        self, address: str, id_field: str, names_requests: bool = True
+    ) -> None:
         self.address = address
         self.is_aborted = False
         self.idle_since_ms = 0.0
         self.idle_limit_ms = 0.0
         self._id_field = id_field
+        self._names_requests = names_requests
         self._socket: socket.socket | None = None
 
     def open(self, timeout_ms: float) -> Result[None, Fault]:
@@ -221,8 +225,7 @@
                 return Err(
                     Fault(code, self.address, "connection closed before the response")
                 )
-            answered_id = response.field_map().get(self._id_field, request.request_id)
-            if answered_id == request.request_id:
+            if self._is_response_to(response, request):
                 return Ok(response)
             if not response.is_reusable and parser.their_state is not h11.DONE:
                 break
@@ -234,6 +237,17 @@
         detail = "response to another request"
         return Err(Fault(codes.INSTANCE_GARBLED, self.address, detail))
 
+    def _is_response_to(self, response: RawResponse, request: OutgoingRequest) -> bool:
+        """Returns whether a response answers a request.
+
+        One without an id may be a late copy of an earlier response, unless it is the
+        first on its connection.
+        """
+        answered_id = response.field_map().get(self._id_field)
+        if answered_id is None:
+            return not self._names_requests or not self.idle_since_ms
+        return answered_id == request.request_id
+
     def _read_next(
         self,
         sock: socket.socket,
--- a/src/skylarktrail/gateway/forwarding.py
+++ b/src/skylarktrail/gateway/forwarding.py
@@ -109,7 +109,8 @@
         self._disconnect_monitor = disconnect_monitor
         self._replaced_fields = replaced_fields
         self._metrics = metrics
-        self._connections = ConnectionPool(id_field)
+        # Refusals of daemons do not name the request.
+        self._connections = ConnectionPool(id_field, names_requests=False)
         self._targets = ForwardTargets(site.zone, random.random)
         self._lock = threading.Lock()
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -22,12 +22,30 @@
     data: bytes
 
 
+class Parts(NamedTuple):
+    """A response that is sent in parts.
+
+    Attributes:
+        pause_s: Seconds between them.
+        data: Bytes of each part.
+    """
+
+    pause_s: float
+    data: tuple[bytes, ...]
+
+
+def _send_parts(connection: socket.socket, response: Parts) -> None:
+    for data in response.data:
+        connection.sendall(data)
+        time.sleep(response.pause_s)
+
+
 class ScriptedServer:
     """A server that sends scripted bytes for each request on each connection.
 
     Args:
         connections: For each connection, the responses in order: bytes, a
-            `LateResponse`, "reset" to reset the connection or "silence" to send
+            `LateResponse`, `Parts`, "reset" to reset the connection or "silence" to send
             nothing.
 
     Attributes:
@@ -72,6 +90,9 @@
             if isinstance(response, LateResponse):
                 time.sleep(response.wait_s)
                 response = response.data
+            if isinstance(response, Parts):
+                _send_parts(connection, response)
+                continue
             connection.sendall(response)
 
     def close(self) -> None:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -11,7 +11,7 @@
 from skylarktrail.gateway.connection_pool import ConnectionPool
 from skylarktrail.gateway.exchange import Connection, OutgoingRequest
 
-from .conftest import LateResponse
+from .conftest import LateResponse, Parts
 
 ID_FIELD = "request-id"
 LONG_MS = 3000.0
@@ -176,6 +176,38 @@
     assert connections.opened_count == 2
 
 
+COPY = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy"
+
+
+@pytest.mark.parametrize("is_split", [False, True])
+def test_late_copy_without_an_id_is_not_taken_for_the_next_response(
+    start_server, connections, is_split
+):
+    """A server sends a second copy of a response when the next request comes."""
+    second = make_response(b"next", b"r2")
+    responses = [make_response(), COPY + second]
+    if is_split:
+        responses = [make_response(), Parts(0.05, (COPY[:9], COPY[9:], second))]
+    server = start_server(responses)
+    exchange_pooled(connections, server)
+    result = exchange_pooled(connections, server, "r2", must_run_once=True)
+    assert result.unwrap().body == b"next"
+    assert connections.opened_count == 1
+
+
+def test_copies_alone_are_no_response(start_server, connections):
+    server = start_server([make_response(), COPY * 5])
+    exchange_pooled(connections, server)
+    assert code_of(exchange_pooled(connections, server, "r2")) is codes.INSTANCE_GARBLED
+
+
+def test_response_without_an_id_on_a_new_connection_is_returned(
+    start_server, connections
+):
+    """A proxy before the instance generates it; it is told from others unsigned."""
+    assert exchange_pooled(connections, start_server([COPY])).unwrap().body == b"copy"
+
+
 def test_exchange_on_an_aborted_connection_fails(start_server):
     server = start_server(["silence"])
     connection = Connection(server.address, ID_FIELD)
