--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -45,8 +45,8 @@
 
     Args:
         connections: For each connection, the responses in order: bytes, a
-            `LateResponse`, `Parts`, "reset" to reset the connection or "silence" to send
-            nothing.
+            `LateResponse`, `Parts`, "reset" to reset the connection or "silence" to
+            send nothing.
 
     Attributes:
         address: `host:port` of the server.
