Serve requests that can meet their target before those that are late

What callers saw: while a stateless service gets a tenth more requests than it can serve, most responses come after their latency target. A first attempt was refused if it would be late, its retry only had to meet its deadline, and the retries went first as their deadlines are nearer; so after seconds nearly all work was spent on late responses, and new requests were refused for them.

Change: waiting requests are ordered by priority, then by whether they can still meet the target. Late ones only use slots that are free, and are refused at once while others wait that can meet it. Lower priorities use a smaller part of the queue at an instance (QUEUE_PRIORITY_RATIO 0.5 -> 1).

--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -6,6 +6,9 @@
   attempt that would miss its latency target is refused at once, and requests for other
   keys and services are not delayed.
 - There are more requests than slots. They are served by priority, then by deadline.
+- Callers that were refused retry while the overload lasts, and their responses come
+  after the latency target. Such requests only use slots that are free, and are refused
+  while others wait that can meet the target. Else all responses would soon be late.
 - Instances hang when their queue is full. The requests that a daemon sends stay within
   the slots and a short queue, by load reports and by a limit on its own requests.
 - An instance names a rate that it accepts from all daemons together, or the owner of
@@ -31,7 +34,7 @@
 from .retry_after import retry_after_ms
 
 QUEUE_LENGTH_RATIO = 1.0  # Queue length at an instance, relative to its slots.
-QUEUE_PRIORITY_RATIO = 0.5  # Each priority step below the highest shortens the queue.
+QUEUE_PRIORITY_RATIO = 1.0  # Each priority step below the highest shortens the queue.
 # Requests that all daemons together may send to an instance, whatever it reports.
 SITE_IN_FLIGHT_COUNT = 24.0
 # Traffic between zones is expensive, but long waits are worse.
@@ -76,6 +79,7 @@
         on_decided: Called when a waiting ticket is placed or refused.
         submitted_ms: When it was submitted.
         permit_instance: Instance for which it waits for a permit; empty if it does not.
+        is_late: Whether its response cannot meet the latency target any more.
     """
 
     def __init__(
@@ -104,15 +108,32 @@
         self.on_decided = on_decided
         self.submitted_ms = 0.0
         self.permit_instance = ""
+        self.is_late = False
 
     @property
     def is_decided(self) -> bool:
         """Returns whether the ticket was placed or refused."""
         return self.instance is not None or bool(self.refusal_reason)
 
-    def sort_key(self) -> tuple[int, float]:
+    def sort_key(self) -> tuple[int, bool, float]:
         """Returns the key that orders waiting tickets."""
-        return self.route.priority, self.end_ms
+        return self.route.priority, self.is_late, self.end_ms
+
+
+class QueueAhead(NamedTuple):
+    """Tickets that wait for the same instances and come before another one.
+
+    Attributes:
+        count: Number of tickets.
+        on_time_count: How many of them can meet their latency target.
+    """
+
+    count: int = 0
+    on_time_count: int = 0
+
+    def add(self, ticket: Ticket) -> QueueAhead:
+        """Returns the queue with one more ticket."""
+        return QueueAhead(self.count + 1, self.on_time_count + (not ticket.is_late))
 
 
 class SchedulerView(NamedTuple):
@@ -165,11 +186,12 @@
     def submit(self, ticket: Ticket, now_ms: float) -> None:
         """Places a ticket, refuses it or adds it to the queue."""
         ticket.submitted_ms = now_ms
+        self._update_lateness(ticket, now_ms)
         ticket.admitted_part = self._admitted_part(ticket, now_ms)
         if ticket.admitted_part < 1 and self._random_fraction() >= ticket.admitted_part:
             ticket.refusal_reason = "shed"
             return
-        self._decide(ticket, now_ms, self._count_ahead(ticket))
+        self._decide(ticket, now_ms, self._find_ahead(ticket))
         if not ticket.is_decided:
             self._waiting.append(ticket)
             self._waiting.sort(key=Ticket.sort_key)
@@ -189,16 +211,23 @@
     def poll(self, now_ms: float) -> None:
         """Places or refuses the waiting tickets for which that is possible now."""
         waiting, self._waiting = self._waiting, []
-        ahead_count: dict[object, int] = {}
+        for ticket in waiting:
+            self._update_lateness(ticket, now_ms)
+        waiting.sort(key=Ticket.sort_key)
+        queues: dict[tuple[str, str], QueueAhead] = {}
         for ticket in waiting:
             queue_key = self._queue_key(ticket)
-            self._decide(ticket, now_ms, ahead_count.get(queue_key, 0))
+            ahead = queues.get(queue_key, QueueAhead())
+            self._decide(ticket, now_ms, ahead)
             if ticket.is_decided:
                 ticket.on_decided()
             else:
-                ahead_count[queue_key] = ahead_count.get(queue_key, 0) + 1
+                queues[queue_key] = ahead.add(ticket)
                 self._waiting.append(ticket)
 
+    def _update_lateness(self, ticket: Ticket, now_ms: float) -> None:
+        ticket.is_late = now_ms + self.work_ms(ticket) > ticket.target_end_ms
+
     def pop_permit_requests(self, now_ms: float) -> list[PermitRequest]:
         """Returns the requests for permits that are due, and records them as sent."""
         counts = Counter(t.permit_instance for t in self._waiting if t.permit_instance)
@@ -275,16 +304,16 @@
             return ticket.service, ""
         return ticket.service, self.view.find_owner(ticket.service, ticket.key_hash)
 
-    def _count_ahead(self, ticket: Ticket) -> int:
+    def _find_ahead(self, ticket: Ticket) -> QueueAhead:
         queue_key = self._queue_key(ticket)
         order = ticket.sort_key()
-        return sum(
-            1
-            for other in self._waiting
-            if other.sort_key() <= order and self._queue_key(other) == queue_key
-        )
+        ahead = QueueAhead()
+        for other in self._waiting:
+            if other.sort_key() <= order and self._queue_key(other) == queue_key:
+                ahead = ahead.add(other)
+        return ahead
 
-    def _decide(self, ticket: Ticket, now_ms: float, ahead_count: int) -> None:
+    def _decide(self, ticket: Ticket, now_ms: float, ahead: QueueAhead) -> None:
         if now_ms >= ticket.end_ms:
             ticket.refusal_reason = "timeout"
             return
@@ -297,9 +326,8 @@
         if not usable:
             self._decide_without_permit(ticket, candidates, now_ms)
             return
-        priority = ticket.route.priority
-        available = [i for i in usable if self._has_capacity(i, priority, now_ms)]
-        free = [] if ahead_count else available
+        available = [i for i in usable if self._has_capacity(ticket, i, now_ms)]
+        free = [] if ahead.count else available
         if free:
             best = min(free, key=lambda i: self._cost_ms(ticket, i, now_ms))
             if len(usable) < len(candidates):
@@ -310,8 +338,11 @@
                 self._place(ticket, best, now_ms)
             return
         expected_ms = self._expected_queued_response_ms(
-            ticket, usable, ahead_count, now_ms
+            ticket, usable, ahead.count, now_ms
         )
+        if ticket.is_late and ahead.on_time_count:
+            self._refuse_for_overload(ticket, expected_ms)
+            return
         self._check_in_time(ticket, expected_ms, now_ms)
 
     def _check_in_time(self, ticket: Ticket, expected_ms: float, now_ms: float) -> bool:
@@ -330,9 +361,12 @@
             latest_ms = min(left_ms, target_left_ms)
         if expected_ms <= latest_ms:
             return True
+        self._refuse_for_overload(ticket, expected_ms)
+        return False
+
+    def _refuse_for_overload(self, ticket: Ticket, expected_ms: float) -> None:
         ticket.refusal_reason = "overload"
         ticket.backlog_ms = expected_ms - self.work_ms(ticket)
-        return False
 
     def _decide_without_instance(self, ticket: Ticket, now_ms: float) -> None:
         """Refuses a ticket without a usable instance.
@@ -456,17 +490,21 @@
         instance.cold_bucket.burst = COLD_BURST_COUNT if rate_per_s else 0.0
         return instance.cold_bucket
 
-    def _has_capacity(self, instance: Instance, priority: int, now_ms: float) -> bool:
-        """Returns whether an instance can accept a request of a priority now.
+    def _has_capacity(self, ticket: Ticket, instance: Instance, now_ms: float) -> bool:
+        """Returns whether an instance can accept a ticket now.
 
-        Requests of lower priority may only use a part of the queue, but all slots.
+        Requests of lower priority may only use a part of the queue, and those that are
+        late none of it, but all slots.
         """
         slots = max(1, instance.entry.slots)
         sending_count = len(self.view.daemons) - self.view.cut_daemon_count
         own_limit = max(1.0, SITE_IN_FLIGHT_COUNT / max(1, sending_count))
         if instance.in_flight >= own_limit:
             return False
-        queue = QUEUE_LENGTH_RATIO / (1 + QUEUE_PRIORITY_RATIO * max(0, priority))
+        if ticket.is_late:
+            return instance.occupancy(now_ms) + 1 <= slots
+        priority = max(0, ticket.route.priority)
+        queue = QUEUE_LENGTH_RATIO / (1 + QUEUE_PRIORITY_RATIO * priority)
         return instance.occupancy(now_ms) < slots * (1 + queue)
 
     def _expected_response_ms(
