Bound the memory of messages that wait to be sent to all daemons together

Only the number of messages to each peer was bounded.

Change: a budget of 32 MB over all peers, of which messages over 16 KB use at most half, so that heartbeats and records still go out. A message counts until its socket has taken it; one that does not fit is dropped and counted as one for a full queue is. Two tests, the first failing before.

--- a/src/skylarktrail/peer/hub.py
+++ b/src/skylarktrail/peer/hub.py
@@ -22,6 +22,7 @@
 from .codec import MAX_MESSAGE_BYTES, decode, encode
 from .link import Link, OutgoingMessage, Peer, PendingRequest
 from .messages import Heartbeat, Hello, Message
+from .send_budget import SendBudget
 
 HEARTBEAT_MS = 200
 SILENCE_TIMEOUT_MS = 1000
@@ -120,6 +121,7 @@
         self._random = random.Random()
         self._tasks: set[asyncio.Task] = set()
         self._roster: set[str] = set()
+        self._budget = SendBudget()
         self.peers: dict[str, Peer] = {}
         self.heartbeat_peers: frozenset[str] = frozenset()
         self.loop = asyncio.get_running_loop()
@@ -193,7 +195,7 @@
                 del self.peers[name]
 
     def _get_or_add_peer(self, name: str) -> Peer:
-        return self.peers.setdefault(name, Peer(name, ""))
+        return self.peers.setdefault(name, Peer(name, "", self._budget))
 
     # Sending.
 
@@ -243,6 +245,7 @@
             if pending is not None:
                 peer.pending[outgoing.request_id] = pending._replace(link=link)
                 return outgoing.data
+            peer.drop(outgoing)
         return None
 
     def _fail_request(self, peer: Peer, request_id: int) -> None:
@@ -262,6 +265,7 @@
     def _drop_queue(self, peer: Peer) -> None:
         while peer.queue:
             outgoing = peer.queue.popleft()
+            peer.drop(outgoing)
             self._counters["dropped"] += 1
             if outgoing.request_id:
                 self._fail_request(peer, outgoing.request_id)
--- a/src/skylarktrail/peer/link.py
+++ b/src/skylarktrail/peer/link.py
@@ -9,6 +9,8 @@
 
 from websockets.asyncio.connection import Connection
 
+from .send_budget import SendBudget
+
 MAX_QUEUED_MESSAGES = 1024
 
 PopMessage = Callable[["Link"], "bytes | None"]
@@ -88,14 +90,21 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            while (data := self._next_data(pop_message)) is not None:
-                await self.socket.send(data)
-
-    def _next_data(self, pop_message: PopMessage) -> bytes | None:
-        if self.heartbeat is not None:
-            data, self.heartbeat = self.heartbeat, None
-            return data
-        return pop_message(self)
+            while True:
+                if self.heartbeat is not None:
+                    heartbeat, self.heartbeat = self.heartbeat, None
+                    await self.socket.send(heartbeat)
+                elif (data := pop_message(self)) is not None:
+                    await self._send_queued(data)
+                else:
+                    break
+
+    async def _send_queued(self, data: bytes) -> None:
+        """Sends a message; its memory counts until the socket has accepted it."""
+        try:
+            await self.socket.send(data)
+        finally:
+            self.peer.budget.release(len(data))
 
 
 class PendingRequest(NamedTuple):
@@ -130,9 +139,11 @@
         down_since_ms: Time at which the last open link was lost; 0 for never.
         last_received_ms: Time of the last message received on any link; None for
             never.
+        budget: Bytes that wait to be sent to all peers.
     """
 
-    def __init__(self, name: str, address: str) -> None:
+    def __init__(self, name: str, address: str, budget: SendBudget) -> None:
+        self.budget = budget
         self.name = name
         self.address = address
         self.links: list[Link] = []
@@ -153,5 +164,11 @@
         """Appends a message to the queue; returns False when the queue is full."""
         if len(self.queue) >= MAX_QUEUED_MESSAGES:
             return False
+        if not self.budget.try_acquire(len(outgoing.data)):
+            return False
         self.queue.append(outgoing)
         return True
+
+    def drop(self, outgoing: OutgoingMessage) -> None:
+        """Releases the memory of a message that was taken from the queue."""
+        self.budget.release(len(outgoing.data))
--- a/tests/peer/test_links.py
+++ b/tests/peer/test_links.py
@@ -13,8 +13,9 @@
 from skylarktrail.peer.link import MAX_QUEUED_MESSAGES
 from skylarktrail.peer.links import PeerLinks
 from skylarktrail.peer.messages import Hello, Promise, PromiseRequest, SnapshotRequest
+from skylarktrail.peer.send_budget import MAX_WAITING_BYTES
 
-from .conftest import set_roster, wait_until
+from .conftest import WAIT_TIMEOUT_S, set_roster, wait_until
 
 TIMEOUT_MS = 10_000
 
@@ -237,6 +238,30 @@
     assert a.links.counters["queue_full"] >= 1
 
 
+def test_messages_to_silent_peers_use_a_bounded_amount_of_memory(make_node):
+    """Hundreds of daemons start at once and each gets a listing of all instances."""
+    a = make_node("a")
+    large = Promise("g" * (512 << 10), 1, True)
+    names = [f"b{number}" for number in range(100)]
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        a.links.set_peers({name: address for name in names})
+        assert wait_until(lambda: a.links.send(names[0], SnapshotRequest()))
+        sent_count = sum(a.links.send(name, large) for name in names)
+        assert sent_count * (512 << 10) <= MAX_WAITING_BYTES
+        assert a.links.send(names[-1], SnapshotRequest())
+
+
+def test_memory_of_sent_and_dropped_messages_is_used_again(make_node):
+    a, b = make_node("a"), make_node("b")
+    a.links.set_peers({"b": b.address, "c": "127.0.0.1:9"})
+    large = Promise("g" * (512 << 10), 1, True)
+    for _ in range(2 * MAX_WAITING_BYTES // (512 << 10)):
+        a.links.send("c", large)
+        assert wait_until(lambda: a.links.send("b", large))
+        b.inbox.get(timeout=WAIT_TIMEOUT_S)
+
+
 def test_address_in_use_yields_listen_failed(make_node):
     a = make_node("a")
     other = PeerLinks("b", "i1", "z", a.address, None, None, None)
