Send daemons the listing since the position that they reached

Serving after all were killed: 10.5 s at 100 machines, not within 30 s at 300.

Cause: changes were only sent to daemons whose last listing came from this granter and process.

Change: gateway/listing_feed.py keeps when each entry changed. A daemon gets the changes since its position, whether the former granter or the store gave it the entries; a successor continues from its own last listing. Offsets are continued within an era only. The wire forms are the same; a daemon of an earlier build asks for a whole listing after a change of granter as before.

--- a/src/skylarktrail/gateway/instance_watcher.py
+++ b/src/skylarktrail/gateway/instance_watcher.py
@@ -7,6 +7,7 @@
 from .clock import now_ms
 from .connection_pool import ConnectionPool
 from .event_log import EventLog
+from .instance_log import log_instance_changes
 from .messenger import Messenger
 from .site_state import SiteState
 from .site_store import SiteStore
@@ -70,13 +71,10 @@
             return pause_ms
         listing = read.unwrap()
         changes = self._site.apply_listing(listing, now_ms())
-        for change in changes:
-            self._log.state(
-                "instance_" + change.change,
-                instance=change.instance,
-                service=change.service,
-                position=listing.position,
-            )
+        log_instance_changes(self._log, changes, listing.position)
+        if self._is_granter():
+            self._messenger.broadcast_listing(listing)
+        self._messenger.record_read_listing(listing)
         if changes:
             self._connections.keep_only(set(self._site.fleet.instances))
         if not self.has_listing:
@@ -86,5 +84,4 @@
             return FOLLOWER_POLL_MS
         if not self._is_granter():
             return LISTING_INTERVAL_MS - (now_ms() - started_ms)
-        self._messenger.broadcast_listing(listing)
         return GRANTER_LISTING_INTERVAL_MS - (now_ms() - started_ms)
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -1,7 +1,7 @@
 """Messages between gateways: load reports, broadcast records and listings.
 
 Positions go out as offsets, as daemons of earlier builds do not know eras. The granter
-sends its era before each full listing.
+tells a daemon its era before the first listing.
 """
 
 from __future__ import annotations
@@ -12,8 +12,6 @@
 
 from result import Result
 
-from ..core.gateway.fleet import Fleet
-from ..core.gateway.model import InstanceEntry
 from ..core.gateway.positions import era_of, make_position, offset_of
 from ..core.gateway.ranges import OwnedRange
 from ..errors.code import Fault
@@ -36,6 +34,8 @@
 from ..peer.messages import Message
 from .clock import now_ms
 from .event_log import EventLog
+from .instance_log import log_instance_changes
+from .listing_feed import ListingFeed, ReceivedListing
 from .site_state import SiteState
 from .site_store import Listing
 
@@ -48,87 +48,6 @@
 LISTING_MISSED_MS = 1750.0
 
 
-class ListingFeed:
-    """Computes the change of the listing that the granter sends to each daemon.
-
-    Attributes:
-        shared: Position that this daemon reached in the shared records.
-        operators: Position that it reached in the operators' records.
-    """
-
-    def __init__(self) -> None:
-        self._sent_entries: dict[str, InstanceEntry] = {}
-        self._position = -1
-        self.shared = -1
-        self.operators = -1
-        self._sent_positions: dict[str, int] = {}
-
-    def make_change(self, fleet: Fleet, position: int) -> GatewayListing:
-        """Records the entries after a read and returns the change since the last."""
-        current = {name: i.entry for name, i in fleet.instances.items()}
-        changed = [
-            entry
-            for name, entry in current.items()
-            if name not in self._sent_entries
-            or _is_changed(self._sent_entries[name], entry)
-        ]
-        removed = tuple(set(self._sent_entries) - set(current))
-        if era_of(position) != self.era:
-            self._sent_positions.clear()
-        base, self._position = self._position, position
-        for entry in changed:
-            self._sent_entries[entry.instance] = entry
-        for name in removed:
-            del self._sent_entries[name]
-        return self._make_listing(base, tuple(changed), removed)
-
-    @property
-    def has_listing(self) -> bool:
-        """Returns whether there is a listing to send."""
-        return self._position >= 0
-
-    def make_full_listing(self, daemon: str) -> GatewayListing:
-        """Returns a listing of all entries for a daemon."""
-        self._sent_positions[daemon] = offset_of(self._position)
-        return self._make_listing(-1, tuple(self._sent_entries.values()), ())
-
-    def _make_listing(
-        self, base: int, entries: tuple[InstanceEntry, ...], removed: tuple[str, ...]
-    ) -> GatewayListing:
-        return GatewayListing(
-            offset_of(base),
-            offset_of(self._position),
-            offset_of(self.shared),
-            offset_of(self.operators),
-            entries,
-            removed,
-        )
-
-    @property
-    def era(self) -> int:
-        """Returns the era of the last listing; 0 if the store names none."""
-        return era_of(max(0, self._position))
-
-    def select_listing(self, daemon: str, change: GatewayListing) -> GatewayListing:
-        """Returns the change for a daemon, or all entries if it missed a change."""
-        if self._sent_positions.get(daemon) != change.base or change.base < 0:
-            return self.make_full_listing(daemon)
-        self._sent_positions[daemon] = change.position
-        return change
-
-    def record_reported_position(self, daemon: str, position: int) -> None:
-        """Records the last position that a daemon reports.
-
-        A negative position means that it missed a change and needs all entries.
-        """
-        if position < 0:
-            self._sent_positions.pop(daemon, None)
-
-
-def _is_changed(before: InstanceEntry, after: InstanceEntry) -> bool:
-    return before._replace(sequence=0) != after._replace(sequence=0)
-
-
 class Messenger:
     """Sends messages to the other gateways and dispatches those received.
 
@@ -178,7 +97,7 @@
         self._on_positions = on_positions
         self._on_term_end_request = on_term_end_request
         self._feed = ListingFeed()
-        self._entries: dict[str, InstanceEntry] = {}
+        self._received = ReceivedListing()
         self._listing_received_ms = -1e18
         self._listing_sender = ""
         self._early_listing: tuple[str, GatewayListing] | None = None
@@ -331,15 +250,24 @@
         for name in self._peers:
             self._links.send(name, message)
 
+    def record_read_listing(self, listing: Listing) -> None:
+        """Records the entries that this daemon has read from the store."""
+        with self._listing_lock:
+            self._received.replace(listing)
+            self._site.granter_listing_position = self._received.position
+
     def broadcast_listing(self, listing: Listing) -> None:
-        """Sends the change of the instances' entries to all other daemons."""
-        with self._site.lock:
-            change = self._feed.make_change(self._site.fleet, listing.position)
-        for name in self._peers:
-            self._send_listing(name, self._feed.select_listing(name, change))
+        """Sends the changes of the instances' entries to all other daemons."""
+        with self._listing_lock:
+            self._feed.begin_term(self._site.shared.granter.term, self._received)
+            with self._site.lock:
+                self._feed.update(self._site.fleet, listing.position)
+            at_ms = now_ms()
+            for name in self._peers:
+                self._send_listing(name, self._feed.select_listing(name, at_ms))
 
     def _send_listing(self, daemon: str, listing: GatewayListing) -> None:
-        if listing.base < 0 and self._feed.era:
+        if self._feed.needs_era(daemon):
             self._links.send(daemon, GatewayStoreEra(self._feed.era))
         self._links.send(daemon, listing)
 
@@ -385,9 +313,14 @@
 
     def _handle_load(self, daemon: str, report: GatewayLoad) -> None:
         """Handles a load report; as granter, sends a listing that is asked for."""
-        self._feed.record_reported_position(daemon, report.listing)
-        if report.listing < 0 and self.is_granter() and self._feed.has_listing:
-            self._send_listing(daemon, self._feed.make_full_listing(daemon))
+        with self._listing_lock:
+            at_ms = now_ms()
+            needs_listing = self._feed.record_reported_position(
+                daemon, report.listing, at_ms
+            )
+            if needs_listing and self.is_granter() and self._feed.has_listing:
+                whole = self._feed.make_whole_listing(daemon, at_ms)
+                self._send_listing(daemon, whole)
         self._on_load(daemon, report)
 
     def apply_early_listing(self) -> None:
@@ -405,32 +338,18 @@
             self._on_unknown_granter()
 
     def _apply_listing(self, daemon: str, message: GatewayListing) -> None:
-        if message.base >= 0 and (
-            message.base != self._site.granter_listing_position
-            or daemon != self._listing_sender
-        ):
-            self._site.granter_listing_position = -1
+        era = self._eras_by_sender.get(daemon, self._own_era)
+        is_applied = self._received.apply(message, era)
+        self._site.granter_listing_position = self._received.position
+        if not is_applied:
             return
-        if message.base < 0:
-            self._entries = {}
-        for entry in message.entries:
-            self._entries[entry.instance] = entry
-        for name in message.removed_instances:
-            self._entries.pop(name, None)
         self._listing_sender = daemon
         self._listing_received_ms = now_ms()
         self._on_positions(
             self._to_position(daemon, message.shared),
             self._to_position(daemon, message.operators),
         )
-        self._site.granter_listing_position = message.position
         position = self._to_position(daemon, message.position)
-        listing = Listing(list(self._entries.values()), position)
-        for change in self._site.apply_listing(listing, now_ms()):
-            self._log.state(
-                "instance_" + change.change,
-                instance=change.instance,
-                service=change.service,
-                position=message.position,
-                told_by=daemon,
-            )
+        listing = Listing(list(self._received.entries.values()), position)
+        changes = self._site.apply_listing(listing, now_ms())
+        log_instance_changes(self._log, changes, message.position, told_by=daemon)
