Answer requests that are being received when a daemon stops

Change: the drain also waits, within the grace period, while a connection of callers or of other daemons has a request that is read or waits, or a response that is not sent. In both kinds of daemon.

Not covered: a request that comes on a kept connection within 0.1 s before the process ends.

--- a/src/skylarktrail/daemon/service.py
+++ b/src/skylarktrail/daemon/service.py
@@ -48,6 +48,7 @@
 from .router import Router
 from .status_collector import ChangeLog, Readiness, StatusCollector
 from .ticker import Ticker
+from .unfinished import has_unfinished_requests
 from .vm_watcher import VmWatcher
 
 TICK_MS = 50
@@ -119,6 +120,7 @@
             self._directory, self._dispatcher, homes, self._metrics, self._loads
         )
         self._actors: list[pykka.ActorRef] = []
+        self._request_servers: list[BaseWSGIServer] = []
         self._servers: list[BaseWSGIServer] = []
 
     def _table_limits(self) -> TableLimits:
@@ -175,8 +177,10 @@
         self._links.stop()
 
     def _is_drain_incomplete(self) -> bool:
-        """Returns whether requests are in flight or the daemon is still a member."""
-        if self._router.in_flight:
+        """Returns whether requests are open or the daemon is still a member."""
+        if self._router.in_flight or any(
+            has_unfinished_requests(server) for server in self._request_servers
+        ):
             return True
         return self._identity.daemon in self._state.members
 
@@ -247,6 +251,7 @@
             settings.threads,
             settings.limits,
         )
+        self._request_servers.append(caller_server)
         self._servers.append(caller_server)
         operators = create_server(
             OperatorApp(status_source, self._metrics),
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -18,6 +18,7 @@
 from ..core.gateway.shared_state import Member
 from ..daemon.caller_app import CallerApp, make_caller_server
 from ..daemon.ticker import Ticker
+from ..daemon.unfinished import has_unfinished_requests
 from ..errors import caller as codes
 from ..errors.code import Fault
 from ..peer.gateway_messages import (
@@ -160,6 +161,7 @@
         self._forward_app = CallerApp(ForwardedHandler(self._router), self._metrics)
         self._is_draining = False
         self._granter_seen_ms = now_ms()
+        self._request_servers: list[BaseWSGIServer] = []
         self._servers: list[BaseWSGIServer] = []
         self._workers: list[Worker] = []
         self._add_gauges()
@@ -209,11 +211,17 @@
         end_ms = started_ms + self._bounds.grace_s * 1000 - KILL_MARGIN_MS
         _sleep_until(min(end_ms, started_ms + UNREADY_NOTICE_MS))
         self._router.is_closed = True
-        while self._router.open_requests and now_ms() < end_ms:
+        while self._has_unfinished_requests() and now_ms() < end_ms:
             time.sleep(DRAIN_POLL_S)
         time.sleep(FLUSH_S)
         self._stop()
 
+    def _has_unfinished_requests(self) -> bool:
+        """Returns whether a request that a caller began to send is not answered."""
+        return self._router.open_requests > 0 or any(
+            has_unfinished_requests(server) for server in self._request_servers
+        )
+
     def is_ready(self) -> bool:
         """Returns whether the daemon accepts callers' requests."""
         is_initialized = (
@@ -236,9 +244,9 @@
         )
         health_app = HealthApp(self.is_ready, self._metrics)
         addresses = [settings.ready_address, settings.metrics_address]
-        self._servers = [caller_server]
+        self._request_servers = [caller_server]
         if settings.forward_address:
-            self._servers.append(
+            self._request_servers.append(
                 make_caller_server(
                     self._forward_app,
                     settings.forward_address,
@@ -247,7 +255,7 @@
                     1,
                 )
             )
-        self._servers += [
+        self._servers = self._request_servers + [
             create_server(health_app, listen=item, threads=READY_THREADS, ident=None)
             for item in addresses
             if item
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -4,11 +4,13 @@
 
 import json
 import signal
+import socket
 import time
 
 import pytest
 
-from demo.gateway_site import REQUEST_KINDS, GatewaySite
+from demo.gateway_site import HOST_NAME, REQUEST_KINDS, GatewaySite
+from skylarktrail.gateway.service import FLUSH_S, UNREADY_NOTICE_MS
 
 STOCK, BOOKING = REQUEST_KINDS
 MAX_UNSERVED_S = 5.0  # Target: a key is served again within 5 s of a failure.
@@ -156,6 +158,25 @@
     site.wait_for(site.ready_addresses["d3"], "/ready")
 
 
+def test_shutdown_answers_a_request_that_is_being_received(site):
+    """A caller on a slow link has sent the half of its request at SIGTERM."""
+    process = site.gateways["d3"]
+    host, _, port = site.caller_addresses["d3"].rpartition(":")
+    with socket.create_connection((host, int(port)), 5.0) as connection:
+        head = "POST /booking/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %016x\r\n"
+        fields = "Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\n"
+        connection.sendall((head % (HOST_NAME, 77) + fields + "ab").encode())
+        time.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        time.sleep(UNREADY_NOTICE_MS / 1000 + FLUSH_S + 0.5)
+        connection.sendall(b"cd")
+        response = connection.recv(1 << 16)
+    assert response.startswith((b"HTTP/1.1 200 ", b"HTTP/1.1 503 "))
+    assert process.wait(5.0) == 0
+    process.start()
+    site.wait_for(site.ready_addresses["d3"], "/ready")
+
+
 def test_invalid_settings_are_refused_with_the_code_of_the_fault(tmp_path):
     from demo.process import Process
 
