--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import io
 import socket
 import threading
 import time
-from typing import NamedTuple
+from typing import Any, Callable, Iterator, NamedTuple
 
+import pykka
 import pytest
 
+from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
+from skylarktrail.core.gateway.lease_calls import LeaseTimings
+from skylarktrail.gateway.event_log import EventLog
+from skylarktrail.gateway.granter_actor import GranterActor
+from skylarktrail.gateway.metrics import GatewayMetrics
+from skylarktrail.gateway.site_state import SiteState
+
 
 class LateResponse(NamedTuple):
     """A response that is sent after a delay.
@@ -112,3 +121,40 @@
     yield start
     for server in servers:
         server.close()
+
+
+@pytest.fixture
+def start_granter_actor() -> Iterator[Callable[..., pykka.ActorRef]]:
+    """Returns a function that starts a granter's actor without other daemons."""
+    started: list[pykka.ActorRef] = []
+
+    def start(
+        site: SiteState,
+        store: Any,
+        lease_client: Any,
+        process: str = "p1",
+        timings: LeaseTimings = LeaseTimings(),
+    ) -> pykka.ActorRef:
+        reference = GranterActor.start(
+            site,
+            process,
+            store,
+            lease_client,
+            timings,
+            EventLog(site.daemon, io.StringIO()),
+            GatewayMetrics(),
+            lambda service, ranges, position: None,
+            lambda: False,
+            lambda daemon, term, on_ended: None,
+            lambda daemon, term, on_reply: None,
+            lambda instance: None,
+            lambda: None,
+            LeaseCallGate(),
+        )
+        started.append(reference)
+        return reference
+
+    yield start
+    for reference in started:
+        if reference.is_alive():
+            reference.stop()
--- a/tests/gateway/test_balanced_services.py
+++ b/tests/gateway/test_balanced_services.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import io
-
 import pytest
 from result import Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
-from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
-from skylarktrail.core.gateway.lease_calls import CallResult, LeaseTimings
+from skylarktrail.core.gateway.lease_calls import CallResult
 from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.core.gateway.shared_state import (
@@ -20,10 +17,7 @@
 )
 from skylarktrail.daemon.ticker import Tick
 from skylarktrail.gateway import granter_actor
-from skylarktrail.gateway.event_log import EventLog
-from skylarktrail.gateway.granter_actor import GranterActor
 from skylarktrail.gateway.granter_messages import SharedRecordsRead
-from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import Listing, SharedUpdate
 
@@ -65,7 +59,7 @@
     return clock
 
 
-def test_load_moves_between_the_instances_of_each_service(clock):
+def test_load_moves_between_the_instances_of_each_service(start_granter_actor, clock):
     """All keys of each service lie at one of its two instances."""
     site = SiteState("d1", "east", SiteBounds())
     site.scheduler.services = {s: ServiceSpec(s, is_keyed=True) for s in SERVICES}
@@ -81,25 +75,9 @@
     ]
     site.apply_shared(SharedUpdate(records, False, 1), clock.at_ms)
     client = AcceptingClient()
-    actor = GranterActor.start(
-        site,
-        "p1",
-        client,
-        client,
-        LeaseTimings(),
-        EventLog("d1", io.StringIO()),
-        GatewayMetrics(),
-        lambda service, ranges, position: None,
-        lambda: False,
-        lambda daemon, term, on_ended: None,
-        lambda daemon, term, on_reply: None,
-        lambda instance: None,
-        lambda: None,
-        LeaseCallGate(),
-    )
+    actor = start_granter_actor(site, client, client)
     for _ in range(100):
         actor.ask(SharedRecordsRead(1, clock.at_ms))
         actor.ask(Tick())
         clock.at_ms += 100
-    actor.stop()
     assert client.written == set(SERVICES)
--- a/tests/gateway/test_lease_call_authority.py
+++ b/tests/gateway/test_lease_call_authority.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import io
 import threading
 import time
 
@@ -10,7 +9,6 @@
 from result import Err
 
 from skylarktrail.config.gateway_settings import SiteBounds
-from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import CallResult, LeaseTimings
 from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
 from skylarktrail.core.gateway.ranges import OwnedRange
@@ -23,13 +21,10 @@
 from skylarktrail.errors import platform as codes
 from skylarktrail.errors.code import Fault
 from skylarktrail.gateway import granter_actor
-from skylarktrail.gateway.event_log import EventLog
-from skylarktrail.gateway.granter_actor import GranterActor
 from skylarktrail.gateway.granter_messages import (
     SharedRecordsRead,
 )
 from skylarktrail.gateway.lease_call_queue import MAX_RUNNING_PER_LANE
-from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import Listing, SharedUpdate
 
@@ -102,26 +97,9 @@
 
 
 @pytest.fixture
-def actor(site, lease_client, clock):
-    reference = GranterActor.start(
-        site,
-        "p1",
-        RefusingStore(),
-        lease_client,
-        TIMINGS,
-        EventLog("d1", io.StringIO()),
-        GatewayMetrics(),
-        lambda service, ranges, position: None,
-        lambda: False,
-        lambda daemon, term, on_ended: None,
-        lambda daemon, term, on_reply: None,
-        lambda instance: None,
-        lambda: None,
-        LeaseCallGate(),
-    )
-    yield reference
+def actor(start_granter_actor, site, lease_client, clock):
+    yield start_granter_actor(site, RefusingStore(), lease_client, timings=TIMINGS)
     lease_client.proceed.set()
-    reference.stop()
 
 
 @pytest.fixture
--- a/tests/gateway/test_term_restart.py
+++ b/tests/gateway/test_term_restart.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import io
 import threading
 import time
 
@@ -10,8 +9,7 @@
 from result import Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
-from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
-from skylarktrail.core.gateway.lease_calls import CallResult, LeaseTimings
+from skylarktrail.core.gateway.lease_calls import CallResult
 from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.core.gateway.shared_state import (
@@ -21,13 +19,10 @@
     encode_owners,
 )
 from skylarktrail.gateway import granter_actor
-from skylarktrail.gateway.event_log import EventLog
-from skylarktrail.gateway.granter_actor import GranterActor
 from skylarktrail.gateway.granter_messages import (
     CandidacyUpdate,
     SharedRecordsRead,
 )
-from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import Listing, SharedUpdate
 
@@ -103,25 +98,8 @@
 
 
 @pytest.fixture
-def actor(site, store, lease_client, clock):
-    reference = GranterActor.start(
-        site,
-        "p1",
-        store,
-        lease_client,
-        LeaseTimings(),
-        EventLog("d1", io.StringIO()),
-        GatewayMetrics(),
-        lambda service, ranges, position: None,
-        lambda: False,
-        lambda daemon, term, on_ended: None,
-        lambda daemon, term, on_reply: None,
-        lambda instance: None,
-        lambda: None,
-        LeaseCallGate(),
-    )
-    yield reference
-    reference.stop()
+def actor(start_granter_actor, site, store, lease_client, clock):
+    return start_granter_actor(site, store, lease_client)
 
 
 def test_a_read_that_began_before_the_claim_does_not_end_the_term(
--- a/tests/gateway/test_unfinished_calls.py
+++ b/tests/gateway/test_unfinished_calls.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import io
 import threading
 
 import pytest
 from result import Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
-from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
-from skylarktrail.core.gateway.lease_calls import CallResult, LeaseTimings
+from skylarktrail.core.gateway.lease_calls import CallResult
 from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.core.gateway.shared_state import (
@@ -21,10 +19,7 @@
 )
 from skylarktrail.daemon.ticker import Tick
 from skylarktrail.gateway import granter_actor
-from skylarktrail.gateway.event_log import EventLog
-from skylarktrail.gateway.granter_actor import GranterActor
 from skylarktrail.gateway.granter_messages import SharedRecordsRead
-from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import Listing, SharedUpdate
 
@@ -89,25 +84,8 @@
 
 
 @pytest.fixture
-def actor(site, client, clock):
-    reference = GranterActor.start(
-        site,
-        "p1",
-        client,
-        client,
-        LeaseTimings(),
-        EventLog("d1", io.StringIO()),
-        GatewayMetrics(),
-        lambda service, ranges, position: None,
-        lambda: False,
-        lambda daemon, term, on_ended: None,
-        lambda daemon, term, on_reply: None,
-        lambda instance: None,
-        lambda: None,
-        LeaseCallGate(),
-    )
-    yield reference
-    reference.stop()
+def actor(start_granter_actor, site, client, clock):
+    return start_granter_actor(site, client, client)
 
 
 @pytest.fixture
