--- a/src/skylarktrail/gateway/disconnect_monitor.py
+++ b/src/skylarktrail/gateway/disconnect_monitor.py
@@ -6,6 +6,8 @@
 from contextlib import contextmanager
 from typing import Callable, Iterator
 
+from absl import logging
+
 from .exchange import Connection
 
 # Requests of callers that have disconnected are aborted well within 0.5 s.
@@ -55,5 +57,14 @@
             with self._lock:
                 watched = list(self._watched.values())
             for is_disconnected, connection in watched:
-                if is_disconnected():
-                    connection.abort()
+                _abort_if_disconnected(is_disconnected, connection)
+
+
+def _abort_if_disconnected(
+    is_disconnected: Callable[[], bool], connection: Connection
+) -> None:
+    try:
+        if is_disconnected():
+            connection.abort()
+    except Exception:  # It must not end the thread, which watches all connections.
+        logging.exception("the check of a caller's connection failed")
