Serve callers on descriptors that select() cannot watch

What callers would see: a daemon with more than 1,023 descriptors in use, for connections of callers and to instances, stops to answer for good, while its health check stays good.

Cause: waitress uses select() unless told otherwise; it raises ValueError for such a descriptor, which ends the thread of the callers' server.

Change: poll() for all HTTP servers; a gateway's server thread that ends with an exception is logged and starts again.

--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -290,6 +290,7 @@
         connection_limit=limits.connections,
         clear_untrusted_proxy_headers=True,
         channel_request_lookahead=lookahead_requests,
+        asyncore_use_poll=True,  # select() fails for descriptors from 1024 on.
     )
     server.channel_class = partial(ProblemChannel, app)
     return server
--- a/src/skylarktrail/daemon/service.py
+++ b/src/skylarktrail/daemon/service.py
@@ -258,6 +258,7 @@
             listen=settings.operator_address,
             threads=OPERATOR_THREADS,
             ident=None,
+            asyncore_use_poll=True,
         )
         self._servers.append(operators)
         for server in self._servers:
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import threading
 import time
+from functools import partial
 from typing import Sequence
 
 from result import Err, Ok, Result
@@ -183,7 +183,7 @@
         self._start_workers()
         self._disconnect_monitor.start()
         for server in self._servers:
-            threading.Thread(target=server.run, daemon=True).start()
+            Worker("http-server", partial(_serve, server), self._log).start()
         self._log.state("started", process=self._process, zone=self._settings.zone)
         return Ok(None)
 
@@ -256,7 +256,13 @@
                 )
             )
         self._servers = self._request_servers + [
-            create_server(health_app, listen=item, threads=READY_THREADS, ident=None)
+            create_server(
+                health_app,
+                listen=item,
+                threads=READY_THREADS,
+                ident=None,
+                asyncore_use_poll=True,
+            )
             for item in addresses
             if item
         ]
@@ -442,5 +448,11 @@
         )
 
 
+def _serve(server: BaseWSGIServer) -> float:
+    """Serves requests; returns only if the server is closed."""
+    server.run()
+    return 0.0
+
+
 def _sleep_until(end_ms: float) -> None:
     time.sleep(max(0.0, end_ms - now_ms()) / 1000)
