--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -29,9 +29,10 @@
 from .cold import cold_rate_per_s
 from .fleet import Fleet
 from .instance import Instance
-from .model import Route, ServiceSpec
+from .model import ServiceSpec
 from .permits import PermitRequest
 from .retry_after import retry_after_ms
+from .ticket import QueueAhead, Ticket
 
 QUEUE_LENGTH_RATIO = 1.0  # Queue length at an instance, relative to its slots.
 QUEUE_PRIORITY_RATIO = 1.0  # Each priority step below the highest shortens the queue.
@@ -59,83 +60,6 @@
 MAX_MOVE_WAIT_MS = 500.0
 
 
-class Ticket:
-    """A request to be placed on an instance.
-
-    Attributes:
-        route: Its route.
-        service: Service that the split of the route has chosen.
-        key_hash: Hash of its key; None if the service is not keyed.
-        end_ms: Deadline of the request.
-        target_end_ms: Time until which a response meets the latency target.
-        is_return: Whether its caller retries after a refusal.
-        avoided_instances: Instances of failed attempts.
-        instance: Instance on which it was placed.
-        refusal_reason: Why it was refused; empty if it was not.
-        backlog_ms: Expected wait when it was refused.
-        admitted_part: Fraction of the requests for its key that is admitted.
-        placed_ms: When it was placed.
-        occupancy: Estimated requests at the instance when it was placed.
-        on_decided: Called when a waiting ticket is placed or refused.
-        submitted_ms: When it was submitted.
-        permit_instance: Instance for which it waits for a permit; empty if it does not.
-        is_late: Whether its response cannot meet the latency target any more.
-    """
-
-    def __init__(
-        self,
-        route: Route,
-        service: str,
-        key_hash: int | None,
-        end_ms: float,
-        target_end_ms: float,
-        is_return: bool,
-        on_decided: Callable[[], None],
-    ) -> None:
-        self.route = route
-        self.service = service
-        self.key_hash = key_hash
-        self.end_ms = end_ms
-        self.target_end_ms = target_end_ms
-        self.is_return = is_return
-        self.avoided_instances: set[str] = set()
-        self.instance: Instance | None = None
-        self.refusal_reason = ""
-        self.backlog_ms = 0.0
-        self.admitted_part = 1.0
-        self.placed_ms = 0.0
-        self.occupancy = 0.0
-        self.on_decided = on_decided
-        self.submitted_ms = 0.0
-        self.permit_instance = ""
-        self.is_late = False
-
-    @property
-    def is_decided(self) -> bool:
-        """Returns whether the ticket was placed or refused."""
-        return self.instance is not None or bool(self.refusal_reason)
-
-    def sort_key(self) -> tuple[int, bool, float]:
-        """Returns the key that orders waiting tickets."""
-        return self.route.priority, self.is_late, self.end_ms
-
-
-class QueueAhead(NamedTuple):
-    """Tickets that wait for the same instances and come before another one.
-
-    Attributes:
-        count: Number of tickets.
-        on_time_count: How many of them can meet their latency target.
-    """
-
-    count: int = 0
-    on_time_count: int = 0
-
-    def add(self, ticket: Ticket) -> QueueAhead:
-        """Returns the queue with one more ticket."""
-        return QueueAhead(self.count + 1, self.on_time_count + (not ticket.is_late))
-
-
 class SchedulerView(NamedTuple):
     """State of the daemon that the scheduler depends on.
 
--- a/src/skylarktrail/gateway/forwarding.py
+++ b/src/skylarktrail/gateway/forwarding.py
@@ -15,7 +15,7 @@
 from result import Result
 
 from ..core.gateway.forward_targets import ForwardTargets, TargetProcess
-from ..core.gateway.scheduler import Ticket
+from ..core.gateway.ticket import Ticket
 from ..daemon import fields
 from ..daemon.problem import Problem
 from ..daemon.response import Response
--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -7,7 +7,7 @@
 
 from ..core.gateway.fingerprints import make_fingerprint
 from ..core.gateway.model import Route
-from ..core.gateway.scheduler import Ticket
+from ..core.gateway.ticket import Ticket
 from ..daemon.response import Response
 from ..daemon.routes import CallerRequest
 from .clock import now_ms
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -10,7 +10,7 @@
 from ..core.gateway.caller_retries import CallerRetryDetector
 from ..core.gateway.harmful_requests import InstanceEnd
 from ..core.gateway.model import InstanceEntry, Route
-from ..core.gateway.scheduler import Ticket
+from ..core.gateway.ticket import Ticket
 from ..daemon import fields
 from ..daemon.problem import Problem
 from ..daemon.response import Response
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -20,8 +20,9 @@
 )
 from ..core.gateway.ranges import OwnedRange, OwnerTable, apply_changed_ranges
 from ..core.gateway.routes import RouteTable, Splitter
-from ..core.gateway.scheduler import Scheduler, SchedulerView, Ticket
+from ..core.gateway.scheduler import Scheduler, SchedulerView
 from ..core.gateway.shared_state import SharedState
+from ..core.gateway.ticket import Ticket
 from ..peer.gateway_messages import (
     GatewayLoad,
     InFlightCount,
--- a/tests/core/gateway/test_permits.py
+++ b/tests/core/gateway/test_permits.py
@@ -21,7 +21,8 @@
     PermitIssuer,
     RateLimit,
 )
-from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView, Ticket
+from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView
+from skylarktrail.core.gateway.ticket import Ticket
 
 WINDOW_MS = 4000.0
 LINK_DELAY_MS = 3.0
--- a/tests/core/gateway/test_scheduler.py
+++ b/tests/core/gateway/test_scheduler.py
@@ -10,7 +10,8 @@
 
 from skylarktrail.core.gateway.fleet import Fleet
 from skylarktrail.core.gateway.model import LoadReport, ServiceSpec
-from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView, Ticket
+from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView
+from skylarktrail.core.gateway.ticket import Ticket
 
 OWN_DAEMON = "d1"
 DAEMONS = frozenset(f"d{number}" for number in range(8))
--- a/tests/core/gateway/test_shedding.py
+++ b/tests/core/gateway/test_shedding.py
@@ -12,8 +12,9 @@
 from skylarktrail.core.gateway.fleet import Fleet
 from skylarktrail.core.gateway.in_flight_reports import InFlightReports, find_overloaded
 from skylarktrail.core.gateway.model import LoadReport, ServiceSpec
-from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView, Ticket
+from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView
 from skylarktrail.core.gateway.shedding import MIN_ADMITTED_RATIO, LoadShedder
+from skylarktrail.core.gateway.ticket import Ticket
 from skylarktrail.gateway.load_reporter import LOAD_REPORT_INTERVAL_MS
 from skylarktrail.gateway.overload_broadcaster import BROADCAST_INTERVAL_MS
 from skylarktrail.gateway.router import QUEUE_POLL_MS
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -13,12 +13,23 @@
 
 from skylarktrail.core.gateway.lease_call_gate import LeaseCallGate
 from skylarktrail.core.gateway.lease_calls import LeaseTimings
+from skylarktrail.gateway import granter_actor
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.granter_actor import GranterActor
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteState
 
 
+class ManualClock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.at_ms = 10_000.0
+
+    def __call__(self) -> float:
+        return self.at_ms
+
+
 class LateResponse(NamedTuple):
     """A response that is sent after a delay.
 
@@ -123,6 +134,14 @@
         server.close()
 
 
+@pytest.fixture
+def clock(monkeypatch) -> ManualClock:
+    """Returns the clock of the granter's actor."""
+    clock = ManualClock()
+    monkeypatch.setattr(granter_actor, "now_ms", clock)
+    return clock
+
+
 @pytest.fixture
 def start_granter_actor() -> Iterator[Callable[..., pykka.ActorRef]]:
     """Returns a function that starts a granter's actor without other daemons."""
--- a/tests/gateway/test_balanced_services.py
+++ b/tests/gateway/test_balanced_services.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import pytest
 from result import Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
@@ -16,7 +15,6 @@
     encode_owners,
 )
 from skylarktrail.daemon.ticker import Tick
-from skylarktrail.gateway import granter_actor
 from skylarktrail.gateway.granter_messages import SharedRecordsRead
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import Listing, SharedUpdate
@@ -24,16 +22,6 @@
 SERVICES = ("orders", "stock")
 
 
-class ManualClock:
-    """A clock that tests set."""
-
-    def __init__(self) -> None:
-        self.at_ms = 10_000.0
-
-    def __call__(self) -> float:
-        return self.at_ms
-
-
 class AcceptingClient:
     """Accepts each call and each write, and keeps the services that were written."""
 
@@ -52,13 +40,6 @@
         return Ok(position + 1)
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    clock = ManualClock()
-    monkeypatch.setattr(granter_actor, "now_ms", clock)
-    return clock
-
-
 def test_load_moves_between_the_instances_of_each_service(start_granter_actor, clock):
     """All keys of each service lie at one of its two instances."""
     site = SiteState("d1", "east", SiteBounds())
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -13,7 +13,7 @@
 
 from skylarktrail.core.gateway.forward_targets import TargetProcess
 from skylarktrail.core.gateway.model import Route, WeightedService
-from skylarktrail.core.gateway.scheduler import Ticket
+from skylarktrail.core.gateway.ticket import Ticket
 from skylarktrail.daemon import fields
 from skylarktrail.daemon.problem import Problem
 from skylarktrail.daemon.routes import CallerRequest
--- a/tests/gateway/test_granter_actor.py
+++ b/tests/gateway/test_granter_actor.py
@@ -22,7 +22,6 @@
     GranterRecord,
     encode_granter,
 )
-from skylarktrail.gateway import granter_actor
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.granter_actor import GranterActor
 from skylarktrail.gateway.granter_messages import (
@@ -39,16 +38,6 @@
 NO_WRITE_WAIT_S = 0.05
 
 
-class ManualClock:
-    """A clock that tests set."""
-
-    def __init__(self) -> None:
-        self.at_ms = 10_000.0
-
-    def __call__(self) -> float:
-        return self.at_ms
-
-
 class RecordingStore:
     """Store that signals each write of the granter's record."""
 
@@ -62,13 +51,6 @@
         return Ok(position + 1)
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    clock = ManualClock()
-    monkeypatch.setattr(granter_actor, "now_ms", clock)
-    return clock
-
-
 @pytest.fixture
 def site():
     return SiteState("d1", "east", SiteBounds())
--- a/tests/gateway/test_lease_call_authority.py
+++ b/tests/gateway/test_lease_call_authority.py
@@ -20,7 +20,6 @@
 )
 from skylarktrail.errors import platform as codes
 from skylarktrail.errors.code import Fault
-from skylarktrail.gateway import granter_actor
 from skylarktrail.gateway.granter_messages import (
     SharedRecordsRead,
 )
@@ -54,16 +53,6 @@
         return CallResult(call.call_id, "silent")
 
 
-class ManualClock:
-    """A clock that tests set."""
-
-    def __init__(self) -> None:
-        self.at_ms = 10_000.0
-
-    def __call__(self) -> float:
-        return self.at_ms
-
-
 class RefusingStore:
     """A store that refuses each write."""
 
@@ -72,13 +61,6 @@
         return Err(Fault(codes.STORE_REFUSED))
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    clock = ManualClock()
-    monkeypatch.setattr(granter_actor, "now_ms", clock)
-    return clock
-
-
 @pytest.fixture
 def site(clock):
     site = SiteState("d1", "east", SiteBounds())
--- a/tests/gateway/test_open_grants.py
+++ b/tests/gateway/test_open_grants.py
@@ -18,7 +18,6 @@
     encode_granter,
     encode_owners,
 )
-from skylarktrail.gateway import granter_actor
 from skylarktrail.gateway.granter_messages import (
     FormerTermEnded,
     OpenGrantsReceived,
@@ -36,16 +35,6 @@
 QUIET_S = 0.2
 
 
-class ManualClock:
-    """A clock that tests set."""
-
-    def __init__(self) -> None:
-        self.at_ms = 10_000.0
-
-    def __call__(self) -> float:
-        return self.at_ms
-
-
 class LeaseClient:
     """Answers each call with an outcome, and signals releases."""
 
@@ -73,13 +62,6 @@
         return Ok(position + 1)
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    clock = ManualClock()
-    monkeypatch.setattr(granter_actor, "now_ms", clock)
-    return clock
-
-
 @pytest.fixture
 def site(clock):
     site = SiteState("d2", "east", SiteBounds())
--- a/tests/gateway/test_unfinished_calls.py
+++ b/tests/gateway/test_unfinished_calls.py
@@ -18,7 +18,6 @@
     encode_owners,
 )
 from skylarktrail.daemon.ticker import Tick
-from skylarktrail.gateway import granter_actor
 from skylarktrail.gateway.granter_messages import SharedRecordsRead
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import Listing, SharedUpdate
@@ -28,16 +27,6 @@
 TERM = 1
 
 
-class ManualClock:
-    """A clock that tests set."""
-
-    def __init__(self) -> None:
-        self.at_ms = 10_000.0
-
-    def __call__(self) -> float:
-        return self.at_ms
-
-
 class FailingOnce:
     """Raises an exception in the first call, as when memory is short."""
 
@@ -62,13 +51,6 @@
         return Ok(position + 1)
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    clock = ManualClock()
-    monkeypatch.setattr(granter_actor, "now_ms", clock)
-    return clock
-
-
 @pytest.fixture
 def site(clock):
     site = SiteState("d1", "east", SiteBounds())
