--- a/src/skylarktrail/gateway/instance_watcher.py
+++ b/src/skylarktrail/gateway/instance_watcher.py
@@ -10,7 +10,7 @@
 from .instance_log import log_instance_changes
 from .messenger import Messenger
 from .site_state import SiteState
-from .site_store import SiteStore
+from .site_store import Listing, SiteStore
 from .store_monitor import StoreCallMonitor
 
 # An instance must get no more requests 2 s after it announces its shutdown.
@@ -57,11 +57,8 @@
         Returns:
             Milliseconds until the next run.
         """
-        if not self._is_granter() and self._messenger.expects_listings():
-            self.has_listing = True
-            self._connections.keep_only(set(self._site.fleet.instances))
-            return FOLLOWER_POLL_MS
-        if not self._is_granter() and now_ms() < self._settled_ms:
+        is_granter = self._is_granter()
+        if not is_granter and self._expects_listing():
             return FOLLOWER_POLL_MS
         started_ms = now_ms()
         read = self._store.read_instances()
@@ -69,10 +66,24 @@
         if pause_ms is not None:
             self._site.record_listing_failure(now_ms())
             return pause_ms
-        listing = read.unwrap()
+        self._apply(read.unwrap(), is_granter)
+        if not is_granter and now_ms() < self._settled_ms:
+            return FOLLOWER_POLL_MS
+        interval_ms = GRANTER_LISTING_INTERVAL_MS if is_granter else LISTING_INTERVAL_MS
+        return interval_ms - (now_ms() - started_ms)
+
+    def _expects_listing(self) -> bool:
+        """Returns whether a granter sends listings, or may soon do so."""
+        if not self._messenger.expects_listings():
+            return now_ms() < self._settled_ms
+        self.has_listing = True
+        self._connections.keep_only(set(self._site.fleet.instances))
+        return True
+
+    def _apply(self, listing: Listing, is_granter: bool) -> None:
         changes = self._site.apply_listing(listing, now_ms())
         log_instance_changes(self._log, changes, listing.position)
-        if self._is_granter():
+        if is_granter:
             self._messenger.broadcast_listing(listing)
         self._messenger.record_read_listing(listing)
         if changes:
@@ -80,8 +91,3 @@
         if not self.has_listing:
             self._settled_ms = now_ms() + SETTLE_MS
         self.has_listing = True
-        if now_ms() < self._settled_ms and not self._is_granter():
-            return FOLLOWER_POLL_MS
-        if not self._is_granter():
-            return LISTING_INTERVAL_MS - (now_ms() - started_ms)
-        return GRANTER_LISTING_INTERVAL_MS - (now_ms() - started_ms)
