--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -7,8 +7,8 @@
   keys and services are not delayed.
 - There are more requests than slots. They are served by priority, then by deadline.
 - Callers that were refused retry while the overload lasts, and their responses come
-  after the latency target. Such requests only use slots that are free, and are refused
-  while others wait that can meet the target. Else all responses would soon be late.
+  after the latency target. Such requests only use slots that are free, after those
+  that can meet the target. Else all responses would soon be late.
 - Instances hang when their queue is full. The requests that a daemon sends stay within
   the slots and a short queue, by load reports and by a limit on its own requests.
 - An instance names a rate that it accepts from all daemons together, or the owner of
@@ -32,7 +32,7 @@
 from .model import ServiceSpec
 from .permits import PermitRequest
 from .retry_after import retry_after_ms
-from .ticket import QueueAhead, Ticket
+from .ticket import Ticket
 
 QUEUE_LENGTH_RATIO = 1.0  # Queue length at an instance, relative to its slots.
 QUEUE_PRIORITY_RATIO = 1.0  # Each priority step below the highest shortens the queue.
@@ -115,7 +115,7 @@
         if ticket.admitted_part < 1 and self._random_fraction() >= ticket.admitted_part:
             ticket.refusal_reason = "shed"
             return
-        self._decide(ticket, now_ms, self._find_ahead(ticket))
+        self._decide(ticket, now_ms, self._count_ahead(ticket))
         if not ticket.is_decided:
             self._waiting.append(ticket)
             self._waiting.sort(key=Ticket.sort_key)
@@ -138,15 +138,14 @@
         for ticket in waiting:
             self._update_lateness(ticket, now_ms)
         waiting.sort(key=Ticket.sort_key)
-        queues: dict[tuple[str, str], QueueAhead] = {}
+        ahead_count: Counter[tuple[str, str]] = Counter()
         for ticket in waiting:
             queue_key = self._queue_key(ticket)
-            ahead = queues.get(queue_key, QueueAhead())
-            self._decide(ticket, now_ms, ahead)
+            self._decide(ticket, now_ms, ahead_count[queue_key])
             if ticket.is_decided:
                 ticket.on_decided()
             else:
-                queues[queue_key] = ahead.add(ticket)
+                ahead_count[queue_key] += 1
                 self._waiting.append(ticket)
 
     def _update_lateness(self, ticket: Ticket, now_ms: float) -> None:
@@ -228,16 +227,16 @@
             return ticket.service, ""
         return ticket.service, self.view.find_owner(ticket.service, ticket.key_hash)
 
-    def _find_ahead(self, ticket: Ticket) -> QueueAhead:
+    def _count_ahead(self, ticket: Ticket) -> int:
         queue_key = self._queue_key(ticket)
         order = ticket.sort_key()
-        ahead = QueueAhead()
-        for other in self._waiting:
-            if other.sort_key() <= order and self._queue_key(other) == queue_key:
-                ahead = ahead.add(other)
-        return ahead
+        return sum(
+            1
+            for other in self._waiting
+            if other.sort_key() <= order and self._queue_key(other) == queue_key
+        )
 
-    def _decide(self, ticket: Ticket, now_ms: float, ahead: QueueAhead) -> None:
+    def _decide(self, ticket: Ticket, now_ms: float, ahead_count: int) -> None:
         if now_ms >= ticket.end_ms:
             ticket.refusal_reason = "timeout"
             return
@@ -251,7 +250,7 @@
             self._decide_without_permit(ticket, candidates, now_ms)
             return
         available = [i for i in usable if self._has_capacity(ticket, i, now_ms)]
-        free = [] if ahead.count else available
+        free = [] if ahead_count else available
         if free:
             best = min(free, key=lambda i: self._cost_ms(ticket, i, now_ms))
             if len(usable) < len(candidates):
@@ -262,11 +261,8 @@
                 self._place(ticket, best, now_ms)
             return
         expected_ms = self._expected_queued_response_ms(
-            ticket, usable, ahead.count, now_ms
+            ticket, usable, ahead_count, now_ms
         )
-        if ticket.is_late and ahead.on_time_count:
-            self._refuse_for_overload(ticket, expected_ms)
-            return
         self._check_in_time(ticket, expected_ms, now_ms)
 
     def _check_in_time(self, ticket: Ticket, expected_ms: float, now_ms: float) -> bool:
@@ -285,12 +281,9 @@
             latest_ms = min(left_ms, target_left_ms)
         if expected_ms <= latest_ms:
             return True
-        self._refuse_for_overload(ticket, expected_ms)
-        return False
-
-    def _refuse_for_overload(self, ticket: Ticket, expected_ms: float) -> None:
         ticket.refusal_reason = "overload"
         ticket.backlog_ms = expected_ms - self.work_ms(ticket)
+        return False
 
     def _decide_without_instance(self, ticket: Ticket, now_ms: float) -> None:
         """Refuses a ticket without a usable instance.
--- a/src/skylarktrail/core/gateway/ticket.py
+++ b/src/skylarktrail/core/gateway/ticket.py
@@ -1,8 +1,8 @@
-"""A request that waits for an instance, and its place among those that wait."""
+"""A request to be placed on an instance."""
 
 from __future__ import annotations
 
-from typing import Callable, NamedTuple
+from typing import Callable
 
 from .instance import Instance
 from .model import Route
@@ -67,19 +67,3 @@
     def sort_key(self) -> tuple[int, bool, float]:
         """Returns the key that orders waiting tickets."""
         return self.route.priority, self.is_late, self.end_ms
-
-
-class QueueAhead(NamedTuple):
-    """Tickets that wait for the same instances and come before another one.
-
-    Attributes:
-        count: Number of tickets.
-        on_time_count: How many of them can meet their latency target.
-    """
-
-    count: int = 0
-    on_time_count: int = 0
-
-    def add(self, ticket: Ticket) -> QueueAhead:
-        """Returns the queue with one more ticket."""
-        return QueueAhead(self.count + 1, self.on_time_count + (not ticket.is_late))
