Send a listing's change only to daemons that this granter sent the last one

Cause, by reading and a check of the feed alone: tells changes apart by the store's position. Entries change without a new one, as when they expire, and then a daemon that has reached the position never gets the change.

--- a/src/skylarktrail/gateway/instance_watcher.py
+++ b/src/skylarktrail/gateway/instance_watcher.py
@@ -85,7 +85,6 @@
         log_instance_changes(self._log, changes, listing.position)
         if is_granter:
             self._messenger.broadcast_listing(listing)
-        self._messenger.record_read_listing(listing)
         if changes:
             self._connections.keep_only(set(self._site.fleet.instances))
         if not self.has_listing:
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -1,7 +1,7 @@
 """Messages between gateways: load reports, broadcast records and listings.
 
 Positions go out as offsets, as daemons of earlier builds do not know eras. The granter
-tells a daemon its era before the first listing.
+sends its era before each whole listing.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 
 from result import Result
 
+from ..core.gateway.model import InstanceEntry
 from ..core.gateway.positions import era_of, make_position, offset_of
 from ..core.gateway.ranges import OwnedRange
 from ..errors.code import Fault
@@ -35,7 +36,7 @@
 from .clock import now_ms
 from .event_log import EventLog
 from .instance_log import log_instance_changes
-from .listing_feed import ListingFeed, ReceivedListing
+from .listing_feed import ListingFeed
 from .site_state import SiteState
 from .site_store import Listing
 
@@ -97,7 +98,7 @@
         self._on_positions = on_positions
         self._on_term_end_request = on_term_end_request
         self._feed = ListingFeed()
-        self._received = ReceivedListing()
+        self._entries: dict[str, InstanceEntry] = {}
         self._listing_received_ms = -1e18
         self._listing_sender = ""
         self._early_listing: tuple[str, GatewayListing] | None = None
@@ -250,24 +251,18 @@
         for name in self._peers:
             self._links.send(name, message)
 
-    def record_read_listing(self, listing: Listing) -> None:
-        """Records the entries that this daemon has read from the store."""
-        with self._listing_lock:
-            self._received.replace(listing)
-            self._site.granter_listing_position = self._received.position
-
     def broadcast_listing(self, listing: Listing) -> None:
         """Sends the changes of the instances' entries to all other daemons."""
         with self._listing_lock:
-            self._feed.begin_term(self._site.shared.granter.term, self._received)
             with self._site.lock:
-                self._feed.update(self._site.fleet, listing.position)
+                change = self._feed.make_change(self._site.fleet, listing.position)
             at_ms = now_ms()
             for name in self._peers:
-                self._send_listing(name, self._feed.select_listing(name, at_ms))
+                selected = self._feed.select_listing(name, change, at_ms)
+                self._send_listing(name, selected)
 
     def _send_listing(self, daemon: str, listing: GatewayListing) -> None:
-        if self._feed.needs_era(daemon):
+        if listing.base < 0 and self._feed.era:
             self._links.send(daemon, GatewayStoreEra(self._feed.era))
         self._links.send(daemon, listing)
 
@@ -338,18 +333,26 @@
             self._on_unknown_granter()
 
     def _apply_listing(self, daemon: str, message: GatewayListing) -> None:
-        era = self._eras_by_sender.get(daemon, self._own_era)
-        is_applied = self._received.apply(message, era)
-        self._site.granter_listing_position = self._received.position
-        if not is_applied:
+        if message.base >= 0 and (
+            message.base != self._site.granter_listing_position
+            or daemon != self._listing_sender
+        ):
+            self._site.granter_listing_position = -1
             return
+        if message.base < 0:
+            self._entries = {}
+        for entry in message.entries:
+            self._entries[entry.instance] = entry
+        for name in message.removed_instances:
+            self._entries.pop(name, None)
         self._listing_sender = daemon
         self._listing_received_ms = now_ms()
         self._on_positions(
             self._to_position(daemon, message.shared),
             self._to_position(daemon, message.operators),
         )
+        self._site.granter_listing_position = message.position
         position = self._to_position(daemon, message.position)
-        listing = Listing(list(self._received.entries.values()), position)
+        listing = Listing(list(self._entries.values()), position)
         changes = self._site.apply_listing(listing, now_ms())
         log_instance_changes(self._log, changes, message.position, told_by=daemon)
