--- a/src/skylarktrail/peer/send_budget.py
+++ b/src/skylarktrail/peer/send_budget.py
@@ -4,7 +4,7 @@
 
 import threading
 
-MAX_WAITING_BYTES = 32 << 20  # A small VM has 200 MB for a daemon.
+MAX_WAITING_BYTES = 32 << 20
 # Large messages use only half of it, so that small ones are sent when those pile up.
 LARGE_MESSAGE_BYTES = 16 << 10
 MAX_LARGE_RATIO = 0.5
--- a/tests/daemon/test_many_connections.py
+++ b/tests/daemon/test_many_connections.py
@@ -42,8 +42,7 @@
 def occupied_descriptors():
     """Occupies all descriptors below the limit of select()."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft < SELECT_LIMIT + 100:
-        pytest.skip("the system allows too few descriptors")
+    assert soft > SELECT_LIMIT + 100, "the system allows too few descriptors"
     with contextlib.ExitStack() as stack:
         while True:
             taken = stack.enter_context(socket.socket())
