Take no range from its owner while a former granter may renew it

Cause: a granter that was cut off went on renewing within its authority. Its successor released a range at the owner and gave it to another instance. If the owner restarted, it forgot the successor's fences and took the range back from the former granter.

While calls of former granters may arrive, the successor now plans no moves for load, and a range that is to be taken from its owner stays with it, under a new fence; so does one whose owner has restarted. Owners that leave (drain, zone out, not listed) are released as before, but only after the process that is asked has acknowledged a fence, and not if they have restarted.

The tests g1 and g4 fail on (OwnerViolation) and pass now; g2 and g3 (keys stay held, draining owners are released) pass on both.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -90,6 +90,7 @@
         self._owners: dict[str, KeyedInstance] = {}
         self._silent_instances = SilentInstances(timings.lease_ms)
         self._confirmed_ms = math.inf
+        self._may_get_former_calls = False
         self._addresses: Mapping[str, str] = {}
         self._is_recording = False
         self._last_record_ms = -math.inf
@@ -191,6 +192,7 @@
         self._addresses = addresses or {}
         self._give_up_calls(now_ms)
         self._release_ended(now_ms)
+        self._update_deferrals(now_ms)
         actions = self._make_grants(now_ms) + self._make_releases(now_ms)
         if self._is_recording or now_ms < self._last_record_ms + RECORD_INTERVAL_MS:
             return actions
@@ -211,7 +213,8 @@
         Args:
             distribution: Distribution of the load over the hashes.
             should_balance: Whether ranges may also move just to balance the load; if
-                not, only ranges that need another owner move.
+                not, only ranges that need another owner move. While calls of former
+                granters may arrive, none moves for load.
         """
         capacities = {
             owner.instance: owner.capacity
@@ -229,7 +232,7 @@
             if not item.is_released and not item.target and not self._is_pinned(item)
         ]
         moves = plan_moves(assignments, capacities, distribution)
-        if not should_balance:
+        if not should_balance or self._may_get_former_calls:
             moves = [move for move in moves if not self._can_owner_receive(move.first)]
         for move in moves:
             self._apply_move(move)
@@ -297,6 +300,9 @@
                 previous.inherited_lease_end_ms = max(
                     previous.inherited_lease_end_ms, item.inherited_lease_end_ms
                 )
+                previous.former_calls_end_ms = max(
+                    previous.former_calls_end_ms, item.former_calls_end_ms
+                )
             else:
                 joined.append(item)
         merged = len(self._ranges) - len(joined)
@@ -329,7 +335,7 @@
             item.replaced_answers = 0
             item.lease_end_ms = max(item.lease_end_ms, lease_end_ms)
             item.next_call_ms = now_ms + self._timings.renew_ms
-            if item.is_releasing:
+            if item.is_releasing and not item.is_deferred:
                 item.next_call_ms = now_ms
             if is_fencing:
                 item.unanswered_grant_end_ms = -math.inf
@@ -369,16 +375,31 @@
             if not address or not self._is_grant_due(item, now_ms):
                 continue
             lease_ms = self._lease_ms(now_ms)
-            if item.is_releasing:
+            is_fencing = item.is_releasing and not self._keeps_meanwhile(item)
+            if is_fencing:
                 lease_ms = min(lease_ms, FENCING_LEASE_MS)
                 if self._outlasts_leases(item, lease_ms, now_ms):
                     continue
-            if not item.fence or item.is_releasing:
+            is_unknown = item.is_releasing and not item.is_acknowledged
+            if not item.fence or is_fencing or is_unknown:
                 item.fence = self._next_fence()
                 item.is_fence_acknowledged = False
-            actions.append(self._make_grant(item, address, lease_ms, now_ms))
+            kind = FENCING if is_fencing else GRANT
+            actions.append(self._make_grant(item, address, lease_ms, kind, now_ms))
         return actions
 
+    def _update_deferrals(self, now_ms: float) -> None:
+        self._may_get_former_calls = any(
+            now_ms < item.former_calls_end_ms for item in self._ranges
+        )
+        for item in self._ranges:
+            owner = self._owners.get(item.owned.owner)
+            item.update_deferral(owner is None or owner.is_leaving, now_ms)
+
+    def _keeps_meanwhile(self, item: LeasedRange) -> bool:
+        """Returns whether the owner keeps a range until it may be released."""
+        return item.is_deferred and item.owned.owner in self._owners
+
     def _lease_ms(self, now_ms: float) -> float:
         """Returns the length of new leases.
 
@@ -395,7 +416,8 @@
             return False
         if item.is_inherited_move:  # Either of two instances may hold a lease.
             return False
-        if item.is_releasing and not item.needs_fencing(now_ms):
+        is_kept = not item.is_releasing or self._keeps_meanwhile(item)
+        if not is_kept and not item.needs_fencing(now_ms):
             return False
         is_confirmed = item.process_observed_ms <= self._confirmed_ms
         return is_confirmed and self._reaches_known_process(item)
@@ -431,10 +453,14 @@
         return owner.address if owner else item.address
 
     def _make_grant(
-        self, item: LeasedRange, address: str, lease_ms: float, now_ms: float
+        self,
+        item: LeasedRange,
+        address: str,
+        lease_ms: float,
+        kind: str,
+        now_ms: float,
     ) -> GrantCall:
         item.address = address
-        kind = FENCING if item.is_releasing else GRANT
         owned = item.owned
         return GrantCall(
             self._begin_call(item, lease_ms, kind, now_ms),
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -37,6 +37,7 @@
         can_receive_keys: Whether it may get more keys.
         capacity: Its speed, relative to the other instances.
         can_keep_keys: Whether it may keep the keys that it owns.
+        is_leaving: Whether it drains, or its zone is out.
     """
 
     instance: str
@@ -45,6 +46,7 @@
     can_receive_keys: bool
     capacity: float = 1.0
     can_keep_keys: bool = True
+    is_leaving: bool = False
 
 
 class GrantCall(NamedTuple):
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -40,6 +40,7 @@
         is_inherited_move: Whether a former granter has recorded the move, so that
             either instance may hold a lease.
         former_calls_end_ms: Until when calls of former granters may still arrive.
+        is_deferred: Whether the release has to wait for that time.
         has_open_grants: Whether, in an inherited move, a grant of a former granter may
             still take effect at the owner after a release.
     """
@@ -68,6 +69,8 @@
         self.target_start_ms = owned.next_start_ms
         self.is_target_recorded = self.is_inherited_move = bool(owned.next_owner)
         self.former_calls_end_ms = -math.inf
+        self.is_deferred = False
+        self._has_begun_release = False
         self.has_open_grants = self.is_inherited_move
 
     @property
@@ -90,7 +93,7 @@
         """
         # In an inherited move a former granter may have given the target a lease.
         if not self.is_inherited_move:
-            self.inherited_lease_end_ms = -math.inf
+            self.inherited_lease_end_ms = self.former_calls_end_ms = -math.inf
         self.owned = self.owned._replace(
             owner=self.target, start_ms=self.target_start_ms
         )
@@ -132,6 +135,26 @@
         if now_ms < self.inherited_lease_end_ms:
             self.is_acknowledged = False
 
+    def update_deferral(self, is_leaving: bool, now_ms: float) -> None:
+        """Updates whether the release has to wait for calls of former granters.
+
+        A former granter renews the range to its recorded owner. If this one took it,
+        and the owner restarted, that would forget all fences and take it back. An owner
+        that leaves is released all the same, unless it has restarted before. The
+        process that is released then must know a fence of this granter; an earlier one
+        may have acknowledged the last.
+        """
+        may_get_calls = now_ms < self.former_calls_end_ms
+        if self.is_releasing and not self._has_begun_release and may_get_calls:
+            self.is_acknowledged = False
+        self._has_begun_release = self.is_releasing
+        has_restarted = self.process_start_ms != self.owned.start_ms
+        was_deferred = self.is_deferred
+        has_to_wait = may_get_calls and (has_restarted or not is_leaving)
+        self.is_deferred = self.is_releasing and has_to_wait
+        if was_deferred and not self.is_deferred:
+            self.next_call_ms = now_ms
+
     def needs_fencing(self, now_ms: float) -> bool:
         """Returns whether an earlier grant could still take effect after a release."""
         return not self.is_acknowledged or now_ms < self.unanswered_grant_end_ms
@@ -140,7 +163,7 @@
         """Returns whether a release sent now would end every lease of the owner."""
         if self.is_inherited_move:
             return now_ms >= self.former_calls_end_ms and not self.has_open_grants
-        return not self.needs_fencing(now_ms)
+        return not self.is_deferred and not self.needs_fencing(now_ms)
 
     def copy_subrange(self, first: int, last: int) -> LeasedRange:
         """Returns a copy for a part of the range, without the call in flight."""
--- a/src/skylarktrail/gateway/service_stepper.py
+++ b/src/skylarktrail/gateway/service_stepper.py
@@ -152,6 +152,7 @@
                 id(i) in kept and not i.is_suspended(at_ms),
                 capacities[i.entry.instance],
                 id(i) in kept,
+                _is_leaving(i, zones_out),
             )
             for i in instances
         }
@@ -180,6 +181,10 @@
 
     A granter that is cut off from all instances cannot tell which of them are lost.
     """
-    if instance.entry.is_draining or instance.entry.zone in zones_out:
+    if _is_leaving(instance, zones_out):
         return False
     return is_cut or not instance.is_unreachable(at_ms)
+
+
+def _is_leaving(instance: Instance, zones_out: set[str]) -> bool:
+    return instance.entry.is_draining or instance.entry.zone in zones_out
--- a/tests/core/gateway/test_lease_world.py
+++ b/tests/core/gateway/test_lease_world.py
@@ -20,6 +20,7 @@
 
 RECOVERY_TARGET_MS = 5000.0  # Maximum time until the keys of a lost owner are served.
 WATCH_MS = 6000.0  # Longer than a lease.
+MOVE_MS = 500.0  # A move leaves its range without an owner for less.
 # Time until keys are held again after any faults: a granter is elected and heard of,
 # the authority of the former one and the leases that it gave end.
 SUCCESSION_MS = 4000.0 + TIMINGS.authority_ms + 1.03 * TIMINGS.lease_ms + 2000.0
@@ -434,3 +435,70 @@
     world.instances["s1"].is_silent = True
     world.advance(SUCCESSION_MS)
     assert not world.unheld_ranges(), world.trace()
+
+
+def lose_granter(world):
+    """Cuts the granter off everything; returns its name and its successor's."""
+    first = world.find_granter().name
+    second = next(name for name in world.daemons if name != first)
+    isolate_granter(world)
+    world.set_links_of(first, HANG)
+    elect(world, second)
+    return first, second
+
+
+@pytest.mark.parametrize("restart_count", (1, 3))
+def test_g1_a_former_granter_renews_to_an_owner_that_has_restarted(restart_count):
+    """The owner has forgotten the fences of the successor, which took a range."""
+    for seed in range(6):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(2000)
+        low = first_hash_of(world, "s1")
+        held = world.held_by("s1")
+        first, _ = lose_granter(world)
+        world.distribution = load_on(low, low + 16_000)
+        world.advance_until(lambda: world.held_by("s1") < held, 2000)
+        for _ in range(restart_count):
+            world.restart("s1", entry_delay_ms=300 * seed)
+            world.advance(100)
+            world.set_link(first, "a1", OK)
+            world.advance(600)
+        world.advance(2 * WATCH_MS)
+        assert not world.unheld_ranges(), world.trace()
+
+
+def test_g2_keys_of_an_owner_that_restarts_after_the_granter_was_lost_are_held(world):
+    lose_granter(world)
+    world.advance(500)
+    world.restart("s1", entry_delay_ms=500)
+    world.advance(RECOVERY_TARGET_MS)
+    for _ in range(100):
+        is_held = world.advance_until(lambda: not world.unheld_ranges(), MOVE_MS)
+        assert is_held, world.trace()
+        world.advance(100)
+
+
+def test_g3_a_draining_owner_is_released_while_a_former_granter_may_send_calls(world):
+    lose_granter(world)
+    world.advance(500)
+    world.drain("s1")
+    world.advance(2000)
+    assert world.held_by("s1") == 0, world.trace()
+    assert not world.unheld_ranges()
+
+
+def test_g4_an_unlisted_owner_that_has_restarted_is_fenced_before_its_release():
+    """Its last process had acknowledged the successor's fence, this one has not."""
+    for seed in range(6):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(2000)
+        first, _ = lose_granter(world)
+        world.advance(300)
+        world.restart("s1", entry_delay_ms=60_000)
+        world.unlist("s1")
+        world.advance_until(lambda: not world.held_by("s1"), 2500)
+        world.advance(50 * seed)
+        world.set_link(first, "a1", OK)
+        world.advance(2 * WATCH_MS)
