Take only a later process at its address as proof that an owner has ended

Cause: an owner that is not listed was taken for ended if any other instance was listed at its address. That entry may be the one of the process before it, which lasts three seconds, or longer while the store is away. An owner that had replaced it and lost its own entry (cut from the store, or about to leave) went on, and its keys went to others at once.

The granter now gets the process that started last at each address, and compares its start with that of the owner.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -23,6 +23,7 @@
     GranterAction,
     KeyedInstance,
     LeaseTimings,
+    ListedProcess,
     LostRange,
     OpenGrant,
     RecordOwners,
@@ -91,7 +92,7 @@
         self._silent_instances = SilentInstances(timings.lease_ms)
         self._confirmed_ms = math.inf
         self._may_get_former_calls = False
-        self._addresses: Mapping[str, str] = {}
+        self._addresses: Mapping[str, ListedProcess] = {}
         self._is_recording = False
         self._last_record_ms = -math.inf
         self._recorded = list(recorded.ranges)
@@ -177,14 +178,14 @@
         self,
         owners: Mapping[str, KeyedInstance],
         now_ms: float,
-        addresses: Mapping[str, str] | None = None,
+        addresses: Mapping[str, ListedProcess] | None = None,
         confirmed_ms: float = math.inf,
     ) -> list[GranterAction]:
         """Updates the ranges and returns the actions that are due.
 
         Args:
             owners: All listed instances of the service by identifier.
-            addresses: Identifiers of the listed instances of all services by address.
+            addresses: Process of any service that was listed last at each address.
             confirmed_ms: When the last read began that confirmed the term.
         """
         self._confirmed_ms = confirmed_ms
@@ -434,10 +435,17 @@
         return end_ms > item.last_lease_end_ms
 
     def _has_owner_ended(self, item: LeasedRange) -> bool:
-        """Returns whether the process of an unlisted owner has ended for certain."""
-        at_address = self._addresses.get(item.address, item.owned.owner)
-        is_replaced = item.replaced_answers >= PROOF_ANSWER_COUNT
-        return at_address != item.owned.owner or is_replaced
+        """Returns whether the process of an unlisted owner has ended for certain.
+
+        The entry of the process that was at its address before may outlast its own.
+        """
+        listed = self._addresses.get(item.address)
+        is_succeeded = (
+            listed is not None
+            and listed.instance != item.owned.owner
+            and listed.start_ms > item.process_start_ms
+        )
+        return is_succeeded or item.replaced_answers >= PROOF_ANSWER_COUNT
 
     def _reaches_known_process(self, item: LeasedRange) -> bool:
         """Returns whether calls to an owner reach the process that is known of it.
--- a/src/skylarktrail/gateway/service_stepper.py
+++ b/src/skylarktrail/gateway/service_stepper.py
@@ -64,8 +64,7 @@
         if not owners:
             return []
         with self._site.lock:
-            instances = self._site.fleet.instances
-            addresses = {i.entry.address: name for name, i in instances.items()}
+            addresses = self._site.fleet.list_addresses()
         confirmed_ms = self._role.confirmed_ms
         actions = granter.step(owners, at_ms, addresses, confirmed_ms)
         self._plan_moves(service, granter, at_ms)
--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -497,7 +497,7 @@
         owners = self._list_keyed_instances(at_ms)
         if granter is None or not owners:
             return
-        addresses = {i.entry.address: n for n, i in self.fleet.instances.items()}
+        addresses = self.fleet.list_addresses()
         confirmed_ms = self.role.confirmed_ms
         actions = granter.step(owners, at_ms, addresses, confirmed_ms)
         self._plan_moves(granter, at_ms)
--- a/tests/core/gateway/test_lease_world.py
+++ b/tests/core/gateway/test_lease_world.py
@@ -502,3 +502,15 @@
         world.advance(50 * seed)
         world.set_link(first, "a1", OK)
         world.advance(2 * WATCH_MS)
+
+
+def test_h1_an_older_process_is_listed_at_the_address_of_an_unlisted_owner():
+    """Its entry has not expired yet; the owner goes on, behind a cut."""
+    for seed in range(6):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(2000)
+        world.replace("s1", "s1x")
+        world.advance_until(lambda: world.held_by("s1x") > 0, 2000)
+        world.unlist("s1x")
+        world.advance(2 * WATCH_MS)
--- a/tests/core/gateway/test_owner_identity.py
+++ b/tests/core/gateway/test_owner_identity.py
@@ -9,6 +9,7 @@
     GrantCall,
     KeyedInstance,
     LeaseTimings,
+    ListedProcess,
     RecordOwners,
 )
 from skylarktrail.core.gateway.ranges import OwnedRange, OwnerTable
@@ -30,7 +31,7 @@
 
     Attributes:
         owners: Listed instances.
-        addresses: Identifiers of all listed instances by address.
+        addresses: Listed process at each address.
         outcomes: Outcome of the calls to each instance; `done` if not named.
     """
 
@@ -52,7 +53,10 @@
             self._step()
 
     def _step(self):
-        addresses = self.addresses or {o.address: n for n, o in self.owners.items()}
+        addresses = self.addresses or {
+            owner.address: ListedProcess(name, owner.start_ms)
+            for name, owner in self.owners.items()
+        }
         for action in self.granter.step(
             self.owners, self.now_ms, addresses, self.now_ms
         ):
