--- a/tests/core/gateway/test_granter.py
+++ b/tests/core/gateway/test_granter.py
@@ -9,6 +9,7 @@
 
 from skylarktrail.core.gateway import granter as granter_module
 from skylarktrail.core.gateway.key_load import LoadDistribution
+from skylarktrail.core.gateway.lease_calls import ListedProcess
 from skylarktrail.core.gateway.leased_range import LeasedRange
 
 from .simulation import TIMINGS, Simulation
@@ -89,7 +90,8 @@
     simulation.servers["s1"].is_up = False
     simulation.servers["s1"].is_listed = False
     owners = simulation.instances_seen_by(daemon)
-    daemon.granter.step(owners, simulation.now_ms, {"s1": "of another service"})
+    later = ListedProcess("of another service", int(simulation.now_ms))
+    daemon.granter.step(owners, simulation.now_ms, {"s1": later})
     simulation.advance(300)
     assert simulation.count_unheld() == 0
 
