Fence an owner before a release if its last grants were renewals

Cause: renewals to an instance share connections. An instance that answers once more gave the answer to a renewal that it carried out late; the granter took the renewal for done, released the range and gave it away, and then the renewal took effect.

The answer to a renewal no longer counts as proof of that renewal: before a release the owner gets a fencing grant, which has a connection and so an answer of its own. Its lease lasts as long as the present ones, so that running work can end; one more short call for each move. A report of open grants names ranges with renewals only if they are moving and not yet fenced, as else inherited moves would wait for leases.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -45,7 +45,7 @@
 MAX_CALL_MS = 6000.0
 RECORD_INTERVAL_MS = 60.0  # Changes within this time are recorded together.
 FENCING_LEASE_MS = 300.0  # Of a grant that only fences earlier ones before a release.
-GRANT, FENCING, RELEASE = "grant", "fencing", "release"
+GRANT, RENEWAL, FENCING, RELEASE = "grant", "renewal", "fencing", "release"
 # Answers of another process at its address that prove that an unlisted owner has ended.
 PROOF_ANSWER_COUNT = 2
 
@@ -138,7 +138,7 @@
         return [
             OpenGrant(item.owned.owner, item.owned.first, item.owned.last)
             for item in self._ranges
-            if item.call_id or item.is_inherited_move or item.needs_fencing(now_ms)
+            if item.is_open(now_ms)
         ]
 
     def observe_open_grants(self, open_grants: Sequence[OpenGrant]) -> None:
@@ -253,10 +253,7 @@
             if call.kind == RELEASE:
                 self._handle_release_result(item, result, now_ms)
             else:
-                is_fencing = call.kind == FENCING
-                self._handle_grant_result(
-                    item, result, call.lease_ms, is_fencing, now_ms
-                )
+                self._handle_grant_result(item, result, call, now_ms)
 
     def _give_up_calls(self, now_ms: float) -> None:
         """Handles calls that have no result for long as calls without an answer.
@@ -301,6 +298,9 @@
                 previous.inherited_lease_end_ms = max(
                     previous.inherited_lease_end_ms, item.inherited_lease_end_ms
                 )
+                previous.unproven_grant_end_ms = max(
+                    previous.unproven_grant_end_ms, item.unproven_grant_end_ms
+                )
                 previous.former_calls_end_ms = max(
                     previous.former_calls_end_ms, item.former_calls_end_ms
                 )
@@ -326,11 +326,10 @@
         self,
         item: LeasedRange,
         result: CallResult,
-        lease_ms: float,
-        is_fencing: bool,
+        call: _PendingCall,
         now_ms: float,
     ) -> None:
-        lease_end_ms = now_ms + self.max_lease_ms(lease_ms)
+        lease_end_ms = now_ms + self.max_lease_ms(call.lease_ms)
         if result.outcome == "done":
             item.is_acknowledged = item.is_fence_acknowledged = True
             item.replaced_answers = 0
@@ -338,8 +337,11 @@
             item.next_call_ms = now_ms + self._timings.renew_ms
             if item.is_releasing and not item.is_deferred:
                 item.next_call_ms = now_ms
-            if is_fencing:
+            if call.kind == FENCING:
                 item.unanswered_grant_end_ms = -math.inf
+            # The first grant of a fence has a connection, and so an answer, of its own.
+            is_proven = call.kind != RENEWAL
+            item.unproven_grant_end_ms = -math.inf if is_proven else item.lease_end_ms
             return
         item.next_call_ms = now_ms + RETRY_DELAY_MS
         if result.outcome == "fenced":
@@ -378,14 +380,16 @@
             lease_ms = self._lease_ms(now_ms)
             is_fencing = item.is_releasing and not self._keeps_meanwhile(item)
             if is_fencing:
-                lease_ms = min(lease_ms, FENCING_LEASE_MS)
-                if self._outlasts_leases(item, lease_ms, now_ms):
+                lease_ms = min(lease_ms, self._fencing_lease_ms(item, now_ms))
+                if lease_ms < FENCING_LEASE_MS:
                     continue
             is_unknown = item.is_releasing and not item.is_acknowledged
             if not item.fence or is_fencing or is_unknown:
                 item.fence = self._next_fence()
                 item.is_fence_acknowledged = False
-            kind = FENCING if is_fencing else GRANT
+            kind = RENEWAL if item.is_fence_acknowledged else GRANT
+            if is_fencing:
+                kind = FENCING
             actions.append(self._make_grant(item, address, lease_ms, kind, now_ms))
         return actions
 
@@ -418,21 +422,25 @@
         if item.is_inherited_move:  # Either of two instances may hold a lease.
             return False
         is_kept = not item.is_releasing or self._keeps_meanwhile(item)
-        if not is_kept and not item.needs_fencing(now_ms):
+        if not is_kept and not item.needs_fencing_before_release(now_ms):
             return False
         is_confirmed = item.process_observed_ms <= self._confirmed_ms
         return is_confirmed and self._reaches_known_process(item)
 
-    def _outlasts_leases(
-        self, item: LeasedRange, lease_ms: float, now_ms: float
-    ) -> bool:
-        """Returns whether a new lease may expire after all present ones.
+    @staticmethod
+    def _fencing_lease_ms(item: LeasedRange, now_ms: float) -> float:
+        """Returns the longest lease of a fencing grant that outlasts no present one.
 
         If each fencing grant prolonged the wait, an owner that accepts connections and
-        never answers would keep its keys for good.
+        never answers would keep its keys for good. The work that runs at an owner that
+        answers may take longer than a short lease.
         """
-        end_ms = now_ms + MAX_GRANT_DELIVERY_MS + self.max_lease_ms(lease_ms)
-        return end_ms > item.last_lease_end_ms
+        left_ms = item.last_lease_end_ms - now_ms - MAX_GRANT_DELIVERY_MS
+        drift_ratio = CLOCK_DRIFT_RATIO - 1.0
+        longest_ms = (left_ms - LEASE_SLACK_MS) * (1.0 - drift_ratio)
+        if item.needs_fencing(now_ms):
+            return min(longest_ms, FENCING_LEASE_MS)
+        return longest_ms
 
     def _has_owner_ended(self, item: LeasedRange) -> bool:
         """Returns whether the process of an unlisted owner has ended for certain.
--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -28,6 +28,9 @@
         is_releasing: Whether the range is being taken from its owner.
         is_released: Whether the owner holds no lease any more.
         unanswered_grant_end_ms: When a lease granted by an unanswered call expires.
+        unproven_grant_end_ms: When a lease granted by renewals expires. The answer to a
+            renewal may be one that was sent again for an earlier call, so that the
+            renewal itself may still be carried out.
         lease_end_ms: When the longest lease of this granter expires.
         next_call_ms: When the next call about the range is due.
         call_id: Number of the call in flight; 0 if there is none.
@@ -59,7 +62,7 @@
         self.is_fence_acknowledged = False
         self.is_releasing = False
         self.is_released = False
-        self.unanswered_grant_end_ms = -math.inf
+        self.unanswered_grant_end_ms = self.unproven_grant_end_ms = -math.inf
         self.lease_end_ms = -math.inf
         self.next_call_ms = 0.0
         self.call_id = 0
@@ -103,7 +106,8 @@
         self.address = address
         self.fence = 0
         self.is_acknowledged = self.is_releasing = self.is_released = False
-        self.unanswered_grant_end_ms = self.lease_end_ms = -math.inf
+        self.unanswered_grant_end_ms = self.unproven_grant_end_ms = -math.inf
+        self.lease_end_ms = -math.inf
         self.next_call_ms = 0.0
         self.call_id = 0
         self.replaced_answers = 0
@@ -159,11 +163,24 @@
         """Returns whether an earlier grant could still take effect after a release."""
         return not self.is_acknowledged or now_ms < self.unanswered_grant_end_ms
 
+    def needs_fencing_before_release(self, now_ms: float) -> bool:
+        """Returns whether a fence has to be acknowledged before a release."""
+        return self.needs_fencing(now_ms) or now_ms < self.unproven_grant_end_ms
+
+    def is_open(self, now_ms: float) -> bool:
+        """Returns whether a grant may take effect after a successor's release.
+
+        A successor fences the owner itself unless the range is moving.
+        """
+        if self.call_id or self.is_inherited_move or self.needs_fencing(now_ms):
+            return True
+        return bool(self.target) and now_ms < self.unproven_grant_end_ms
+
     def can_release(self, now_ms: float) -> bool:
         """Returns whether a release sent now would end every lease of the owner."""
         if self.is_inherited_move:
             return now_ms >= self.former_calls_end_ms and not self.has_open_grants
-        return not self.is_deferred and not self.needs_fencing(now_ms)
+        return not self.is_deferred and not self.needs_fencing_before_release(now_ms)
 
     def copy_subrange(self, first: int, last: int) -> LeasedRange:
         """Returns a copy for a part of the range, without the call in flight."""
--- a/tests/core/gateway/test_lease_world.py
+++ b/tests/core/gateway/test_lease_world.py
@@ -514,3 +514,25 @@
         world.advance_until(lambda: world.held_by("s1x") > 0, 2000)
         world.unlist("s1x")
         world.advance(2 * WATCH_MS)
+
+
+@pytest.mark.parametrize("reason", ("load", "drain"))
+def test_h2_a_second_answer_is_taken_for_that_of_a_renewal_carried_out_late(reason):
+    """The renewal takes effect when the range has another owner."""
+    for seed in range(20):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(2000)
+        owner = world.instances["s1"]
+        owner.has_second_answers = True
+        world.late_delay_ms = (200.0, 2000.0)
+        world.advance(1000 + 100 * seed)
+        owner.late_ratio = 1.0
+        if reason == "drain":
+            world.drain("s1")
+        else:
+            low = first_hash_of(world, "s1")
+            world.distribution = load_on(low, low + 16_000)
+        world.advance_until(lambda: world.held_by("s1") == 0, 3000)
+        owner.late_ratio = 0.0
+        world.advance(WATCH_MS)
