Wait for a grant without an answer as long as it may last

Causes, both in what the granter takes for the end of such a grant: a fence of 0.3 s without an answer replaced the end of a renewal of 3 s without one, so that the owner was released unfenced while the renewal could still be carried out; and a grant that was given up after 0.5 s was taken for arrived by then, though it may be on a slow link until 1 s after it was sent, as the design itself says.

The end is the latest of all such grants, and counts from half a second after the call was given up.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -17,6 +17,7 @@
 
 from .key_load import LoadDistribution
 from .lease_calls import (
+    LATE_ARRIVAL_MS,
     MAX_GRANT_DELIVERY_MS,
     CallResult,
     GrantCall,
@@ -350,7 +351,10 @@
         elif result.outcome == "replaced":
             item.replaced_answers += 1
         elif result.outcome == "silent":
-            item.unanswered_grant_end_ms = lease_end_ms
+            lease_end_ms += LATE_ARRIVAL_MS
+            item.unanswered_grant_end_ms = max(
+                item.unanswered_grant_end_ms, lease_end_ms
+            )
             item.lease_end_ms = max(item.lease_end_ms, lease_end_ms)
 
     def _handle_release_result(
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -8,6 +8,8 @@
 
 # A grant in flight reaches its instance within this time, or is given up and dropped.
 MAX_GRANT_DELIVERY_MS = 1000.0
+# It is given up after half of that, and may be on a slow link then.
+LATE_ARRIVAL_MS = 500.0
 
 
 class LeaseTimings(NamedTuple):
--- a/tests/core/gateway/test_two_owners.py
+++ b/tests/core/gateway/test_two_owners.py
@@ -206,3 +206,40 @@
             elif isinstance(action, GrantCall) and action.instance == "s1":
                 handovers.add(action.handover)
     assert handovers == {""}
+
+
+def test_an_unanswered_fence_does_not_end_the_wait_for_a_longer_grant():
+    """A renewal and the fences after it have no answer; it may be carried out last."""
+    recorded = OwnerTable([OwnedRange(0, 65535, "s1", 1)])
+    owners = {name: KeyedInstance(name, name, 1, True) for name in ("s1", "s2")}
+    granter = Granter(TIMINGS, 2, recorded, -WATCH_MS)
+    first = granter.step(owners, 0.0)[0]
+    granter.handle_result(CallResult(first.call_id, "done"), 0.0)
+    renewal = granter.step(owners, TIMINGS.renew_ms)[0]
+    answered_ms = TIMINGS.renew_ms + 500.0
+    granter.handle_result(CallResult(renewal.call_id, "silent"), answered_ms)
+    owners.pop("s1")
+    waiting = []
+    for now_ms in range(int(answered_ms), int(answered_ms + TIMINGS.lease_ms), 100):
+        for call_id, due_ms in list(waiting):
+            if now_ms >= due_ms:
+                waiting.remove((call_id, due_ms))
+                granter.handle_result(CallResult(call_id, "silent"), float(now_ms))
+        for action in granter.step(owners, float(now_ms)):
+            assert isinstance(action, GrantCall), f"{action} after {now_ms} ms"
+            waiting.append((action.call_id, now_ms + 500.0))
+
+
+def test_a_grant_that_is_given_up_may_arrive_later():
+    """It counts from its arrival, up to a second after it was sent."""
+    recorded = OwnerTable([OwnedRange(0, 65535, "s1", 1)])
+    owners = {name: KeyedInstance(name, name, 1, True) for name in ("s1", "s2")}
+    granter = Granter(TIMINGS, 2, recorded, -WATCH_MS)
+    first = granter.step(owners, 0.0)[0]
+    granter.handle_result(CallResult(first.call_id, "silent"), 500.0)
+    owners.pop("s1")
+    end_ms = 1000.0 + 1.02 * TIMINGS.lease_ms
+    for now_ms in range(500, int(end_ms), 50):
+        for action in granter.step(owners, float(now_ms)):
+            granter.handle_result(CallResult(action.call_id, "unsent"), float(now_ms))
+        assert not granter.pop_lost_ranges(), now_ms
