End the term of a refused granter when the store comes back without records

Cause: a granter that was cut off took itself for the one in office when it reached the store again, if that had come back from a copy without the record of its successor. It claimed the first term of the new era, and gave away ranges by its own leases, while its successor's were in force.

If an instance has refused it for a higher fence since its last read, it now ends its term; and a record of a term that this process has had begins no term once more.

--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -313,7 +313,7 @@
         self._resolve_pending_write(now_ms)
         if self.is_granter:
             self._shorten_former_authority(now_ms)
-        elif granter.process == self._process:
+        elif granter.process == self._process and granter.term > self.term:
             self._start_term(granter.term, now_ms)
 
     def _compare_with_record(self, granter: GranterRecord, now_ms: float) -> None:
@@ -337,9 +337,12 @@
         """Handles that the store has lost the last records that it acknowledged.
 
         The granter in office knows all owners. It claims a term of the new era, as its
-        own may not be on record, and records the owners again.
+        own may not be on record, and records the owners again. A granter that has seen
+        a higher fence than its own is not in office: its successor's record is lost.
         """
         self._restored_at_ms = now_ms
+        if self.is_granter and self.confirmed_ms <= self._fenced_at_ms:
+            self.end_term(now_ms)
         self._has_lost_records = self.is_granter
         for write in self._writes:
             if write.service in self.granters:
--- a/tests/core/gateway/test_granter_role.py
+++ b/tests/core/gateway/test_granter_role.py
@@ -275,3 +275,18 @@
     daemon.role.handle_write_failed(claim, True, daemon.now_ms)
     daemon.read(6, (claim.key, claim.value))
     assert daemon.role.is_granter
+
+
+def test_a_granter_that_was_refused_is_not_in_office_in_a_new_era(daemon):
+    """It was cut off, and the store has lost the record of its successor."""
+    former = granter_record("d2", "p2", 4)
+    daemon.become_granter(make_position(1, 5), former, owners_record(OWNERS))
+    daemon.answer_grants(daemon.step_service())
+    daemon.now_ms += 1000
+    daemon.role.handle_fenced(daemon.now_ms)
+    daemon.now_ms += 1000
+    old_copy = [granter_record("d1", "p1", 5), owners_record(OWNERS)]
+    daemon.writes.clear()
+    daemon.read(make_position(2, 4), *old_copy, is_snapshot=True)
+    assert not daemon.role.is_granter
+    assert not daemon.writes
