--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -338,10 +338,12 @@
 
         The granter in office knows all owners. It claims a term of the new era, as its
         own may not be on record, and records the owners again. A granter that has seen
-        a higher fence than its own is not in office: its successor's record is lost.
+        a higher fence than its own, or was asked to end its term, is not in office: its
+        successor's record is lost.
         """
         self._restored_at_ms = now_ms
-        if self.is_granter and self.confirmed_ms <= self._fenced_at_ms:
+        is_fenced = self.confirmed_ms <= self._fenced_at_ms
+        if self.is_granter and (is_fenced or self._gate.is_superseded(self.term)):
             self.end_term(now_ms)
         self._has_lost_records = self.is_granter
         for write in self._writes:
--- a/src/skylarktrail/core/gateway/lease_call_gate.py
+++ b/src/skylarktrail/core/gateway/lease_call_gate.py
@@ -40,10 +40,14 @@
         """Allows no calls of lower terms any more."""
         self._superseding_term = max(self._superseding_term, term)
 
+    def is_superseded(self, term: int) -> bool:
+        """Returns whether a later granter has asked for the end of a term."""
+        return term < self._superseding_term
+
     def is_open(self, term: int, now_ms: float) -> bool:
         """Returns whether calls of a term may be sent now."""
         window = self._window
-        is_current = term == window.term and term >= self._superseding_term
+        is_current = term == window.term and not self.is_superseded(term)
         return is_current and now_ms <= window.end_ms
 
     def allows(self, term: int, queued_ms: float, now_ms: float) -> bool:
--- a/tests/core/gateway/test_granter_role.py
+++ b/tests/core/gateway/test_granter_role.py
@@ -277,13 +277,17 @@
     assert daemon.role.is_granter
 
 
-def test_a_granter_that_was_refused_is_not_in_office_in_a_new_era(daemon):
+@pytest.mark.parametrize("sign", ("refused", "asked to end"))
+def test_a_granter_with_a_successor_is_not_in_office_in_a_new_era(daemon, sign):
     """It was cut off, and the store has lost the record of its successor."""
     former = granter_record("d2", "p2", 4)
     daemon.become_granter(make_position(1, 5), former, owners_record(OWNERS))
     daemon.answer_grants(daemon.step_service())
     daemon.now_ms += 1000
-    daemon.role.handle_fenced(daemon.now_ms)
+    if sign == "refused":
+        daemon.role.handle_fenced(daemon.now_ms)
+    else:
+        daemon.gate.supersede(6)
     daemon.now_ms += 1000
     old_copy = [granter_record("d1", "p1", 5), owners_record(OWNERS)]
     daemon.writes.clear()
