--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -84,11 +84,13 @@
         listing_interval_ms: How often it reads the listing of instances.
         listing_lag_ms: Age of a listing when it is applied.
         read_lag_ms: Age of a read of the shared records when it is applied.
+        timings: Durations of leases.
     """
 
     listing_interval_ms: float = 700.0
     listing_lag_ms: float = 5.0
     read_lag_ms: float = 5.0
+    timings: LeaseTimings = TIMINGS
 
 
 class CallQueue:
@@ -148,7 +150,7 @@
         self.role = GranterRole(
             name,
             process,
-            TIMINGS,
+            settings.timings,
             self.shared,
             self._gate,
             self,
--- a/tests/core/gateway/test_lease_world.py
+++ b/tests/core/gateway/test_lease_world.py
@@ -16,7 +16,7 @@
     SILENT,
     LeaseWorld,
 )
-from .lease_world_daemon import TIMINGS
+from .lease_world_daemon import TIMINGS, DaemonSettings
 
 RECOVERY_TARGET_MS = 5000.0  # Maximum time until the keys of a lost owner are served.
 WATCH_MS = 6000.0  # Longer than a lease.
@@ -536,3 +536,34 @@
         world.advance_until(lambda: world.held_by("s1") == 0, 3000)
         owner.late_ratio = 0.0
         world.advance(WATCH_MS)
+
+
+@pytest.mark.parametrize(
+    "timings",
+    (
+        TIMINGS._replace(authority_ms=2 * TIMINGS.authority_ms),
+        TIMINGS._replace(outage_lease_ms=10_000.0),
+    ),
+)
+def test_h4_a_former_granter_has_longer_leases_than_its_successor(timings):
+    """Their settings differ, against docs/settings.md."""
+    for seed in (0, 2, 3):
+        world = LeaseWorld(seed)
+        first = world.wait_for_granter().name
+        second = next(name for name in world.daemons if name != first)
+        world.advance(1000)
+        world.kill_daemon(second)
+        world.start_daemon(second, DaemonSettings(timings=timings))
+        world.advance(1000)
+        world.kill_daemon(first)
+        elect(world, second)
+        world.advance(2500)
+        world.start_daemon(first, DaemonSettings())
+        world.advance(11_000)
+        let_read(world, first)
+        isolate_granter(world)
+        hide(world, "s1", reaching=[second])
+        for address in ("a0", "a2", "a3"):
+            world.set_link(second, address, HANG)
+        elect(world, first)
+        world.advance(5 * WATCH_MS)
