Take no answer for whole that was cut in its head, on any link of urllib3

Cause: http.client takes the end of a connection within a head, a chunk's size or a trailer for its end, so that urllib3 returned the status with the fields so far and an empty body; read(amt) returns less than the length of a body that was cut. A release whose answer was cut counted as done, a read of the store as one that brought nothing new, and append, join and read_newest raised JSONDecodeError.

Change: http_pools.py has the pools of all five users of urllib3. Its response reads lines that raise IncompleteRead where the connection ends before the line feed, and before the empty line once the answer has begun; urllib3 makes a ProtocolError of it, which all users treat as no answer. An answer without a byte is still RemoteDisconnected.

Ruled out: gateway/exchange.py, on h11, takes no cut for an answer.

--- a/src/skylarktrail/ctl/daemon_client.py
+++ b/src/skylarktrail/ctl/daemon_client.py
@@ -11,6 +11,7 @@
 from ..errors import CODES
 from ..errors import tool as codes
 from ..errors.code import Fault
+from ..http_pools import make_pool_manager
 
 REQUIRED_STATUS_FIELDS = {
     "daemon",
@@ -39,7 +40,7 @@
     def __init__(self, address: str, timeout_ms: float) -> None:
         self._address = address
         self._timeout_s = timeout_ms / 1000
-        self._manager = urllib3.PoolManager(retries=False)
+        self._manager = make_pool_manager(retries=False)
 
     def status(self) -> Result[dict[str, Any], Fault]:
         """Returns the daemon's status as a JSON object."""
--- a/src/skylarktrail/daemon/pools.py
+++ b/src/skylarktrail/daemon/pools.py
@@ -5,7 +5,7 @@
 import socket
 import threading
 
-import urllib3
+from ..http_pools import WholeResponseConnection, WholeResponsePool
 
 CONNECT_TIMEOUT_MS = 300
 _thread_state = threading.local()
@@ -36,7 +36,7 @@
             pass
 
 
-class TrackedConnection(urllib3.connection.HTTPConnection):
+class TrackedConnection(WholeResponseConnection):
     """A connection that registers itself in the abort handle of its thread."""
 
     def request(self, *args, **kwargs) -> None:
@@ -47,7 +47,7 @@
         super().request(*args, **kwargs)
 
 
-class TrackedPool(urllib3.HTTPConnectionPool):
+class TrackedPool(WholeResponsePool):
     """A pool of tracked connections."""
 
     ConnectionCls = TrackedConnection
--- /dev/null
+++ b/src/skylarktrail/http_pools.py
@@ -0,0 +1,87 @@
+"""Connection pools of urllib3 that take no answer for whole that was cut.
+
+`http.client` takes the end of a connection within a head, a chunk's size or a trailer
+for the end of that part, and some of its reads return less than the length in the head.
+Here each of these raises, so that urllib3 reports a `ProtocolError`. All HTTP clients
+that use urllib3 take their pools from this module.
+"""
+
+from __future__ import annotations
+
+import http.client
+import io
+from typing import Any
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+
+class _WholeLineReader(io.BufferedReader):
+    """Reads an answer, all lines of which must be whole once it has begun."""
+
+    def __init__(self, raw: io.RawIOBase) -> None:
+        super().__init__(raw)
+        self._has_begun = False
+
+    def readline(self, size: int | None = -1) -> bytes:
+        """Reads a line; returns b"" only if the connection ends without an answer.
+
+        Raises:
+            http.client.IncompleteRead: The connection has ended within the answer.
+        """
+        line = super().readline(size)
+        is_at_limit = size is not None and 0 <= size <= len(line)
+        is_cut = not line.endswith(b"\n") and not is_at_limit
+        if is_cut and (line or self._has_begun):
+            raise http.client.IncompleteRead(line)
+        self._has_begun = True
+        return line
+
+
+class WholeResponse(http.client.HTTPResponse):
+    """A response that raises `IncompleteRead` where it was cut."""
+
+    def __init__(self, sock: Any, *args: Any, **options: Any) -> None:
+        super().__init__(sock, *args, **options)
+        self.fp = _WholeLineReader(self.fp.detach())
+
+    def read(self, amt: int | None = None) -> bytes:
+        """Reads up to `amt` bytes; fewer only if the response has no more.
+
+        Raises:
+            http.client.IncompleteRead: The connection has ended within the response.
+        """
+        is_open = self.fp is not None
+        data = super().read(amt)
+        if is_open and amt and len(data) < amt and self.length:
+            raise http.client.IncompleteRead(data, self.length)
+        return data
+
+
+class WholeResponseConnection(HTTPConnection):
+    """A connection whose responses are whole."""
+
+    response_class = WholeResponse
+
+
+class WholeResponsePool(urllib3.HTTPConnectionPool):
+    """A pool of connections whose responses are whole."""
+
+    ConnectionCls = WholeResponseConnection
+
+
+def make_pool(address: str, connections: int) -> WholeResponsePool:
+    """Creates a pool for `host:port` that keeps up to `connections` idle."""
+    host, _, port = address.rpartition(":")
+    return WholeResponsePool(host, int(port), maxsize=connections, block=False)
+
+
+def make_pool_manager(**options: Any) -> urllib3.PoolManager:
+    """Returns a manager of such pools, for URLs of HTTP.
+
+    Args:
+        options: Passed on to urllib3.
+    """
+    manager = urllib3.PoolManager(**options)
+    manager.pool_classes_by_scheme = {"http": WholeResponsePool}
+    return manager
--- a/src/skylarktrail/platform/lease_client.py
+++ b/src/skylarktrail/platform/lease_client.py
@@ -10,6 +10,7 @@
 from urllib3.connection import HTTPConnection
 
 from ..core.gateway.lease_calls import CallResult, GrantCall, ReleaseCall
+from ..http_pools import make_pool_manager
 from .headers import TARGET
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -56,7 +57,7 @@
 
 def _make_pools(pools: int, connections: int) -> urllib3.PoolManager:
     options = [*HTTPConnection.default_socket_options, RESET_ON_CLOSE]
-    return urllib3.PoolManager(
+    return make_pool_manager(
         num_pools=pools, maxsize=connections, block=False, socket_options=options
     )
 
--- a/src/skylarktrail/platform/store_client.py
+++ b/src/skylarktrail/platform/store_client.py
@@ -16,9 +16,11 @@
 
 from ..errors import platform as codes
 from ..errors.code import Fault
+from ..http_pools import make_pool
 
 RESPONSE_TIMEOUT_MS = 900.0  # The store usually responds within 4 ms.
 CONNECT_TIMEOUT_MS = 400.0
+MAX_IDLE_CONNECTIONS = 2
 STATUS_FAULTS = {
     409: codes.STORE_CONFLICT,
     410: codes.STORE_TRIMMED,
@@ -78,8 +80,8 @@
 
     def __init__(self, address: str) -> None:
         self.era = 0
-        host, _, port = address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=2, block=False)
+        self._address = address
+        self._pool = make_pool(address, MAX_IDLE_CONNECTIONS)
 
     def read_newest(self, topic: str) -> Result[NewestRecords, Fault]:
         """Reads the newest record of each key of a keyed log, page by page."""
@@ -203,10 +205,7 @@
 
     def _reopen(self) -> None:
         """Replaces the pool, as its connections may never respond again."""
-        pool = self._pool
-        self._pool = urllib3.HTTPConnectionPool(
-            pool.host, pool.port, maxsize=2, block=False
-        )
+        self._pool = make_pool(self._address, MAX_IDLE_CONNECTIONS)
 
 
 def _split_frames(data: bytes) -> Iterator[bytes]:
--- a/src/skylarktrail/providers/http.py
+++ b/src/skylarktrail/providers/http.py
@@ -7,6 +7,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from .. import http_pools
 from ..errors import Fault
 from ..errors import platform as codes
 
@@ -16,7 +17,7 @@
 
 def make_pool_manager() -> urllib3.PoolManager:
     """Returns a pool manager that never retries a request."""
-    return urllib3.PoolManager(
+    return http_pools.make_pool_manager(
         num_pools=512, maxsize=CONNECTIONS_PER_HOST, retries=False
     )
 
