Take from an instance's entry only what can be used everywhere

Cause: the decoder of entries checked types, but not that a value can be used where daemons use it. A whole number of hundreds of digits in slots, born or sequence raised OverflowError when a float was made of it; a host with an empty or long label or a lone surrogate raised UnicodeError when connecting; a service, zone or identifier with a lone surrogate raised UnicodeEncodeError when the granter encoded the listing, for all daemons and on each read; an identifier with a line break or beyond Latin-1 raised when a header field was made of it.

Change: core/gateway/checks.py has the bounds. An entry with anything else names no instance.

Ruled out: deep nesting, NaN, infinite numbers and broken bytes were refused before. Two entries with one address are both listed, as a replacement may take an address before the entry of its last user expires; requests and grants name their instance.

--- a/src/skylarktrail/platform/entries.py
+++ b/src/skylarktrail/platform/entries.py
@@ -5,17 +5,26 @@
 import json
 from typing import Any
 
+from ..core.gateway.checks import (
+    MAX_EXACT_NUMBER,
+    is_address,
+    is_identifier,
+    is_name,
+)
 from ..core.gateway.model import InstanceEntry
 
 DRAINING = "draining"
 STATES = ("ready", DRAINING)
+MAX_SLOTS = 1 << 16  # More would draw the requests of a whole site to one instance.
+MAX_COLD_MS = 86_400_000  # A day; a start takes seconds.
 
 
 def decode_entry(instance: str, value: bytes) -> InstanceEntry | None:
     """Decodes one entry.
 
     Returns:
-        The entry, or None if it is invalid, as other programs may write entries too.
+        The entry; None if it is not usable, as other programs may write entries too.
+        Each value of the entry can be used wherever the daemons use it.
     """
     try:
         return _decode(instance, json.loads(value))
@@ -24,27 +33,28 @@
 
 
 def _decode(instance: str, document: dict[str, Any]) -> InstanceEntry | None:
-    state = document["state"]
-    texts = (document["backend"], document["address"], document["zone"])
-    if state not in STATES or not all(isinstance(item, str) for item in texts):
+    state, service = document["state"], document["backend"]
+    address, zone = document["address"], document["zone"]
+    if state not in STATES or not is_identifier(instance):
         return None
-    host, _, port = document["address"].rpartition(":")
-    if not host or not 0 < int(port) < 65536:
+    if not (service and is_name(service) and is_name(zone) and is_address(address)):
         return None
     return InstanceEntry(
         instance,
-        document["backend"],
-        document["address"],
-        document["zone"],
-        max(1, _to_integer(document["slots"])),
+        service,
+        address,
+        zone,
+        max(1, _to_integer(document["slots"], MAX_SLOTS)),
         state == DRAINING,
-        float(_to_integer(document.get("coldRemainingMs", 0))),
+        float(_to_integer(document.get("coldRemainingMs", 0), MAX_COLD_MS)),
         _to_integer(document.get("born", 0)),
         _to_integer(document["sequence"]),
     )
 
 
-def _to_integer(value: Any) -> int:
+def _to_integer(value: Any, limit: int = MAX_EXACT_NUMBER) -> int:
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise TypeError(f"not a number: {value!r}")
+    if not 0 <= value <= limit:
+        raise ValueError(f"not in 0 to {limit}")
     return int(value)
