Let no address or header field raise out of a call to an instance

Cause: Connection.open turned only OSError into its fault. A host that cannot be encoded or a port beyond the range raised UnicodeError, ValueError or OverflowError through the router: the caller got 500 with an unknown outcome, and the request counted as in flight at the instance for good, so that the instance seemed full and, by the age of that request, silent. The same followed from a caller's header field with a byte beyond ASCII, which HTTP allows, and from a request target with a control character. The lease client raised for an identifier that no header field can carry.

Change: an address that cannot be connected to and a request that cannot be encoded are INSTANCE_UNREACHED, as nothing was sent; the hosts of IPv6 addresses lose their brackets. Fields are sent on in Latin-1, as they came. A target with control characters is refused with 400. The router ends an attempt also after an exception. A lease call that raises is silent, as the actor took it to be.

Ruled out: urllib3 turns odd addresses of lease calls into its own errors, which were handled.

--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -100,6 +100,8 @@
             super().parse_header(header_plus)
         except ValueError as error:
             raise ParsingError("Bad URI") from error
+        if not self.request_uri.isprintable():  # No target may have control characters.
+            raise ParsingError("Bad URI")
         if TRANSFER_ENCODING in self.headers:
             raise ParsingError("Transfer-Encoding needs HTTP/1.1")
         if self.chunked and CONTENT_LENGTH in self.headers:
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -137,9 +137,9 @@
         host, _, port = self.address.rpartition(":")
         timeout_s = max(0.001, min(CONNECT_TIMEOUT_MS, timeout_ms) / 1000)
         try:
-            sock = socket.create_connection((host, int(port)), timeout_s)
+            sock = socket.create_connection((host.strip("[]"), int(port)), timeout_s)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:  # No usable address.
             return Err(Fault(codes.INSTANCE_UNREACHED, self.address, repr(error)))
         self._socket = sock
         return Ok(None)
@@ -200,6 +200,9 @@
         parser = h11.Connection(h11.CLIENT)
         try:
             data = _encode_request(parser, request)
+        except (h11.LocalProtocolError, ValueError) as error:  # It cannot be sent.
+            return Err(Fault(codes.INSTANCE_UNREACHED, self.address, repr(error)))
+        try:
             _set_timeout(sock, get_end_ms())
             sock.sendall(data)
             return self._read_response(sock, parser, request, get_end_ms)
@@ -287,9 +290,8 @@
 
 
 def _encode_request(parser: h11.Connection, request: OutgoingRequest) -> bytes:
-    head = h11.Request(
-        method=request.method, target=request.target, headers=request.fields
-    )
+    fields = [(name, value.encode("latin-1")) for name, value in request.fields]
+    head = h11.Request(method=request.method, target=request.target, headers=fields)
     data = parser.send(head) or b""
     if request.body:
         data += parser.send(h11.Data(data=request.body)) or b""
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -298,7 +298,13 @@
         assert instance is not None
         entry = instance.entry
         sent_ms = now_ms()
-        result = self._exchange(job, entry, lambda: self._attempt_end_ms(job, sent_ms))
+        try:
+            result = self._exchange(
+                job, entry, lambda: self._attempt_end_ms(job, sent_ms)
+            )
+        except Exception:  # Else the request would count as in flight for good.
+            self._site.finish(ticket, now_ms())
+            raise
         elapsed_ms = now_ms() - sent_ms
         with self._site.lock:
             self._site.finish(ticket, now_ms())
--- a/src/skylarktrail/platform/lease_client.py
+++ b/src/skylarktrail/platform/lease_client.py
@@ -100,7 +100,7 @@
         return CallResult(call.call_id, REFUSED if is_refused else UNSENT)
     except urllib3.exceptions.ConnectTimeoutError:
         return CallResult(call.call_id, UNSENT)
-    except (urllib3.exceptions.HTTPError, OSError):
+    except (urllib3.exceptions.HTTPError, OSError, ValueError, OverflowError):
         return CallResult(call.call_id, SILENT)
     outcome = OUTCOMES.get(response.status, SILENT) if is_whole else SILENT
     return CallResult(call.call_id, outcome, response.headers.get("Handover", ""))
--- a/tests/daemon/test_caller_app.py
+++ b/tests/daemon/test_caller_app.py
@@ -167,6 +167,10 @@
         with_fields(b"POST http://[/ HTTP/1.1\r\n", "Content-Length: 3") + b"abc",
         codes.REQUEST_MALFORMED,
     ),
+    "control_in_path": (
+        with_fields(b"GET /a\x01b HTTP/1.1\r\n"),
+        codes.REQUEST_MALFORMED,
+    ),
     "bad_line": (b"nonsense\r\n\r\n", codes.REQUEST_MALFORMED),
     "long_body": (with_fields(POST, "Content-Length: 1001"), codes.BODY_TOO_LARGE),
     "long_chunk": (
