Ignore figures in header fields that cannot be used

Cause: Instance-Load, Cold-Ms, Deadline-Ms and Shard-Key were read by float(), which takes nan, inf, 1e400, 1_0 and digits of other scripts, and Keep-Alive by isdigit(), which takes a superscript two. int() then raised in the thread of a request that had its complete answer: the caller got 500 with an unknown outcome. An infinite Cold-Ms made an instance cold until its next entry.

Any other field counts as absent. A negative Cold-Ms still says that the instance is not cold.

Ruled out: Server-Limit was checked.

--- a/src/skylarktrail/core/gateway/checks.py
+++ b/src/skylarktrail/core/gateway/checks.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 MAX_EXACT_NUMBER = 1 << 53  # Whole numbers up to this one are exact as floats, too.
+MAX_COLD_MS = 86_400_000  # A day; the start of an instance takes seconds.
 MAX_NAME_BYTES = 255
 MAX_HOST_CHARACTERS = 253
 MAX_PORT = 65535
--- a/src/skylarktrail/gateway/connection_pool.py
+++ b/src/skylarktrail/gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import threading
 from typing import Callable
 
@@ -17,6 +18,7 @@
 KEEP_ALIVE_MARGIN_MS = 1200.0  # Subtracted from the timeout that an instance states.
 MAX_IDLE_PER_INSTANCE = 12
 KEEP_ALIVE_FIELD = "keep-alive"
+KEEP_ALIVE_SECONDS = re.compile("[0-9]{1,9}")
 
 
 class ConnectionPool:
@@ -125,6 +127,6 @@
     """Returns how long a connection may stay idle, from the Keep-Alive field."""
     for item in fields.get(KEEP_ALIVE_FIELD, "").split(","):
         name, _, value = item.strip().partition("=")
-        if name == "timeout" and value.isdigit():
+        if name == "timeout" and KEEP_ALIVE_SECONDS.fullmatch(value):
             return min(MAX_IDLE_MS, max(0.0, int(value) * 1000 - KEEP_ALIVE_MARGIN_MS))
     return MAX_IDLE_MS
--- a/src/skylarktrail/platform/entries.py
+++ b/src/skylarktrail/platform/entries.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ..core.gateway.checks import (
+    MAX_COLD_MS,
     MAX_EXACT_NUMBER,
     is_address,
     is_identifier,
@@ -16,7 +17,6 @@
 DRAINING = "draining"
 STATES = ("ready", DRAINING)
 MAX_SLOTS = 1 << 16  # More would draw the requests of a whole site to one instance.
-MAX_COLD_MS = 86_400_000  # A day; a start takes seconds.
 
 
 def decode_entry(instance: str, value: bytes) -> InstanceEntry | None:
--- a/src/skylarktrail/platform/headers.py
+++ b/src/skylarktrail/platform/headers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import math
+import re
 from typing import Mapping
 
+from ..core.gateway.checks import MAX_COLD_MS, MAX_EXACT_NUMBER
 from ..core.gateway.model import InstanceEntry, LoadReport
 from ..gateway.exchange import CallerMetadata, ResponseMetadata
 
@@ -19,6 +20,9 @@
 COLD = "cold-ms"
 RATE_LIMIT = "server-limit"
 HASH_COUNT = 1 << 16
+MAX_NUMBER_CHARACTERS = 32
+NUMBER = re.compile(r"\s*[+-]?([0-9]+(\.[0-9]*)?|\.[0-9]+)(e[+-]?[0-9]+)?\s*", re.I)
+MAX_LOAD_FIGURE = 1 << 20  # Requests at one instance, or its work time in percent.
 USUAL_WORK_TIME_PERCENT = 100.0  # The fourth load figure is a percentage.
 REPLACED_FIELDS = frozenset((DEADLINE.lower(), TARGET.lower()))
 
@@ -50,7 +54,7 @@
         is_not_run=NOT_EXECUTED in headers,
         instance=headers.get(INSTANCE, ""),
         load=decode_load(headers.get(LOAD, "")),
-        cold_ms=_parse_number(headers.get(COLD)),
+        cold_ms=_parse_cold_ms(headers.get(COLD)),
         rate_limit_per_s=_parse_rate(headers.get(RATE_LIMIT)),
     )
 
@@ -69,6 +73,8 @@
     if len(numbers) < 3 or any(item is None for item in numbers):
         return None
     figures = [item for item in numbers if item is not None]
+    if not all(0 <= item <= MAX_LOAD_FIGURE for item in figures[:4]):
+        return None
     slowdown_ratio = (
         figures[3] / USUAL_WORK_TIME_PERCENT
         if len(figures) > 3 and figures[3] > 0
@@ -79,12 +85,18 @@
 
 def _parse_rate(text: str | None) -> float | None:
     number = _parse_number(text)
-    is_rate = number is not None and math.isfinite(number) and number >= 0
-    return number if is_rate else None
+    return number if number is not None and number >= 0 else None
+
+
+def _parse_cold_ms(text: str | None) -> float | None:
+    number = _parse_number(text)
+    is_time = number is not None and number <= MAX_COLD_MS
+    return max(0.0, number) if is_time and number is not None else None
 
 
 def _parse_number(text: str | None) -> float | None:
-    try:
-        return float(text) if text is not None else None
-    except ValueError:
+    """Returns a decimal number within `MAX_EXACT_NUMBER`; None for anything else."""
+    if text is None or len(text) > MAX_NUMBER_CHARACTERS or not NUMBER.fullmatch(text):
         return None
+    number = float(text)
+    return number if abs(number) <= MAX_EXACT_NUMBER else None
