Send no request again on the connection on which it was refused

Cause: an instance that writes a refusal a second time on a kept connection names the same request in the copy. If the daemon sent the same attempt to the same instance again on that connection, it took the copy for the answer, while the instance ran the request: the caller was told "not run" (REFUSED), or the request was sent once more (TWICE).

Change: a connection remembers the requests whose responses were no success (hashes of their ids, 64 at most) and carries none of them again; the pool takes another idle connection or opens one. A connection that cannot remember one more is closed. All other requests still use it.

Ruled out: closing each connection after a refusal, as 421 is frequent while keys move and a new connection may hold a slot; remembering all ids without bound; forgetting the oldest id.

Existing test changed: exchange_pooled passes the id to acquire.

--- a/src/skylarktrail/gateway/connection_pool.py
+++ b/src/skylarktrail/gateway/connection_pool.py
@@ -40,20 +40,26 @@
         self.on_connect: Callable[[str, bool], None] = lambda instance, is_open: None
 
     def acquire(
-        self, instance: str, address: str, timeout_ms: float, must_run_once: bool
+        self,
+        instance: str,
+        address: str,
+        timeout_ms: float,
+        request_id: str,
+        must_run_once: bool,
     ) -> Result[Connection, Fault]:
-        """Returns an idle connection or opens a new one.
+        """Returns an idle connection that may carry a request, or opens a new one.
 
         Args:
             instance: Identifier of the instance.
             address: `host:port` of the instance.
             timeout_ms: Longest time to wait for a new connection.
+            request_id: Identifier of the request.
             must_run_once: Whether the request must not run twice.
 
         Returns:
             The connection, or the fault `INSTANCE_UNREACHED`.
         """
-        connection = self._acquire_idle(instance, address, must_run_once)
+        connection = self._acquire_idle(instance, address, request_id, must_run_once)
         if connection is not None:
             return Ok(connection)
         connection = self._make_connection(address)
@@ -74,7 +80,7 @@
         self, instance: str, connection: Connection, response: RawResponse
     ) -> None:
         """Returns a connection to the pool, or closes it if it cannot be reused."""
-        if not response.is_reusable or connection.is_aborted:
+        if not response.is_reusable or connection.is_aborted or connection.is_full:
             connection.close()
             return
         connection.idle_since_ms = now_ms()
@@ -106,12 +112,10 @@
         return Connection(address, self._id_field, self._names_requests)
 
     def _acquire_idle(
-        self, instance: str, address: str, must_run_once: bool
+        self, instance: str, address: str, request_id: str, must_run_once: bool
     ) -> Connection | None:
         while True:
-            with self._lock:
-                idle = self._idle.get(instance)
-                connection = idle.pop() if idle else None
+            connection = self._pop_idle(instance, request_id)
             if connection is None:
                 return None
             age_ms = now_ms() - connection.idle_since_ms
@@ -120,6 +124,15 @@
                 return connection
             connection.close()
 
+    def _pop_idle(self, instance: str, request_id: str) -> Connection | None:
+        """Removes and returns the latest idle connection that may carry a request."""
+        with self._lock:
+            idle = self._idle.get(instance, [])
+            for index in reversed(range(len(idle))):
+                if idle[index].may_carry(request_id):
+                    return idle.pop(index)
+        return None
+
 
 def _idle_limit_ms(fields: dict[str, str]) -> float:
     """Returns how long a connection may stay idle, from the Keep-Alive field."""
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -23,6 +23,8 @@
 # A server in trouble may send bytes without end. The daemon keeps whole responses in
 # memory, of which it has 200 MB on a small VM.
 MAX_RESPONSE_BODY_BYTES = 16 << 20
+# Failed requests that a connection remembers; it is closed rather than forget one.
+MAX_FAILED_REQUESTS = 64
 ZERO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER value: close() sends a reset.
 
 Fields = list[tuple[str, str]]
@@ -127,6 +129,24 @@
         self._id_field = id_field
         self._names_requests = names_requests
         self._socket: socket.socket | None = None
+        # Hashes of the ids of requests whose responses were no success. They take
+        # less memory than the ids; two equal ones cost no more than a connection.
+        self._failed_requests: set[int] = set()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection cannot remember another failed request."""
+        return len(self._failed_requests) >= MAX_FAILED_REQUESTS
+
+    def may_carry(self, request_id: str) -> bool:
+        """Returns whether a request may be sent on this connection.
+
+        A server may send a response once more. If that was a refusal, and the request
+        is sent to the server again, the copy would be taken for the response to a
+        request that the server runs. So a request whose response was no success is not
+        sent on the same connection again.
+        """
+        return hash(request_id) not in self._failed_requests
 
     def open(self, timeout_ms: float) -> Result[None, Fault]:
         """Connects within a timeout.
@@ -202,7 +222,8 @@
             data = _encode_request(parser, request)
             _set_timeout(sock, get_end_ms())
             sock.sendall(data)
-            return self._read_response(sock, parser, request, get_end_ms)
+            result = self._read_response(sock, parser, request, get_end_ms)
+            return result.inspect(lambda response: self._remember(request, response))
         except TimeoutError:
             return Err(Fault(codes.INSTANCE_SILENT, self.address))
         except h11.RemoteProtocolError as error:
@@ -211,6 +232,10 @@
             code = codes.ATTEMPT_CUT if self.is_aborted else codes.INSTANCE_BROKEN
             return Err(Fault(code, self.address, repr(error)))
 
+    def _remember(self, request: OutgoingRequest, response: RawResponse) -> None:
+        if not 200 <= response.status < 300:
+            self._failed_requests.add(hash(request.request_id))
+
     def _read_response(
         self,
         sock: socket.socket,
--- a/src/skylarktrail/gateway/forwarding.py
+++ b/src/skylarktrail/gateway/forwarding.py
@@ -177,7 +177,11 @@
         self, name: str, target: TargetProcess, job: Job, ticket: Ticket
     ) -> Result[RawResponse, Fault]:
         acquired = self._connections.acquire(
-            name, target.address, job.end_ms - now_ms(), not job.route.is_idempotent
+            name,
+            target.address,
+            job.end_ms - now_ms(),
+            job.metadata.request_id,
+            not job.route.is_idempotent,
         )
         if acquired.is_err():
             return acquired
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -335,6 +335,7 @@
             entry.instance,
             entry.address,
             get_end_ms() - now_ms(),
+            job.metadata.request_id,
             not job.route.is_idempotent,
         )
         if acquired.is_err():
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -135,7 +135,7 @@
 
 def exchange_pooled(connections, server, request_id="r1", must_run_once=False):
     connection = connections.acquire(
-        "i-1", server.address, 1000, must_run_once
+        "i-1", server.address, 1000, request_id, must_run_once
     ).unwrap()
     end_ms = now_ms() + LONG_MS
     result = connection.exchange(make_request(request_id), lambda: end_ms)
