--- a/tests/gateway/test_odd_addresses.py
+++ b/tests/gateway/test_odd_addresses.py
@@ -30,7 +30,7 @@
 def test_an_odd_address_is_unreached(address):
     """An exception would leave the request counted as in flight at its instance."""
     pool = ConnectionPool("request-id")
-    acquired = pool.acquire("i-1", address, 100.0, False)
+    acquired = pool.acquire("i-1", address, 100.0, "r1", False)
     assert acquired.unwrap_err().code is codes.INSTANCE_UNREACHED
     assert not pool.can_connect(address, 100.0)
 
@@ -67,7 +67,7 @@
 def test_a_request_that_cannot_be_encoded_is_not_sent(field, start_server):
     server = start_server([b""])
     pool = ConnectionPool("request-id")
-    connection = pool.acquire("i-1", server.address, 500.0, False).unwrap()
+    connection = pool.acquire("i-1", server.address, 500.0, "r1", False).unwrap()
     request = OutgoingRequest("GET", "/", [("Host", "a"), field], b"", "r1")
     result = connection.exchange(request, lambda: 1e18)
     assert result.unwrap_err().code is codes.INSTANCE_UNREACHED
