Reject a response that names two requests or two ends of its body

Cause: the last of several fields of a name counted. A head in which an earlier request's id stands before this one's was taken for this request's answer. A head with a length and chunks was taken by its chunks.

Change: a response whose ids differ, or that has both a length and chunks, is garbled, so its connection is closed and the request may have run.

Ruled out: refusing an id that is named twice alike, which misleads nobody.

--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -26,6 +26,8 @@
 # Failed requests that a connection remembers; it is closed rather than forget one.
 MAX_FAILED_REQUESTS = 64
 ZERO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER value: close() sends a reset.
+# A response has one of them at most; h11 refuses two different lengths.
+FRAMING_FIELDS = frozenset(("content-length", "transfer-encoding"))
 
 Fields = list[tuple[str, str]]
 
@@ -104,6 +106,16 @@
         """Returns the fields by name."""
         return dict(self.fields)
 
+    def has_conflict(self, id_field: str) -> bool:
+        """Returns whether the fields name several requests or ends of the body.
+
+        Args:
+            id_field: Name, in lower case, of the header field with the request id.
+        """
+        names = {name for name, _ in self.fields}
+        ids = {value for name, value in self.fields if name == id_field}
+        return len(ids) > 1 or FRAMING_FIELDS <= names
+
 
 class Connection:
     """A connection to one instance, for one request at a time.
@@ -250,6 +262,10 @@
                 return Err(
                     Fault(code, self.address, "connection closed before the response")
                 )
+            if response.has_conflict(self._id_field):
+                return Err(
+                    Fault(codes.INSTANCE_GARBLED, self.address, "conflicting fields")
+                )
             if self._is_response_to(response, request):
                 return Ok(response)
             if not response.is_reusable and parser.their_state is not h11.DONE:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -94,6 +94,31 @@
     assert code_of(result) is codes.INSTANCE_GARBLED
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Request-Id: r0\r\nRequest-Id: r1\r\nContent-Length: 5\r\n",
+        b"Request-Id: r1\r\nRequest-Id: r0\r\nContent-Length: 5\r\n",
+        b"Request-Id: r0, r1\r\nContent-Length: 5\r\n",
+        b"Request-Id: r1\r\nContent-Length: 5\r\nContent-Length: 4\r\n",
+        b"Request-Id: r1\r\nContent-Length: 5, 4\r\n",
+        b"Request-Id: r1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Request-Id: r1\r\nHTTP/1.1 503 X\r\nContent-Length: 5\r\n",
+    ],
+    ids=["ids", "ids-swapped", "id-list", "lengths", "length-list", "ends", "statuses"],
+)
+def test_response_that_mixes_two_is_rejected(start_server, head):
+    """An earlier refusal and the answer end in one head; the last id was taken."""
+    data = b"HTTP/1.1 200 OK\r\n" + head + b"\r\n5\r\nwhole\r\n0\r\n\r\n"
+    result = exchange(start_server([data]))
+    assert code_of(result) in (codes.INSTANCE_GARBLED, codes.INSTANCE_BROKEN)
+
+
+def test_response_that_names_its_request_twice_is_returned(start_server):
+    server = start_server([make_response(head=b"Request-Id: r1\r\n")])
+    assert exchange(server).unwrap().body == b"whole"
+
+
 def test_reset_connection_is_reported_as_broken(start_server):
     assert code_of(exchange(start_server(["reset"]))) is codes.INSTANCE_BROKEN
 
