Take a success that says "not run" for a garbled response

Cause: Not-Executed counted whatever the status. A head that mixes an earlier refusal and a success was taken for a refusal, so a request that the instance had run was sent once more or refused as "not run".

Change: Not-Executed counts only without a 2xx status; with one, the response is garbled and the request may have run.

Measured: test_success_that_says_not_run_may_have_run failed before for both kinds of request (not run; sent twice), passes now.

Ruled out: requiring Not-Executed with 421, as the platform's rules take that status alone for a refusal.

--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -394,11 +394,14 @@
             self._rate_limiter.observe(instance, metadata.rate_limit_per_s)
         if raw_response.status == MISDIRECTED_STATUS:
             return self._handle_misdirected(job, ticket, metadata)
-        if metadata.is_not_run:
+        is_success = 200 <= raw_response.status < 300
+        if metadata.is_not_run and not is_success:
             instance.record_failure()
             return Attempt(name, "NOT_RUN", False)
         is_unmodified = metadata.is_signed and "content-encoding" not in headers
-        if not is_unmodified or raw_response.status in NOT_RUN_STATUSES:
+        is_contradictory = metadata.is_not_run  # A success that says "not run".
+        is_unconfirmed = raw_response.status in NOT_RUN_STATUSES
+        if not is_unmodified or is_contradictory or is_unconfirmed:
             instance.record_failure()
             return Attempt(name, codes.INSTANCE_GARBLED.name)
         response = Response(raw_response.status, raw_response.fields, raw_response.body)
--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -232,3 +232,18 @@
         assert instance.executed == []
     else:
         assert (reply.body, instance.executed) == (b"ran", ["r1"])
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_success_that_says_not_run_may_have_run(
+    start_server, make_setup, is_idempotent
+):
+    """A refusal and a success end in one head; the request must not run twice."""
+    mixed = (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+        b"Response-Signature: s\r\nContent-Length: 3\r\n\r\nran"
+    )
+    server = start_server([mixed], [mixed], [mixed])
+    reply = make_setup(server.address, is_idempotent).send()
+    assert isinstance(reply, Problem) and reply.outcome == fields.UNKNOWN
+    assert is_idempotent or len(server.received) == 1
