Keep no connection whose answer named no request; daemons' refusals name it

Cause: refusals of daemons to forwarded requests named no request, so on a kept connection a second copy of one was taken for the next request's answer, "not run", while the other daemon had that request run.

Change: a connection whose response named no request is closed, to instances as to daemons. The refusal of a forwarded request has the field Request-Id, so its connection is kept.

Ruled out: requiring a name in each refusal, as builds run side by side; a new field, as Request-Id is on the way already.

--- a/src/skylarktrail/daemon/problem.py
+++ b/src/skylarktrail/daemon/problem.py
@@ -25,6 +25,7 @@
         has_fractional_retry_after: Whether Retry-After carries fractions of a second.
         attempt: `not-run` if this attempt did not run, regardless of the outcome of
             earlier attempts with its key; else "".
+        added_headers: Further header fields of the response.
     """
 
     code: Code
@@ -34,6 +35,7 @@
     allowed_methods: tuple[str, ...] = ()
     attempt: str = ""
     has_fractional_retry_after: bool = False
+    added_headers: tuple[tuple[str, str], ...] = ()
 
     def headers(self) -> fields.Fields:
         """Returns the header fields of the response."""
@@ -42,7 +44,7 @@
             headers.append(("Retry-After", self._retry_after()))
         if self.allowed_methods:
             headers.append(("Allow", ", ".join(self.allowed_methods)))
-        return headers
+        return [*headers, *self.added_headers]
 
     def _retry_after(self) -> str:
         seconds = (self.retry_after_ms or 0.0) / 1000
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -94,7 +94,9 @@
         status: HTTP status.
         fields: Header fields, names in lower case.
         body: Complete body.
-        is_reusable: Whether the connection can carry another request.
+        is_reusable: Whether the connection can carry another request. A connection
+            whose response names no request cannot: a copy of that response would be
+            taken for the response to the next request.
     """
 
     status: int
@@ -123,7 +125,8 @@
     Args:
         address: `host:port` of the instance.
         id_field: Name, in lower case, of the header field with the request id.
-        names_requests: Whether all responses of the server have that field.
+        names_requests: Whether all responses of the server have that field. If not,
+            one without it may answer a request on a connection that was used before.
 
     Attributes:
         is_aborted: Whether `abort` was called.
@@ -267,7 +270,7 @@
                     Fault(codes.INSTANCE_GARBLED, self.address, "conflicting fields")
                 )
             if self._is_response_to(response, request):
-                return Ok(response)
+                return Ok(self._mark_reusable(response))
             if not response.is_reusable and parser.their_state is not h11.DONE:
                 break
             trailing = parser.trailing_data[0]
@@ -289,6 +292,10 @@
             return not self._names_requests or not self.idle_since_ms
         return answered_id == request.request_id
 
+    def _mark_reusable(self, response: RawResponse) -> RawResponse:
+        is_named = self._id_field in response.field_map()
+        return response._replace(is_reusable=response.is_reusable and is_named)
+
     def _read_next(
         self,
         sock: socket.socket,
--- a/src/skylarktrail/gateway/forwarding.py
+++ b/src/skylarktrail/gateway/forwarding.py
@@ -109,7 +109,7 @@
         self._disconnect_monitor = disconnect_monitor
         self._replaced_fields = replaced_fields
         self._metrics = metrics
-        # Refusals of daemons do not name the request.
+        # Refusals of daemons of older builds do not name the request.
         self._connections = ConnectionPool(id_field, names_requests=False)
         self._targets = ForwardTargets(site.zone, random.random)
         self._lock = threading.Lock()
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -137,11 +137,26 @@
         return self._handle(request, None)
 
     def handle_forwarded(self, request: CallerRequest) -> Reply:
-        """Handles a request that another daemon forwards; it is not forwarded again."""
+        """Handles a request that another daemon forwards; it is not forwarded again.
+
+        A refusal names the request, so that the other daemon can tell it from one of
+        an earlier request on the same connection.
+        """
         state = decode_state(request.headers.get(fields.FORWARDED.lower(), ""))
         if state is None:
-            return Problem(caller_codes.REQUEST_MALFORMED, fields.NOT_RUN)
-        return self._handle(request, state)
+            problem = Problem(caller_codes.REQUEST_MALFORMED, fields.NOT_RUN)
+            return self._name_request(request, problem)
+        reply = self._handle(request, state)
+        if isinstance(reply, Problem):
+            return self._name_request(request, reply)
+        return reply
+
+    def _name_request(self, request: CallerRequest, problem: Problem) -> Problem:
+        name = self._header_codec.REQUEST_ID
+        request_id = request.headers.get(name.lower())
+        if request_id is None:
+            return problem
+        return problem._replace(added_headers=((name, request_id),))
 
     def _handle(self, request: CallerRequest, state: ForwardedState | None) -> Reply:
         with self._lock:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -32,14 +32,20 @@
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.site_state import SiteVersions
 
+from .conftest import Parts
+
 ANSWER = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n"
     b"Content-Length: 5\r\n\r\nwhole"
 )
 
 
-def make_problem_response(code, outcome=fields.NOT_RUN, retry_after_ms=None):
-    problem = Problem(code, outcome, retry_after_ms=retry_after_ms)
+def make_problem_response(
+    code, outcome=fields.NOT_RUN, retry_after_ms=None, request_id=""
+):
+    """Returns a daemon's refusal; without an id it is one of an older build."""
+    named = (("Request-Id", request_id),) if request_id else ()
+    problem = Problem(code, outcome, retry_after_ms=retry_after_ms, added_headers=named)
     lines = [f"HTTP/1.1 {code.status} X", f"Content-Length: {len(problem.body())}"]
     lines += [f"{name}: {value}" for name, value in problem.headers()]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + problem.body()
@@ -103,7 +109,7 @@
         )
         self.is_disconnected = False
 
-    def make_job(self, is_idempotent=True, body=b""):
+    def make_job(self, is_idempotent=True, body=b"", request_id="r1"):
         route = Route(
             "r",
             "shop.example",
@@ -119,12 +125,12 @@
             "POST" if body else "GET",
             "/stock/x",
             "q=1",
-            {"host": "shop.example", "request-id": "r1", "x-other": "kept"},
+            {"host": "shop.example", "request-id": request_id, "x-other": "kept"},
             body,
             now_ms(),
             lambda: self.is_disconnected,
         )
-        job = Job(request, CallerMetadata("r1", 1200.0, 7), route, "stock")
+        job = Job(request, CallerMetadata(request_id, 1200.0, 7), route, "stock")
         job.end_ms = job.start_ms + 1200
         job.target_end_ms = job.start_ms + 300
         return job
@@ -248,6 +254,53 @@
     assert reply.outcome == fields.UNKNOWN and job.may_have_run
 
 
+@pytest.fixture
+def make_scripted_setup(start_server):
+    """Returns a function that makes a forwarder to one daemon with a script."""
+    setups = []
+
+    def make(*connections):
+        setups.append(Setup([start_server(*connections)]))
+        return setups[-1]
+
+    yield make
+    for setup in setups:
+        setup.disconnect_monitor.stop()
+
+
+SECOND_ANSWER = ANSWER.replace(b"Request-Id: r1", b"Request-Id: r2")
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_copy_of_an_unnamed_refusal_is_not_the_next_answer(
+    make_scripted_setup, is_idempotent
+):
+    """Refusals of daemons of older builds do not name the request."""
+    refusal = make_problem_response(codes.WAIT_TOO_LONG, retry_after_ms=9.0)
+    copy_first = Parts(0.05, (refusal, SECOND_ANSWER))
+    setup = make_scripted_setup([refusal, copy_first], [SECOND_ANSWER])
+    assert setup.forward(setup.make_job(is_idempotent)).outcome == fields.NOT_RUN
+    job = setup.make_job(is_idempotent, request_id="r2")
+    assert setup.forward(job).body == b"whole"
+
+
+def test_copy_of_a_named_refusal_is_skipped(make_scripted_setup):
+    """The connection is kept, as new ones cost."""
+    refusal = make_problem_response(codes.WAIT_TOO_LONG, request_id="r1")
+    setup = make_scripted_setup([refusal, refusal + SECOND_ANSWER])
+    assert setup.forward(setup.make_job()).outcome == fields.NOT_RUN
+    assert setup.forward(setup.make_job(request_id="r2")).body == b"whole"
+
+
+def test_unnamed_refusal_on_a_kept_connection_is_read(make_scripted_setup):
+    """Daemons of older builds name a request in answers and not in refusals."""
+    refusal = make_problem_response(codes.WAIT_TOO_LONG, retry_after_ms=9.0)
+    setup = make_scripted_setup([ANSWER, refusal])
+    assert setup.forward(setup.make_job()).body == b"whole"
+    reply = setup.forward(setup.make_job(is_idempotent=False, request_id="r2"))
+    assert (reply.code, reply.outcome) == (codes.WAIT_TOO_LONG, fields.NOT_RUN)
+
+
 def test_refusal_after_an_attempt_is_not_said_to_be_not_run(make_setup):
     setup = make_setup(make_problem_response(codes.WAIT_TOO_LONG, retry_after_ms=9.0))
     job = setup.make_job()
--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -29,6 +29,7 @@
 from skylarktrail.gateway.disconnect_monitor import DisconnectMonitor
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.exchange import MAX_FAILED_REQUESTS, OutgoingRequest
+from skylarktrail.gateway.forwarding import ForwardedState, encode_state
 from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.router import GatewayRouter
 from skylarktrail.gateway.site_state import SiteState
@@ -150,6 +151,19 @@
         """Ignores a limit."""
 
 
+def make_request(**added) -> CallerRequest:
+    """Returns a caller's request."""
+    sent = {
+        "host": "shop.example",
+        "request-id": "r1",
+        "deadline-ms": str(DEADLINE_MS),
+        "shard-key": "7",
+    }
+    return CallerRequest(
+        "GET", "/stock/x", "", sent | added, b"", now_ms(), lambda: False
+    )
+
+
 class Setup(NamedTuple):
     """A router in front of an instance.
 
@@ -165,17 +179,9 @@
     route: Route
     connections: ConnectionPool
 
-    def send(self, request_id="r1"):
+    def send(self):
         """Returns the reply to a request of a caller."""
-        sent = {
-            "host": "shop.example",
-            "request-id": request_id,
-            "deadline-ms": str(DEADLINE_MS),
-            "shard-key": "7",
-        }
-        return self.router.handle(
-            CallerRequest("GET", "/stock/x", "", sent, b"", now_ms(), lambda: False)
-        )
+        return self.router.handle(make_request())
 
 
 @pytest.fixture
@@ -247,3 +253,25 @@
     reply = make_setup(server.address, is_idempotent).send()
     assert isinstance(reply, Problem) and reply.outcome == fields.UNKNOWN
     assert is_idempotent or len(server.received) == 1
+
+
+FORWARDED_STATE = encode_state(ForwardedState(1, "stock", 900.0, 300.0, False, 0))
+
+
+@pytest.mark.parametrize("state", [FORWARDED_STATE, "malformed"])
+def test_refusal_to_another_daemon_names_its_request(make_setup, state):
+    """Else a copy could be taken for the answer to the next forwarded request."""
+    setup = make_setup("127.0.0.1:1")
+    setup.site.set_cut(True, now_ms())
+    reply = setup.router.handle_forwarded(
+        make_request(**{fields.FORWARDED.lower(): state})
+    )
+    assert ("Request-Id", "r1") in reply.headers()
+
+
+def test_refusal_without_an_id_leaves_no_connection(start_server):
+    """Without an id, a copy of it cannot be told from the next answer."""
+    refusal = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    exchanger = Exchanger(start_server([refusal]).address)
+    assert exchanger.send("r1").unwrap().status == 503
+    assert not exchanger.connections.has_idle("i-1")
