--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -26,6 +26,8 @@
 # Failed requests that a connection remembers; it is closed rather than forget one.
 MAX_FAILED_REQUESTS = 64
 ZERO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER value: close() sends a reset.
+# A response has one of them at most; h11 refuses two different lengths.
+FRAMING_FIELDS = frozenset(("content-length", "transfer-encoding"))
 
 Fields = list[tuple[str, str]]
 
@@ -92,7 +94,9 @@
         status: HTTP status.
         fields: Header fields, names in lower case.
         body: Complete body.
-        is_reusable: Whether the connection can carry another request.
+        is_reusable: Whether the connection can carry another request. A connection
+            whose response names no request cannot: a copy of that response would be
+            taken for the response to the next request.
     """
 
     status: int
@@ -104,6 +108,16 @@
         """Returns the fields by name."""
         return dict(self.fields)
 
+    def has_conflict(self, id_field: str) -> bool:
+        """Returns whether the fields name several requests or ends of the body.
+
+        Args:
+            id_field: Name, in lower case, of the header field with the request id.
+        """
+        names = {name for name, _ in self.fields}
+        ids = {value for name, value in self.fields if name == id_field}
+        return len(ids) > 1 or FRAMING_FIELDS <= names
+
 
 class Connection:
     """A connection to one instance, for one request at a time.
@@ -111,7 +125,8 @@
     Args:
         address: `host:port` of the instance.
         id_field: Name, in lower case, of the header field with the request id.
-        names_requests: Whether all responses of the server have that field.
+        names_requests: Whether all responses of the server have that field. If not,
+            one without it may answer a request on a connection that was used before.
 
     Attributes:
         is_aborted: Whether `abort` was called.
@@ -253,8 +268,12 @@
                 return Err(
                     Fault(code, self.address, "connection closed before the response")
                 )
+            if response.has_conflict(self._id_field):
+                return Err(
+                    Fault(codes.INSTANCE_GARBLED, self.address, "conflicting fields")
+                )
             if self._is_response_to(response, request):
-                return Ok(response)
+                return Ok(self._mark_reusable(response))
             if not response.is_reusable and parser.their_state is not h11.DONE:
                 break
             trailing = parser.trailing_data[0]
@@ -276,6 +295,10 @@
             return not self._names_requests or not self.idle_since_ms
         return answered_id == request.request_id
 
+    def _mark_reusable(self, response: RawResponse) -> RawResponse:
+        is_named = self._id_field in response.field_map()
+        return response._replace(is_reusable=response.is_reusable and is_named)
+
     def _read_next(
         self,
         sock: socket.socket,
