Go on behind a malformed configuration and behind records that cannot be applied

Cause: a configuration that could not be decoded made the whole read a fault. The next read began at the same position, so no later version and no evacuation was ever applied until the daemon was started again. Deep nesting (RecursionError), a host that is no text (AttributeError) and an infinite number (OverflowError) raised instead, as did a record whose key is no text, or an empty record, in any keyed log. Not refused at all were NaN and infinite times, with which requests never end, and values of other types that raise when the routes are built or used. A reader kept the position of records whose application raised, so they were skipped.

Change: a malformed configuration is logged and changes nothing, the last one stays in force, and the other records of the read are applied. A configuration is accepted only if its names and paths are printable texts, its numbers are within 0 to 2^53 and its version has at most eight hexadecimal digits; numbers given as texts are refused. A key that is no text is read with replacement characters. After an exception in applying, a reader reads all records again.

--- a/src/skylarktrail/gateway/log_reader.py
+++ b/src/skylarktrail/gateway/log_reader.py
@@ -95,7 +95,7 @@
         records = [(item.key, item.value) for item in message.records]
         with self._lock:
             is_next = self._position == message.base
-            if is_next and self._apply_records(records, message.position):
+            if is_next and self._try(self._apply_records, records, message.position):
                 return
         self.record_granter_position(message.position)
 
@@ -125,9 +125,20 @@
         """
         with self._lock:
             if self._position == position:
-                self._apply_update(update)
+                self._try(self._apply_update, update)
             return self._position is not None and self._position >= update.position
 
+    def _try(self, apply: Callable[..., Any], *arguments: Any) -> Any:
+        """Applies records; after an exception, the next read brings all of them again.
+
+        The position is known already then, though some records may not be applied.
+        """
+        try:
+            return apply(*arguments)
+        except Exception:
+            self._position = None
+            raise
+
     def _broadcast(self, update: Any, position: int) -> None:
         """Broadcasts records, or only their position if they are too large."""
         size_bytes = sum(len(value) for _, value in update.records)
--- a/src/skylarktrail/gateway/operator_watcher.py
+++ b/src/skylarktrail/gateway/operator_watcher.py
@@ -39,6 +39,8 @@
     def _apply_update(self, update: OperatorUpdate) -> None:
         self._position = update.position
         self._messenger.record_positions(None, update.position)
+        for fault in update.faults:
+            self._log.state("records_refused", fault=str(fault))
         config = self._site.apply_operators(update, now_ms())
         if config is not None:
             routes = len(config.routes)
--- a/src/skylarktrail/gateway/site_store.py
+++ b/src/skylarktrail/gateway/site_store.py
@@ -31,6 +31,7 @@
         is_snapshot: Whether zones that are not named are not evacuated.
         position: Position of the next read.
         records: Keys and values from which the update was decoded.
+        faults: Faults of records that are malformed and change nothing.
     """
 
     config: SiteConfig | None
@@ -38,6 +39,7 @@
     is_snapshot: bool
     position: int
     records: tuple[tuple[str, bytes], ...] = ()
+    faults: tuple[Fault, ...] = ()
 
 
 class SharedUpdate(NamedTuple):
--- a/src/skylarktrail/platform/configuration.py
+++ b/src/skylarktrail/platform/configuration.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import json
+import re
 from typing import Any
 
+from result import Err, Ok, Result
+
+from ..core.gateway.checks import MAX_EXACT_NUMBER, is_name
 from ..core.gateway.model import (
     CallerLimits,
     Route,
@@ -13,22 +18,36 @@
 )
 
 IDEMPOTENT = "idempotent"
+VERSION = re.compile("[0-9A-Fa-f]{1,8}")
+MAX_PATH_CHARACTERS = 4096
+
+
+def read_configuration(value: bytes) -> Result[SiteConfig, str]:
+    """Reads one version of the configuration; returns what is wrong with another."""
+    try:
+        return Ok(decode_configuration(json.loads(value)))
+    except (
+        *(AttributeError, KeyError, TypeError),
+        *(ValueError, OverflowError, RecursionError),
+    ) as error:
+        return Err(repr(error))
 
 
 def decode_configuration(document: dict[str, Any]) -> SiteConfig:
     """Decodes one version of the configuration.
 
     Raises:
-        KeyError, TypeError, ValueError: The value is not a valid configuration.
+        AttributeError, KeyError, TypeError, ValueError, OverflowError: The value is not
+            a valid configuration.
     """
     services = [_decode_service(item) for item in document["services"]]
     routes = [
-        _decode_route(host["hostname"].lower(), path)
+        _decode_route(_to_name(host["hostname"]).lower(), path)
         for host in document["hosts"]
         for path in host["paths"]
     ]
     return SiteConfig(
-        int(document["configVersion"], 16),
+        _to_version(document["configVersion"]),
         tuple(routes),
         {item.name: item for item in services},
         _decode_limits(document.get("limits", {})),
@@ -37,12 +56,12 @@
 
 def _decode_service(document: dict[str, Any]) -> ServiceSpec:
     return ServiceSpec(
-        document["name"],
-        int(document.get("maxConnections", 100)),
-        float(document.get("coldStartS", 0)) * 1000,
-        float(document.get("coldPerS", 10)),
+        _to_name(document["name"]),
+        int(_to_number(document.get("maxConnections", 100))),
+        _to_number(document.get("coldStartS", 0)) * 1000,
+        _to_number(document.get("coldPerS", 10)),
         bool(document.get("sharded", False)),
-        document.get("healthCheck", "/health"),
+        _to_path(document.get("healthCheck", "/health")),
     )
 
 
@@ -50,29 +69,57 @@
     split = document.get("trafficSplit")
     if split:
         parts = tuple(
-            WeightedService(item["backend"], float(item["weight"])) for item in split
+            WeightedService(_to_name(item["backend"]), _to_number(item["weight"]))
+            for item in split
         )
     else:
-        parts = (WeightedService(document["backend"], 1.0),)
-    timeout_ms = float(document["timeoutMs"])
+        parts = (WeightedService(_to_name(document["backend"]), 1.0),)
+    timeout_ms = _to_number(document["timeoutMs"])
     return Route(
-        document["name"],
+        _to_name(document["name"]),
         host,
-        document["pathPrefix"],
-        document["routeType"] == IDEMPOTENT,
+        _to_path(document["pathPrefix"]),
+        _to_name(document["routeType"]) == IDEMPOTENT,
         parts,
-        int(document.get("maxAttempts", 1)),
+        int(_to_number(document.get("maxAttempts", 1))),
         timeout_ms,
-        float(document.get("targetLatencyMs", timeout_ms)),
-        int(document.get("priority", 0)),
+        _to_number(document.get("targetLatencyMs", timeout_ms)),
+        int(_to_number(document.get("priority", 0))),
     )
 
 
 def _decode_limits(document: dict[str, Any]) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        int(document.get("maxHeaderBytes", defaults.header_bytes)),
-        int(document.get("maxBodyBytes", defaults.body_bytes)),
-        int(document.get("headerTimeoutMs", defaults.header_timeout_ms)),
-        int(document.get("idleTimeoutMs", defaults.idle_timeout_ms)),
+        int(_to_number(document.get("maxHeaderBytes", defaults.header_bytes))),
+        int(_to_number(document.get("maxBodyBytes", defaults.body_bytes))),
+        int(_to_number(document.get("headerTimeoutMs", defaults.header_timeout_ms))),
+        int(_to_number(document.get("idleTimeoutMs", defaults.idle_timeout_ms))),
     )
+
+
+def _to_version(value: Any) -> int:
+    if not VERSION.fullmatch(value):
+        raise ValueError(f"not a version: {value[:20]!r}")
+    return int(value, 16)
+
+
+def _to_number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError(f"not a number: {type(value).__name__}")
+    if not 0 <= value <= MAX_EXACT_NUMBER:
+        raise ValueError("a number out of range")
+    return float(value)
+
+
+def _to_name(value: Any) -> str:
+    if not is_name(value):
+        raise TypeError(f"not a name: {type(value).__name__}")
+    return value
+
+
+def _to_path(value: Any) -> str:
+    is_path = isinstance(value, str) and value.isprintable()
+    if not is_path or len(value) > MAX_PATH_CHARACTERS:
+        raise TypeError(f"not a path: {type(value).__name__}")
+    return value
--- a/src/skylarktrail/platform/site_store.py
+++ b/src/skylarktrail/platform/site_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import NamedTuple, Sequence
 
 from result import Err, Ok, Result
@@ -12,7 +11,7 @@
 from ..errors import platform as codes
 from ..errors.code import Fault
 from ..gateway.site_store import Listing, OperatorUpdate, SharedUpdate
-from .configuration import decode_configuration
+from .configuration import read_configuration
 from .entries import decode_entry
 from .store_client import (
     KeyedRecord,
@@ -166,15 +165,23 @@
 
 
 def _to_operator_update(read: KeyedRead) -> Result[OperatorUpdate, Fault]:
+    """Decodes operators' records; one that is malformed does not hide the others."""
     config: SiteConfig | None = None
     zones: dict[str, bool] = {}
+    faults: list[Fault] = []
     for record in read.records:
         if record.key == CONFIGURATION_KEY and record.value:
-            try:
-                config = decode_configuration(json.loads(record.value))
-            except (KeyError, TypeError, ValueError) as error:
-                return Err(Fault(codes.STORE_MALFORMED, record.key, repr(error)))
+            decoded = read_configuration(record.value)
+            if decoded.is_ok():
+                config = decoded.unwrap()
+            else:
+                detail = decoded.unwrap_err()
+                faults.append(Fault(codes.STORE_MALFORMED, record.key, detail))
         elif record.key.startswith(EVACUATION_PREFIX):
             zones[record.key.removeprefix(EVACUATION_PREFIX)] = bool(record.value)
     records = tuple((item.key, item.value) for item in read.records)
-    return Ok(OperatorUpdate(config, zones, read.is_snapshot, read.position, records))
+    return Ok(
+        OperatorUpdate(
+            config, zones, read.is_snapshot, read.position, records, tuple(faults)
+        )
+    )
--- a/src/skylarktrail/platform/store_client.py
+++ b/src/skylarktrail/platform/store_client.py
@@ -225,6 +225,6 @@
 
 
 def decode_keyed_record(record: bytes) -> KeyedRecord:
-    """Decodes a record of a keyed log."""
-    end = 1 + record[0]
-    return KeyedRecord(record[1:end].decode(), record[end:])
+    """Decodes a record of a keyed log; bytes that are no text give a key of no use."""
+    end = 1 + record[0] if record else 0
+    return KeyedRecord(record[1:end].decode(errors="replace"), record[end:])
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -404,3 +404,42 @@
     watcher.record_granter_position(9)
     watcher.run_once()
     assert [position for position, _ in store.calls] == [None, 7]
+
+
+def test_records_that_could_not_be_applied_are_read_again(site, log):
+    """The position is known before they are applied, so they would be skipped."""
+    store = ScriptedStore(
+        operator_update(4, 7), operator_update(6, 8), operator_update(6, 8)
+    )
+    watcher = make_operator_watcher(store, site, log)
+    watcher.run_once()
+    apply = site.apply_operators
+
+    def fail(update, at_ms):
+        raise RuntimeError
+
+    site.apply_operators = fail
+    with pytest.raises(RuntimeError):
+        watcher.run_once()
+    site.apply_operators = apply
+    watcher.run_once()
+    assert [position for position, _ in store.calls] == [None, 7, None]
+    assert site.route_table.config.version == 6
+
+
+def test_broadcast_records_that_could_not_be_applied_are_read(site, log):
+    store = ScriptedStore(operator_update(4, 7), operator_update(6, 8))
+    watcher = make_operator_watcher(store, site, log)
+    watcher.run_once()
+    apply = site.apply_operators
+
+    def fail(update, at_ms):
+        raise RuntimeError
+
+    site.apply_operators = fail
+    with pytest.raises(RuntimeError):
+        watcher.apply_broadcast(broadcast_version(7, 8))
+    site.apply_operators = apply
+    watcher.run_once()
+    assert [position for position, _ in store.calls] == [None, None]
+    assert site.route_table.config.version == 6
