Count threads that are starting when a burst of requests needs more

Cause: the pool for callers' requests took each thread that was started and did not run yet for one that runs a request. So a burst that came faster than threads start had further threads started for the same requests, up to all that the settings allow.

Change: threads are started when there are fewer of them than unfinished requests, which the pool counts itself: queued, taken up or running. A request that raises an exception or is cancelled is finished, too.

--- a/src/skylarktrail/daemon/thread_pool.py
+++ b/src/skylarktrail/daemon/thread_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from typing import Callable
 
 from waitress.task import ThreadedTaskDispatcher
 
@@ -25,19 +26,49 @@
         super().__init__()
         self._limit = limit
         self._growth_lock = threading.Lock()
+        self._unfinished_count = 0
         self.set_thread_count(min(INITIAL_THREAD_COUNT, limit))
 
     def add_task(self, task) -> None:
-        """Queues a request; starts threads if none is idle to handle it."""
+        """Queues a request; starts threads if there are fewer than requests.
+
+        Threads that have been started and do not run yet count, too.
+        """
         with self._growth_lock:
-            missing_count = self._count_missing_threads()
+            self._unfinished_count += 1
+            missing_count = self._unfinished_count - len(self.threads)
             if missing_count > 0:
                 new_count = len(self.threads) + max(GROWTH_THREAD_COUNT, missing_count)
                 self.set_thread_count(min(self._limit, new_count))
-        super().add_task(task)
+        super().add_task(CountedTask(task, self._count_finished))
+
+    def _count_finished(self) -> None:
+        with self._growth_lock:
+            self._unfinished_count -= 1
+
+
+class CountedTask:
+    """A request, and a function that is called when it has been served.
+
+    Args:
+        task: The request.
+        finish: Called once, when the request was served, failed or was cancelled.
+    """
+
+    def __init__(self, task, finish: Callable[[], None]) -> None:
+        self._task = task
+        self._finish = finish
+
+    def service(self) -> None:
+        """Serves the request."""
+        try:
+            self._task.service()
+        finally:
+            self._finish()
 
-    def _count_missing_threads(self) -> int:
-        """Returns how many threads are missing for one more request."""
-        with self.lock:
-            idle_count = len(self.threads) - self.active_count
-            return len(self.queue) + 1 - idle_count
+    def cancel(self) -> None:
+        """Cancels the request, which was not served."""
+        try:
+            self._task.cancel()
+        finally:
+            self._finish()
