Wait for idle threads before the second burst in the test of the thread pool

Cause of the red test_threads_are_reused: its second burst began when the tasks of the first were told to end, not when they had ended. The pool rightly starts threads while all run requests.

Change: the test waits until no thread runs a task. In exchange it allows no growth at all, and requires that all requests of both bursts get a thread.

The test fails when the pool forgets to count finished requests, and its neighbours when it starts threads for each request.

--- a/tests/daemon/test_thread_pool.py
+++ b/tests/daemon/test_thread_pool.py
@@ -100,7 +100,9 @@
 
 
 def test_threads_are_reused(pool):
-    run_tasks(pool, 12)
+    """A second burst of the same size comes when the threads of the first are idle."""
+    assert run_tasks(pool, 12) == 12
+    wait_until_idle(pool)
     before = len(pool.threads)
-    run_tasks(pool, 12)
-    assert len(pool.threads) <= before + INITIAL_THREAD_COUNT
+    assert run_tasks(pool, 12) == 12
+    assert len(pool.threads) == before
