Keep no connection of a backend after a failure that names no request

Cause: the daemon of daemon/ takes an answer without an id for the request that it has just sent, as backends need not name it. A 421, 429 or 503 that a backend wrote once more on a kept connection was taken for the next attempt's, "not run", while the backend ran it.

Change: a connection is closed when a response without an id and without a 2xx status was read. Answers with an id need nothing more: each attempt, hedges and retries too, has its own id here, so a copy is an answer to another request.

Ruled out: closing after each answer without an id, as no backend here names one and each request would cost a connection. So a copy of a *success* without an id is still taken for the next one on such backends. Closing the response before its body is read loses the body; closing it afterwards is too late, as urllib3 has put the connection back then.

--- a/src/skylarktrail/daemon/exchange.py
+++ b/src/skylarktrail/daemon/exchange.py
@@ -68,7 +68,8 @@
     """Sends a request and reads the complete response before the deadline.
 
     The connection is closed unless the exchange succeeded, so that a late response
-    cannot be taken for the response to another request.
+    cannot be taken for the response to another request. It is also closed after a
+    failure that names no request, as a server may send that once more.
 
     Args:
         pool: Connections to the backend.
@@ -142,6 +143,8 @@
     if not _has_verifiable_end(response, request.method):
         response.close()
         return ExchangeResult(Outcome.BROKEN, None, "answer without a length")
+    if _can_be_mistaken(response) and response.connection is not None:
+        response.connection.is_last_response = True
     chunks, size = [], 0
     while chunk := response.read1(CHUNK_BYTES):
         chunks.append(chunk)
@@ -165,6 +168,12 @@
     return response.chunked or "content-length" in response.headers
 
 
+def _can_be_mistaken(response: urllib3.BaseHTTPResponse) -> bool:
+    """Returns whether a copy would be taken for the failure of another request."""
+    is_named = fields.REQUEST_ID in response.headers
+    return not is_named and not 200 <= response.status < 300
+
+
 def _classify(response: urllib3.BaseHTTPResponse) -> Outcome:
     reported_outcome = response.headers.get(fields.OUTCOME)
     if response.status not in NOT_RUN_STATUSES or reported_outcome != fields.NOT_RUN:
--- a/tests/daemon/test_exchange.py
+++ b/tests/daemon/test_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 
 import pytest
 
@@ -150,3 +151,49 @@
     abort_handle.abort()
     thread.join(5)
     assert results[0].outcome is Outcome.CANCELLED
+
+
+def repeat_refusal(status: int, request_id: str, when: str, executed: list[int]):
+    """Returns a script that refuses the first request and runs all others.
+
+    On the first connection it writes the refusal once more.
+    """
+    named = f"Skylark-Request-Id: {request_id}\r\n" if request_id else ""
+    refusal = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{named}"
+    refusal = f"{refusal}Skylark-Outcome: not-run\r\n\r\n".encode()
+
+    def script(connection, number):
+        is_first = number == 1
+        if is_first:
+            read_request(connection)
+            connection.sendall(refusal)
+        if is_first and when == "at once":
+            time.sleep(0.01)
+            connection.sendall(refusal)
+        while read_request(connection):
+            executed.append(number)
+            if is_first and when == "late":
+                connection.sendall(refusal)
+            time.sleep(0.03)
+            connection.sendall(OK + b"Content-Length: 4\r\n\r\nfish")
+
+    return script
+
+
+@pytest.mark.parametrize("when", ["at once", "late"])
+@pytest.mark.parametrize("request_id", ["", "r1"])
+@pytest.mark.parametrize("status", [421, 429, 503])
+@pytest.mark.parametrize("pause_s", [0.0, 0.03])
+def test_copy_of_a_refusal_is_not_the_next_answer(
+    start_backend, pause_s, status, request_id, when
+):
+    """A request that a server ran was said to be not run."""
+    executed = []
+    server = start_backend(repeat_refusal(status, request_id, when, executed))
+    pool = make_pool(server.address, 4)
+    first = exchange(pool, make_request(), now_ms() + 2000, AbortHandle())
+    assert first.outcome in (Outcome.NOT_RUN, Outcome.WRONG_OWNER)
+    time.sleep(pause_s)
+    again = exchange(pool, make_request("r2"), now_ms() + 2000, AbortHandle())
+    assert again.outcome in (Outcome.ANSWERED, Outcome.BROKEN)
+    assert again.outcome is Outcome.BROKEN or again.complete_response.body == b"fish"
