Take a backend's answer with a length and chunks for a broken one

Cause: urllib3 reads such an answer by its chunks, with a warning. It may mix the heads of two answers, and the gateway refuses it.

Change: the daemon of daemon/ requires one of the two, not both.

--- a/src/skylarktrail/daemon/exchange.py
+++ b/src/skylarktrail/daemon/exchange.py
@@ -165,7 +165,7 @@
 def _has_verifiable_end(response: urllib3.BaseHTTPResponse, method: str) -> bool:
     if method == "HEAD" or response.status in BODILESS_STATUSES:
         return True
-    return response.chunked or "content-length" in response.headers
+    return response.chunked != ("content-length" in response.headers)
 
 
 def _can_be_mistaken(response: urllib3.BaseHTTPResponse) -> bool:
--- a/tests/daemon/test_exchange.py
+++ b/tests/daemon/test_exchange.py
@@ -197,3 +197,19 @@
     again = exchange(pool, make_request("r2"), now_ms() + 2000, AbortHandle())
     assert again.outcome in (Outcome.ANSWERED, Outcome.BROKEN)
     assert again.outcome is Outcome.BROKEN or again.complete_response.body == b"fish"
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Skylark-Request-Id: r0\r\nSkylark-Request-Id: r1\r\nContent-Length: 4\r\n",
+        b"Skylark-Request-Id: r1\r\nSkylark-Request-Id: r0\r\nContent-Length: 4\r\n",
+        b"Content-Length: 4\r\nContent-Length: 3\r\n",
+        b"Content-Length: 4, 3\r\n",
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+    ],
+    ids=["ids", "ids-swapped", "lengths", "length-list", "ends"],
+)
+def test_response_that_mixes_two_is_broken(start_backend, head):
+    server = start_backend(respond_once(OK, head, b"\r\n", b"4\r\nfish\r\n0\r\n\r\n"))
+    assert exchange_once(server.address).outcome is Outcome.BROKEN
