--- a/tests/platform/test_store_refusals.py
+++ b/tests/platform/test_store_refusals.py
@@ -65,7 +65,7 @@
 
     def _answer(self, connection: socket.socket) -> None:
         copy = b""
-        while connection.recv(65536):
+        while _read_call(connection):
             if not self._has_refused:
                 self._has_refused = True
                 copy = self._refusal
@@ -80,6 +80,24 @@
         self._listener.close()
 
 
+def _read_call(connection: socket.socket) -> bytes:
+    """Reads one call, whose head and body may come apart; b"" at the end."""
+    data = b""
+    while not _is_whole(data):
+        received = connection.recv(65536)
+        if not received:
+            return b""
+        data += received
+    return data
+
+
+def _is_whole(data: bytes) -> bool:
+    head, separator, body = data.partition(b"\r\n\r\n")
+    lines = head.lower().split(b"\r\n")
+    lengths = [int(i.split(b":")[1]) for i in lines if i.startswith(b"content-length:")]
+    return bool(separator) and len(body) >= sum(lengths)
+
+
 @pytest.fixture
 def start_store():
     """Returns a function that starts a store."""
