Read the daemons' records with checks, and grant nothing on a malformed one

Cause: the values of member/, forward/, owners/, granter and era were taken from CBOR without a check. A value of the right shape, with other types, raised later in the threads that used it.

Change: each record is read with its types and bounds; the forms that are written stay. Of a malformed record, the following holds: - member/, forward/: the last known record stays; the daemon named writes its own again. - owners/: the last known owners stay for routing. The granter in office records the owners again. A new granter grants nothing of this service until all leases of former granters have ended, as it does while the era is unknown. A broadcast change of owners is not applied to them; the record is read in full. - granter: it counts as an unknown granter in the next term. The granter in office ends its term; a daemon that read all records before claims the term after that one, and waits for the authority of the unknown granter.

Open: when no daemon that read all records is left while the granter's record is malformed, none claims the role until a record can be read.

--- a/src/skylarktrail/core/gateway/former_granters.py
+++ b/src/skylarktrail/core/gateway/former_granters.py
@@ -42,7 +42,7 @@
             return
         end_ms = now_ms + self._authority_ms
         former = [item for item in self._granters if item.end_ms + KEEP_MS > now_ms]
-        if self._current.daemon:
+        if self._current.term:
             former.append(_FormerGranter(self._current, end_ms))
         if record.term > self._current.term + 1:
             unknown = GranterRecord("", "", record.term - 1)
--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -131,6 +131,10 @@
         for item in self._ranges:
             item.is_target_recorded = item.is_inherited_move
 
+    def record_again(self) -> None:
+        """Records all owners again, as their record was overwritten."""
+        self._recorded = []
+
     def open_grants(self, now_ms: float) -> list[OpenGrant]:
         """Returns the ranges for which a release would need fencing first."""
         return [
--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -274,7 +274,9 @@
             return self.granters[service]
         authority_end_ms = self.former_authority_end_ms()
         max_lease_ms = Granter.max_lease_ms(self._timings.outage_lease_ms)
-        if not self._are_owners_current() and now_ms < authority_end_ms + max_lease_ms:
+        is_current = self._are_owners_current()
+        is_certain = is_current and not self._shared.are_owners_malformed(service)
+        if not is_certain and now_ms < authority_end_ms + max_lease_ms:
             return None
         recorded = self._shared.owners.get(service, OwnerTable())
         granter = Granter(self._timings, self.term, recorded, authority_end_ms)
@@ -313,6 +315,7 @@
         self._resolve_pending_write(now_ms)
         if self.is_granter:
             self._shorten_former_authority(now_ms)
+            self._repair_owners()
         elif granter.process == self._process:
             self._start_term(granter.term, now_ms)
 
@@ -376,6 +379,8 @@
         is_new = now_ms - self._succeeded_at_ms <= SUCCESSOR_GRACE_MS
         if not is_candidate or is_new or self._is_just_restored(now_ms):
             return False
+        if self._shared.is_granter_missed:
+            return False
         if self._position < 0 or self._writes:
             return False
         return not self._is_granter_alive()
@@ -392,6 +397,8 @@
         """
         if self.is_granter or self._writes or self._is_just_restored(now_ms):
             return False
+        if self._shared.is_granter_missed:
+            return False
         is_recent = self._offered_at_ms >= now_ms - ROLE_OFFER_VALID_MS
         is_after_offer = started_ms >= self._offered_at_ms
         is_current = self._offered_term == self._shared.granter.term
@@ -495,6 +502,13 @@
         for service, granter in self.granters.items():
             granter.observe_open_grants(select_open_grants(self._open_grants, service))
 
+    def _repair_owners(self) -> None:
+        """Lets owners be recorded again whose record is malformed."""
+        for service, granter in self.granters.items():
+            is_pending = any(write.service == service for write in self._writes)
+            if self._shared.are_owners_malformed(service) and not is_pending:
+                granter.record_again()
+
     def _shorten_former_authority(self, now_ms: float) -> None:
         members = self._shared.members
         processes = {name: member.process for name, member in members.items()}
--- a/src/skylarktrail/gateway/shared_watcher.py
+++ b/src/skylarktrail/gateway/shared_watcher.py
@@ -123,7 +123,8 @@
                 missing.
         """
         with self._lock:
-            if self._position == position:
+            is_base_known = not self._site.shared.are_owners_malformed(service)
+            if self._position == position and is_base_known:
                 self._advance(position + 1)
                 self._site.apply_owner_changes(service, changed, now_ms())
                 self._on_broadcast(position + 1)
@@ -146,6 +147,8 @@
     def _apply_records(self, records: list[tuple[str, bytes]], position: int) -> bool:
         self._apply_update(SharedUpdate(records, False, position))
         self._on_broadcast(position)
+        if self._own_keys() & self._site.shared.malformed_keys:
+            self._wakeup.set()  # A read registers this daemon again.
         return True
 
     def _finish_read(
@@ -157,14 +160,20 @@
         is_urgent = self._is_granter() or self._is_candidate()
         return BATCHING_PAUSE_MS if update.records and not is_urgent else 0.0
 
+    def _own_keys(self) -> set[str]:
+        name = self._site.daemon
+        return {MEMBER_PREFIX + name, FORWARD_PREFIX + name}
+
     def _register_member(self) -> None:
         """Writes the records of this daemon that the store does not have yet."""
         name, shared = self._site.daemon, self._site.shared
         records = []
-        if shared.members.get(name) != self._member:
+        is_malformed = bool(self._own_keys() & shared.malformed_keys)
+        if is_malformed or shared.members.get(name) != self._member:
             records.append((MEMBER_PREFIX + name, encode_member(self._member)))
         target = self._forward_target
-        if target is not None and shared.forward_targets.get(name) != target:
+        is_known = shared.forward_targets.get(name) == target and not is_malformed
+        if target is not None and not is_known:
             records.append((FORWARD_PREFIX + name, encode_forward_target(target)))
         if records:
             self._monitor.check(self._store.share_all(records))
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -149,7 +149,7 @@
         with self.lock:
             before = dict(self.shared.owners)
             known = before.get(service, OwnerTable())
-            self.shared.owners[service] = apply_changed_ranges(known, changed)
+            self.shared.record_owners(service, apply_changed_ranges(known, changed))
             self._on_owners_changed(before, now_ms)
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -9,7 +9,8 @@
 
 from skylarktrail.config.gateway_settings import SiteBounds
 from skylarktrail.core.gateway.model import SiteConfig
-from skylarktrail.core.gateway.shared_state import Member, encode_member
+from skylarktrail.core.gateway.ranges import OwnedRange
+from skylarktrail.core.gateway.shared_state import Member, encode_member, encode_owners
 from skylarktrail.errors import platform as codes
 from skylarktrail.errors.code import Fault
 from skylarktrail.gateway import log_reader
@@ -443,3 +444,38 @@
     watcher.run_once()
     assert [position for position, _ in store.calls] == [None, None]
     assert site.route_table.config.version == 6
+
+
+@pytest.mark.parametrize("is_broadcast", [False, True])
+def test_a_daemon_whose_record_is_malformed_registers_again(site, log, is_broadcast):
+    """A daemon that starts later would not know it."""
+    own = ("member/d1", encode_member(MEMBER))
+    store = ScriptedStore(
+        shared(7, own, is_snapshot=True), shared(8, ("member/d1", b"\xff"))
+    )
+    written = []
+    store.share_all = lambda records: written.extend(records) or Ok(0)
+    messenger = Messenger(has_live_granter=True)
+    watcher = make_shared_watcher(store, site, log, messenger)
+    watcher.run_once()
+    if is_broadcast:
+        malformed = SharedRecord("member/d1", b"\xff")
+        watcher.apply_broadcast(GatewayRecords("shared", 7, 8, (malformed,)))
+    watcher.record_granter_position(8)
+    watcher.run_once()
+    assert written == [own]
+
+
+def test_a_change_of_owners_that_are_malformed_is_read_in_full(site, log):
+    """The change is one of owners that this daemon may not know."""
+    owners = ("owners/stock", encode_owners([OwnedRange(0, 65535, "i-2", 1)]))
+    store = ScriptedStore(
+        shared(7, ("owners/stock", b"\xff"), is_snapshot=True), shared(8, owners)
+    )
+    watcher = make_shared_watcher(store, site, log, Messenger(has_live_granter=True))
+    watcher.run_once()
+    watcher.apply_owner_changes("stock", [OwnedRange(0, 9, "i-2", 1)], 7)
+    watcher.run_once()
+    assert [position for position, _ in store.calls] == [None, 7]
+    assert site.shared.owners["stock"].owners() == {"i-2"}
+    assert not site.shared.malformed_keys
