Close the connection to the store after a refusal

Cause: an answer of the store names no call. A conflict or a 503 that the store wrote once more when the next call came was taken for that call's answer: an append that was carried out was said to be refused. urllib3 drops a connection with unread bytes, but not one whose copy comes later.

Change: StoreClient closes its connections after each status other than 200.

Measured: the eight tests of test_store_refusals.py failed before (409, 412, 410, 429, 503, 507 and 500 answered an append that was carried out; the kept connection), all pass now; tests/platform: 106 passed.

Ruled out: telling a copy by its content, as an error has none that names the call; a read before acting on it, which handle_write_failed of the granter's role does already for conflicts, while it sends refused writes again under the same condition. Both are right whatever became of the write; what the copy cost was a write never sent again after a false conflict, until the log grew. Not covered: a copy of a 200.

--- a/src/skylarktrail/platform/store_client.py
+++ b/src/skylarktrail/platform/store_client.py
@@ -193,6 +193,10 @@
         self._record_era(response.headers.get(ERA_HEADER, ""))
         if response.status == 200:
             return Ok(response.data)
+        # No answer names its call, so a refusal that the store sends once more must not
+        # come on the connection of a later call.
+        self._pool.close()
+        self._reopen()
         code = STATUS_FAULTS.get(response.status, codes.STORE_SILENT)
         return Err(Fault(code, path, f"status {response.status}"))
 
