--- a/tests/platform/test_store_refusals.py
+++ b/tests/platform/test_store_refusals.py
@@ -15,6 +15,7 @@
 from skylarktrail.errors import platform as codes
 from skylarktrail.platform.store_client import StoreClient
 
+RECORD = b"the record"
 APPENDED = json.dumps({"offset": 7, "endOffset": 8}).encode()
 
 
@@ -23,6 +24,17 @@
     return head.encode() + body
 
 
+def read_append(connection: socket.socket) -> bytes:
+    """Reads one append of `RECORD`; returns b"" if the connection is closed."""
+    data = b""
+    while not data.endswith(RECORD):
+        chunk = connection.recv(65536)
+        if not chunk:
+            return b""
+        data += chunk
+    return data
+
+
 class RepeatingStore:
     """Refuses the first call and carries out all others.
 
@@ -65,7 +77,7 @@
 
     def _answer(self, connection: socket.socket) -> None:
         copy = b""
-        while _read_call(connection):
+        while read_append(connection):
             if not self._has_refused:
                 self._has_refused = True
                 copy = self._refusal
@@ -80,24 +92,6 @@
         self._listener.close()
 
 
-def _read_call(connection: socket.socket) -> bytes:
-    """Reads one call, whose head and body may come apart; b"" at the end."""
-    data = b""
-    while not _is_whole(data):
-        received = connection.recv(65536)
-        if not received:
-            return b""
-        data += received
-    return data
-
-
-def _is_whole(data: bytes) -> bool:
-    head, separator, body = data.partition(b"\r\n\r\n")
-    lines = head.lower().split(b"\r\n")
-    lengths = [int(i.split(b":")[1]) for i in lines if i.startswith(b"content-length:")]
-    return bool(separator) and len(body) >= sum(lengths)
-
-
 @pytest.fixture
 def start_store():
     """Returns a function that starts a store."""
@@ -127,8 +121,8 @@
 def test_copy_of_a_refusal_does_not_answer_an_append(start_store, status, code):
     store = start_store(status)
     client = StoreClient(store.address)
-    assert client.append("t", [b"a"]).unwrap_err().code is code
-    assert client.append("t", [b"a"]).unwrap() == 8
+    assert client.append("t", [RECORD]).unwrap_err().code is code
+    assert client.append("t", [RECORD]).unwrap() == 8
     assert store.done_count == 1
 
 
@@ -136,5 +130,5 @@
     store = start_store(503)
     client = StoreClient(store.address)
     for _ in range(3):
-        client.append("t", [b"a"])
+        client.append("t", [RECORD])
     assert (store.accepted_count, store.done_count) == (2, 2)
