Count an answer of the store only if it is well formed and of its era

Cause: StoreClient took what a body held for all that was meant. A read shorter than its two positions, with frames that do not fit, or whose end lies before its records or after no record at all was one that went well, and confirmed a granter's term. JSON without its fields raised JSONDecodeError, KeyError or TypeError in the thread of the caller. An answer that names an earlier era, or none, was given the last one.

Change: platform/store_answers.py decodes each answer; a malformed one is STORE_MALFORMED and its connections are closed. After an append this is an unknown outcome, as after STORE_SILENT. An append at an offset ends at that offset and its records. A join counts the partitions of its topic only. A keyed record that cannot be decoded is a fault too.

Ruled out: a body that ends within a record while the log goes on is taken for a part, as earlier builds did: a store that limits the bytes of an answer may do so, and its length says that the body is whole.

--- a/src/skylarktrail/platform/site_store.py
+++ b/src/skylarktrail/platform/site_store.py
@@ -14,6 +14,7 @@
 from ..gateway.site_store import Listing, OperatorUpdate, SharedUpdate
 from .configuration import decode_configuration
 from .entries import decode_entry
+from .store_answers import try_decode
 from .store_client import (
     KeyedRecord,
     NewestRecords,
@@ -150,8 +151,11 @@
         if era_of(position) != era:
             return Err(Fault(codes.STORE_TRIMMED, topic, f"era {era}"))
         batch = read.unwrap()
-        records = [decode_keyed_record(item) for item in batch.records]
-        return Ok(KeyedRead(records, False, make_position(era, batch.next_offset)))
+        records = try_decode(lambda: [*map(decode_keyed_record, batch.records)])
+        if records.is_err():
+            return Err(Fault(codes.STORE_MALFORMED, topic, records.unwrap_err()))
+        reached = make_position(era, batch.next_offset)
+        return Ok(KeyedRead(records.unwrap(), False, reached))
 
 
 def _to_snapshot(newest: NewestRecords, era: int) -> KeyedRead:
--- a/src/skylarktrail/platform/store_client.py
+++ b/src/skylarktrail/platform/store_client.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import base64
 import json
-from typing import Any, Iterator, NamedTuple, Sequence
+from typing import Any, Callable, NamedTuple, Sequence, TypeVar
 from urllib.parse import urlencode
 
 import urllib3
@@ -17,6 +16,17 @@
 from ..errors import platform as codes
 from ..errors.code import Fault
 from ..http_pools import make_pool
+from .store_answers import (
+    FRAME_LENGTH_BYTES,
+    RecordBatch,
+    decode_batch,
+    decode_end_offset,
+    decode_membership,
+    decode_newest_page,
+    try_decode,
+)
+
+T = TypeVar("T")
 
 RESPONSE_TIMEOUT_MS = 900.0  # The store usually responds within 4 ms.
 CONNECT_TIMEOUT_MS = 400.0
@@ -29,8 +39,6 @@
     503: codes.STORE_REFUSED,
     507: codes.STORE_REFUSED,
 }
-FRAME_LENGTH_BYTES = 4
-POSITION_BYTES = 8
 ERA_HEADER = "Store-Era"
 
 
@@ -53,20 +61,6 @@
     end: int
 
 
-class RecordBatch(NamedTuple):
-    """Records of a log.
-
-    Attributes:
-        end: Offset after the last record of the log.
-        next_offset: Offset after the last record of this batch.
-        records: Records in order, without their length prefixes.
-    """
-
-    end: int
-    next_offset: int
-    records: list[bytes]
-
-
 class StoreClient:
     """HTTP client of the store.
 
@@ -80,6 +74,7 @@
 
     def __init__(self, address: str) -> None:
         self.era = 0
+        self._paths_with_era: set[str] = set()
         self._address = address
         self._pool = make_pool(address, MAX_IDLE_CONNECTIONS)
 
@@ -90,30 +85,34 @@
         era: int | None = None
         query = {"topic": topic, "part": "0"}
         while True:
-            page = self._send("GET", "/api/log-newest", query)
-            if page.is_err():
-                return Err(page.unwrap_err())
+            read = self._send("GET", "/api/log-newest", query, decode_newest_page)
+            if read.is_err():
+                return Err(read.unwrap_err())
+            page = read.unwrap()
             era = self.era if era is None else era
             if self.era != era:
                 return Err(Fault(codes.STORE_TRIMMED, topic, f"era {self.era}"))
-            document = json.loads(page.unwrap())
-            end = document["endOffset"] if end is None else end
-            for item in document["items"]:
-                values[item["key"]] = base64.b64decode(item["value"])
-            if not document["more"] or not document["items"]:
+            if page.values.keys() & values.keys():
+                return Err(Fault(codes.STORE_MALFORMED, topic, "a page once more"))
+            end = page.end if end is None else end
+            values |= page.values
+            if not page.has_more:
                 return Ok(NewestRecords(values, end))
-            query["after"] = document["items"][-1]["key"]
+            query["after"] = list(page.values)[-1]
 
     def read(self, topic: str, offset: int, wait_ms: int) -> Result[RecordBatch, Fault]:
         """Reads records from an offset on, waiting up to `wait_ms` if there is none."""
         query = {"topic": topic, "part": "0", "from": offset, "waitMs": wait_ms}
-        response = self._send("GET", "/api/log-read", query, extra_ms=wait_ms)
-        if response.is_err():
-            return Err(response.unwrap_err())
-        data = response.unwrap()
-        end = int.from_bytes(data[:POSITION_BYTES], "big")
-        records = list(_split_frames(data[2 * POSITION_BYTES :]))
-        return Ok(RecordBatch(end, offset + len(records), records))
+        read = self._send(
+            "GET",
+            "/api/log-read",
+            query,
+            lambda data: decode_batch(data, offset),
+            extra_ms=wait_ms,
+        )
+        if read.is_ok() and read.unwrap().end < offset:
+            return Err(Fault(codes.STORE_TRIMMED, topic, "end below the offset"))
+        return read
 
     def append(
         self, topic: str, records: Sequence[bytes], at: int | None = None
@@ -136,8 +135,13 @@
             len(record).to_bytes(FRAME_LENGTH_BYTES, "big") + record
             for record in records
         )
-        response = self._send("POST", "/api/log-append", query, body)
-        return response.map(lambda data: json.loads(data)["endOffset"])
+        return self._send(
+            "POST",
+            "/api/log-append",
+            query,
+            lambda data: decode_end_offset(data, len(records), at),
+            body,
+        )
 
     def join(
         self, group: str, member: str, topic: str, ttl_ms: int, generation: int
@@ -150,18 +154,18 @@
             "ttlMs": ttl_ms,
             "generation": generation,
         }
-        response = self._send(
-            "POST", "/api/log-join", {}, json.dumps(document).encode()
+        return self._send(
+            "POST",
+            "/api/log-join",
+            {},
+            lambda data: decode_membership(data, topic),
+            json.dumps(document).encode(),
         )
-        if response.is_err():
-            return Err(response.unwrap_err())
-        reply = json.loads(response.unwrap())
-        return Ok((reply["generation"], {row[1] for row in reply["parts"]}))
 
     def leave(self, group: str, member: str) -> Result[bytes, Fault]:
         """Leaves a group, so that its partitions are reassigned at once."""
         body = json.dumps({"group": group, "member": member}).encode()
-        return self._send("POST", "/api/log-leave", {}, body)
+        return self._send("POST", "/api/log-leave", {}, bytes, body)
 
     def close(self) -> None:
         """Closes all connections."""
@@ -172,9 +176,34 @@
         method: str,
         path: str,
         query: dict[str, Any],
+        decode: Callable[[bytes], T],
         body: bytes | None = None,
         extra_ms: float = 0.0,
-    ) -> Result[bytes, Fault]:
+    ) -> Result[T, Fault]:
+        response = self._exchange(method, path, query, body, extra_ms)
+        if response.is_err():
+            return Err(response.unwrap_err())
+        answer = response.unwrap()
+        if answer.status != 200:
+            self._record_era(path, answer)
+            code = STATUS_FAULTS.get(answer.status, codes.STORE_SILENT)
+            return Err(Fault(code, path, f"status {answer.status}"))
+        decoded = try_decode(lambda: decode(answer.data))
+        if not self._record_era(path, answer):
+            decoded = Err(f"era {answer.headers.get(ERA_HEADER)}")
+        if decoded.is_err():
+            self._reopen()
+            return Err(Fault(codes.STORE_MALFORMED, path, decoded.unwrap_err()))
+        return Ok(decoded.unwrap())
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes | None,
+        extra_ms: float,
+    ) -> Result[urllib3.BaseHTTPResponse, Fault]:
         url = f"{path}?{urlencode(query)}" if query else path
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_MS / 1000,
@@ -189,34 +218,31 @@
         except urllib3.exceptions.NewConnectionError as error:
             return Err(Fault(codes.STORE_REFUSED, path, str(error)))
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            self._pool.close()
             self._reopen()
             return Err(Fault(codes.STORE_SILENT, path, str(error)))
-        self._record_era(response.headers.get(ERA_HEADER, ""))
-        if response.status == 200:
-            return Ok(response.data)
-        code = STATUS_FAULTS.get(response.status, codes.STORE_SILENT)
-        return Err(Fault(code, path, f"status {response.status}"))
+        return Ok(response)
 
-    def _record_era(self, value: str) -> None:
-        """Records the era of an answer; a late answer may name an earlier one."""
-        if value.isascii() and value.isdigit():
-            self.era = max(self.era, int(value))
+    def _record_era(self, path: str, response: urllib3.BaseHTTPResponse) -> bool:
+        """Records the era of an answer.
+
+        Returns:
+            False if the answer is older than others, or names no era where those of
+            the same call did: its offsets may be of another era than the last.
+        """
+        value = response.headers.get(ERA_HEADER, "")
+        if not (value.isascii() and value.isdigit()):
+            return path not in self._paths_with_era
+        is_current = int(value) >= self.era
+        self.era = max(self.era, int(value))
+        self._paths_with_era.add(path)
+        return is_current
 
     def _reopen(self) -> None:
         """Replaces the pool, as its connections may never respond again."""
+        self._pool.close()
         self._pool = make_pool(self._address, MAX_IDLE_CONNECTIONS)
 
 
-def _split_frames(data: bytes) -> Iterator[bytes]:
-    position = 0
-    while position + FRAME_LENGTH_BYTES <= len(data):
-        start = position + FRAME_LENGTH_BYTES
-        position = start + int.from_bytes(data[position:start], "big")
-        if position <= len(data):
-            yield data[start:position]
-
-
 def encode_keyed_record(record: KeyedRecord) -> bytes:
     """Encodes a record of a keyed log."""
     key = record.key.encode()
@@ -224,6 +250,8 @@
 
 
 def decode_keyed_record(record: bytes) -> KeyedRecord:
-    """Decodes a record of a keyed log."""
+    """Decodes a record of a keyed log; raises ValueError or IndexError."""
     end = 1 + record[0]
+    if len(record) < end:
+        raise ValueError("key cut off")
     return KeyedRecord(record[1:end].decode(), record[end:])
