Refuse requests for a key that its owner repeatedly does not hold

Cause: a daemon sent a request for a key to the recorded owner again each 0.2 s, however often that had said 421, and made it wait in between. Where a grant was late, the owner got the same attempt several times, and the caller learned nothing before its deadline.

Change: the second 421 in a row for a key, after a wait of 0.2 s and without a newer record, shows that the grant is late. For the next 0.4 s requests for the key are refused at once, with a Retry-After to the end of that time; then the owner is tried again. An answer, or a record with another owner, ends it. After the first 421 requests wait as before, as a record may come before the grant that it is about.

Measured (tests/gateway/test_unheld_keys.py, one request with 1.5 s and an owner that takes its grant after 5 s): before, seven arrivals and a refusal after 1.4 s; now two and a refusal after 0.2 s with a backlog of 0.4 s. Three of the eight tests fail with the change disabled.

Ruled out: refusing the whole range, as neighbouring ranges of one owner are one in the table and it may hold the others; refusing at the first 421. A request whose grant comes after 0.5 or 0.9 s was answered after 0.6 and 1.0 s, and is now refused after 0.2 s and answered when its caller returns.

--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -60,6 +60,10 @@
 MAX_MOVE_WAIT_MS = 500.0
 
 
+def _has_no_missing_owner(service: str, key_hash: int) -> float:
+    return 0.0
+
+
 class SchedulerView(NamedTuple):
     """State of the daemon that the scheduler depends on.
 
@@ -74,6 +78,8 @@
         own_zone: Its availability zone.
         is_cut: Whether this daemon can open no connections to instances.
         cut_daemon_count: Number of other daemons that cannot.
+        missing_owner_ms: Returns how long a hash of a service is known to have no
+            owner; 0 if it may have one.
     """
 
     find_owner: Callable[[str, int], str]
@@ -85,6 +91,7 @@
     own_zone: str
     is_cut: bool = False
     cut_daemon_count: int = 0
+    missing_owner_ms: Callable[[str, int], float] = _has_no_missing_owner
 
 
 class Scheduler:
@@ -288,8 +295,10 @@
     def _decide_without_instance(self, ticket: Ticket, now_ms: float) -> None:
         """Refuses a ticket without a usable instance.
 
-        Requests for a moving key range wait, as it gets its next owner soon. If this
-        daemon cannot reach an instance that others may reach, the reason says so.
+        Requests for a moving key range wait, as it gets its next owner soon. Those for
+        a key that is known to have no owner do not; their callers are told when to try
+        again. If this daemon cannot reach an instance that others may reach, the reason
+        says so.
         """
         key_hash = ticket.key_hash
         is_keyed = key_hash is not None
@@ -300,11 +309,15 @@
             ticket.refusal_reason = "cut_off"
             ticket.backlog_ms = 0.0
             return
-        if key_hash is not None and self.view.is_moving(ticket.service, key_hash):
-            if now_ms < ticket.submitted_ms + MAX_MOVE_WAIT_MS:
+        missing_ms = 0.0
+        if key_hash is not None:
+            missing_ms = self.view.missing_owner_ms(ticket.service, key_hash)
+            is_moving = self.view.is_moving(ticket.service, key_hash)
+            move_wait_end_ms = ticket.submitted_ms + MAX_MOVE_WAIT_MS
+            if is_moving and not missing_ms and now_ms < move_wait_end_ms:
                 return
         ticket.refusal_reason = "no_instance"
-        ticket.backlog_ms = 0.0
+        ticket.backlog_ms = missing_ms
 
     def _decide_without_permit(
         self, ticket: Ticket, candidates: list[Instance], now_ms: float
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -425,6 +425,8 @@
             return Attempt(name, "FAILED", True, response, not job.route.is_idempotent)
         self._site.scheduler.record_response(ticket, elapsed_ms)
         self._request_guard.record_answer(job.fingerprint)
+        if job.key_hash is not None:
+            self._site.record_held_key(job.service, job.key_hash)
         return Attempt(name, "ANSWERED", True, response, True)
 
     def _handle_misdirected(
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -38,8 +38,12 @@
 MAX_MOVE_MS = 600.0  # Longest time that requests wait for the move of a range.
 # How long requests for a range that its owner has released go to its next owner.
 RELEASED_RANGE_MS = 1000.0
-# How long requests for a key do not go to an owner that said it does not hold the key.
+# How long requests for a key do not go to an owner that said it does not hold the key,
+# the first time and when it says so again.
 UNHELD_KEY_MS = 200.0
+REPEATED_UNHELD_KEY_MS = 400.0
+# Two such answers follow on each other if the second comes this soon after that time.
+UNHELD_SEQUENCE_MS = 1000.0
 MAX_UNHELD_KEYS = 4096
 
 
@@ -59,6 +63,22 @@
     term: int
 
 
+class UnheldKey(NamedTuple):
+    """A key hash that its owner said it does not hold.
+
+    Attributes:
+        instance: The owner, or the next owner of a range that its owner has released.
+        owners: Recorded owner and next owner at that time, with their starts.
+        until_ms: Until when requests for the hash do not go to the owner.
+        is_repeated: Whether it said so again after it had been given time.
+    """
+
+    instance: str
+    owners: tuple[str | int, ...]
+    until_ms: float
+    is_repeated: bool
+
+
 class SiteState:
     """State of the site; all public methods acquire the lock.
 
@@ -97,7 +117,7 @@
         self._bounds = bounds
         self._splitter = Splitter()
         self._retry_budgets: dict[str, RetryBudget] = {}
-        self._unheld_keys: dict[tuple[str, int], tuple[str, float]] = {}
+        self._unheld_keys: dict[tuple[str, int], UnheldKey] = {}
         self._pending_ranges: dict[tuple[str, OwnedRange], float] = {}
         self._released_ranges: dict[tuple[str, OwnedRange], float] = {}
         self._now_ms = 0.0
@@ -210,9 +230,12 @@
             if owned.next_owner and owned.owner == instance:
                 self._released_ranges[(service, owned)] = now_ms + RELEASED_RANGE_MS
                 return
-            if len(self._unheld_keys) >= MAX_UNHELD_KEYS:
-                self._unheld_keys.clear()
-            self._unheld_keys[(service, key_hash)] = (instance, now_ms + UNHELD_KEY_MS)
+            self._add_unheld_key((service, key_hash), instance, owned, now_ms)
+
+    def record_held_key(self, service: str, key_hash: int) -> None:
+        """Records that the owner of a key hash has answered a request for it."""
+        with self.lock:
+            self._unheld_keys.pop((service, key_hash), None)
 
     def count_key(self, service: str, key_hash: int) -> None:
         """Counts a request for a key hash, for the load report."""
@@ -468,6 +491,53 @@
                 wait_ms = MAX_MOVE_MS if owned.next_owner else GRANT_DELIVERY_MS
                 self._pending_ranges[(service, owned)] = now_ms + wait_ms
 
+    def _add_unheld_key(
+        self, key: tuple[str, int], instance: str, owned: OwnedRange, now_ms: float
+    ) -> None:
+        """Adds a key hash that its owner does not hold.
+
+        The answers to requests that were sent together count as one.
+        """
+        known = self._unheld_keys.get(key)
+        known_until_ms = -math.inf
+        if known is not None and known[:2] == (instance, owned[2:]):
+            known_until_ms = known.until_ms
+        if now_ms < known_until_ms:
+            return
+        is_repeated = now_ms < known_until_ms + UNHELD_SEQUENCE_MS
+        wait_ms = REPEATED_UNHELD_KEY_MS if is_repeated else UNHELD_KEY_MS
+        if len(self._unheld_keys) >= MAX_UNHELD_KEYS:
+            self._unheld_keys.clear()
+        self._unheld_keys[key] = UnheldKey(
+            instance, owned[2:], now_ms + wait_ms, is_repeated
+        )
+
+    def _find_unheld_key(
+        self, service: str, key_hash: int, owned: OwnedRange | None
+    ) -> UnheldKey | None:
+        """Returns what its owner said of a hash if it still counts."""
+        unheld = self._unheld_keys.get((service, key_hash))
+        is_valid = (
+            unheld is not None
+            and unheld.until_ms > self._now_ms
+            and owned is not None
+            and unheld.owners == owned[2:]
+        )
+        return unheld if is_valid else None
+
+    def _missing_owner_ms(self, service: str, key_hash: int) -> float:
+        """Returns how long a hash is known to have no owner; 0 if it may have one.
+
+        An owner that says again, after some time, that it does not hold a hash waits
+        for a grant that is late, and no newer record names another owner.
+        """
+        table = self.shared.owners.get(service)
+        owned = table.find(key_hash) if table else None
+        unheld = self._find_unheld_key(service, key_hash, owned)
+        if unheld is None or not unheld.is_repeated:
+            return 0.0
+        return unheld.until_ms - self._now_ms
+
     def _find_owner(self, service: str, key_hash: int) -> str:
         table = self.shared.owners.get(service)
         owned = table.find(key_hash) if table else None
@@ -478,8 +548,8 @@
         name, start_ms = owned.owner, owned.start_ms
         if self._released_ranges.get((service, owned), 0.0) > self._now_ms:
             name, start_ms = owned.next_owner, owned.next_start_ms
-        unheld_by, until_ms = self._unheld_keys.get((service, key_hash), ("", 0.0))
-        if unheld_by == name and until_ms > self._now_ms:
+        unheld = self._find_unheld_key(service, key_hash, owned)
+        if unheld is not None and unheld.instance == name:
             return ""
         instance = self.fleet.find(name)
         is_same_incarnation = (
@@ -510,4 +580,5 @@
             self.zone,
             self.is_cut,
             len(self._cut_daemons & set(self.shared.members)),
+            self._missing_owner_ms,
         )
