--- a/tests/peer/test_links.py
+++ b/tests/peer/test_links.py
@@ -75,6 +75,23 @@
     assert request_promise(a, "b").is_ok()
 
 
+def test_second_reply_is_not_the_next_reply(make_node):
+    """A refusal that is sent once more comes when the next request has been sent."""
+    a, b = make_node("a"), make_node("b")
+    set_roster(a, b)
+    first = a.links.request("b", PromiseRequest("silent", 1), TIMEOUT_MS)
+    _, _, respond_first = b.inbox.get(timeout=20)
+    refusal = Promise("silent", 1, False)
+    assert respond_first(refusal)
+    assert first.result().unwrap() == refusal
+    second = a.links.request("b", PromiseRequest("silent", 1), TIMEOUT_MS)
+    _, _, respond_second = b.inbox.get(timeout=20)
+    assert respond_first(refusal)
+    assert wait_until(lambda: a.links.counters["late_reply"] == 1)
+    assert respond_second(Promise("silent", 1, True))
+    assert second.result().unwrap() == Promise("silent", 1, True)
+
+
 def test_requests_fail_when_their_peer_is_lost(make_node):
     a, b = make_node("a"), make_node("b")
     set_roster(a, b)
