Take from frames of other daemons only values that can be used

Cause: decode() says that no input raises, but a whole number beyond the floats raised OverflowError, which closed the link, and a text that UTF-8 cannot encode raised in encode(). Values of the right type were not checked: a key hash beyond the range, negative counts, a number of permits that is kept permit by permit, times that are not numbers, and offsets that spill into the era of a position. A sample of -25 or of no responses divided by zero in the granter's actor, which ended its term. The state of a forwarded request could hold infinite numbers (OverflowError) or an end that never comes, and a refusal of another daemon a code that is a list (TypeError).

Change: each message has a range for its values; a frame beyond it is malformed. Of the entries in a listing, only those that cannot be used are left out, as a granter of an earlier build sends them. No form that is sent changes.

Ruled out: an odd address of a peer keeps it from being dialed again (test passes without a change). An infinite age of a rate limit is in use and stays.

--- a/src/skylarktrail/core/gateway/checks.py
+++ b/src/skylarktrail/core/gateway/checks.py
@@ -9,9 +9,12 @@
 import re
 from typing import Any
 
+from .model import InstanceEntry
+
 MAX_EXACT_NUMBER = 1 << 53  # Whole numbers up to this one are exact as floats, too.
 MAX_COLD_MS = 86_400_000  # A day; the start of an instance takes seconds.
 MAX_NAME_BYTES = 255
+MAX_SLOTS = 1 << 16  # More would draw the requests of a whole site to one instance.
 MAX_HOST_CHARACTERS = 253
 MAX_PORT = 65535
 _IDENTIFIER = re.compile(r"[!-~]{1,255}")  # Visible ASCII characters.
@@ -43,3 +46,18 @@
     if found is None or len(found["host"]) > MAX_HOST_CHARACTERS:
         return False
     return 1 <= int(found["port"]) <= MAX_PORT
+
+
+def is_usable_entry(entry: InstanceEntry) -> bool:
+    """Returns whether each value of an entry can be used wherever it may go."""
+    return (
+        is_identifier(entry.instance)
+        and bool(entry.service)
+        and is_name(entry.service)
+        and is_name(entry.zone)
+        and is_address(entry.address)
+        and 1 <= entry.slots <= MAX_SLOTS
+        and 0 <= entry.cold_ms <= MAX_COLD_MS
+        and is_count(entry.start_ms)
+        and is_count(entry.sequence)
+    )
--- a/src/skylarktrail/core/gateway/speeds.py
+++ b/src/skylarktrail/core/gateway/speeds.py
@@ -34,6 +34,8 @@
                 work_ratio_sum / answers - known
             )
         total = answers + failures
+        if not total:
+            return
         weight = total / (total + PRIOR_SAMPLE_COUNT)
         known = self._failure_ratios.get(instance, 0.0)
         self._failure_ratios[instance] = known + weight * (failures / total - known)
--- a/src/skylarktrail/gateway/forwarding.py
+++ b/src/skylarktrail/gateway/forwarding.py
@@ -14,6 +14,7 @@
 
 from result import Result
 
+from ..core.gateway.checks import MAX_EXACT_NUMBER
 from ..core.gateway.forward_targets import ForwardTargets, TargetProcess
 from ..core.gateway.ticket import Ticket
 from ..daemon import fields
@@ -71,7 +72,7 @@
     """Decodes the value of a header field; returns None if it is malformed."""
     try:
         version, service, left_ms, target_left_ms, is_return, runs = json.loads(text)
-        return ForwardedState(
+        state = ForwardedState(
             int(version),
             str(service),
             float(left_ms),
@@ -79,7 +80,9 @@
             bool(is_return),
             int(runs),
         )
-    except (TypeError, ValueError):
+        times_ms = (state.left_ms, state.target_left_ms)
+        return state if all(abs(x) <= MAX_EXACT_NUMBER for x in times_ms) else None
+    except (TypeError, ValueError, OverflowError, RecursionError):
         return None
 
 
@@ -274,7 +277,8 @@
 def _read_problem(raw_response: RawResponse, headers: Mapping[str, str]) -> Problem:
     """Reads the refusal of another daemon, whose outcome is in a header field."""
     document = _parse_object(raw_response.body)
-    code = CODES.get(document.get("code", 0), codes.OUTCOME_UNKNOWN)
+    number = document.get("code")
+    code = CODES.get(number if type(number) is int else 0, codes.OUTCOME_UNKNOWN)
     outcome = headers[fields.OUTCOME.lower()]
     retry_after_ms = document.get("retry_after_ms")
     return Problem(
@@ -288,10 +292,12 @@
 def _parse_object(body: bytes) -> dict[str, Any]:
     try:
         document = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return {}
     return document if isinstance(document, dict) else {}
 
 
 def _is_number(value: Any) -> bool:
-    return isinstance(value, (int, float)) and not isinstance(value, bool)
+    """Returns whether a value of a problem is a usable number."""
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return is_number and 0 <= value <= MAX_EXACT_NUMBER
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -12,6 +12,7 @@
 
 from result import Result
 
+from ..core.gateway.checks import is_usable_entry
 from ..core.gateway.model import InstanceEntry
 from ..core.gateway.positions import era_of, make_position, offset_of
 from ..core.gateway.ranges import OwnedRange
@@ -342,7 +343,10 @@
         if message.base < 0:
             self._entries = {}
         for entry in message.entries:
-            self._entries[entry.instance] = entry
+            if is_usable_entry(entry):
+                self._entries[entry.instance] = entry
+            else:  # A granter of an earlier build sends odd ones, too.
+                self._entries.pop(entry.instance, None)
         for name in message.removed_instances:
             self._entries.pop(name, None)
         self._listing_sender = daemon
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -254,7 +254,7 @@
                     instance.record_not_overloaded()
                     continue
                 instance.record_in_flight_total(item.in_flight_count, now_ms)
-                instance.record_admitted_part(item.admitted_part, now_ms)
+                instance.record_admitted_part(min(1.0, item.admitted_part), now_ms)
 
     def slots(self) -> dict[str, int]:
         """Returns the number of slots of each instance."""
--- a/src/skylarktrail/peer/codec.py
+++ b/src/skylarktrail/peer/codec.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import cache
 from typing import Any, Callable, NamedTuple, get_args, get_origin, get_type_hints
 
@@ -45,9 +46,14 @@
         frame_id: Id of the frame, as in `Frame`.
 
     Returns:
-        The bytes; `MESSAGE_TOO_LARGE` for more than `MAX_MESSAGE_BYTES`.
+        The bytes; `MESSAGE_TOO_LARGE` for more than `MAX_MESSAGE_BYTES`,
+        `MESSAGE_MALFORMED` for a text that UTF-8 cannot encode.
     """
-    data = cbor2.dumps([VERSION, message.kind, frame_id, tuple(message)])
+    try:
+        data = cbor2.dumps([VERSION, message.kind, frame_id, tuple(message)])
+    except (cbor2.CBOREncodeError, UnicodeError) as error:
+        detail = f"{message.kind}: {type(error).__name__}"
+        return Err(Fault(codes.MESSAGE_MALFORMED, detail=detail))
     if len(data) > MAX_MESSAGE_BYTES:
         detail = f"{message.kind} of {len(data)} bytes"
         return Err(Fault(codes.MESSAGE_TOO_LARGE, detail=detail))
@@ -82,9 +88,12 @@
     if cls is None:
         return Err(Fault(codes.MESSAGE_KIND))
     try:
-        return Ok(Frame(frame_id, _converter_for(cls)(body)))
-    except (TypeError, ValueError) as error:
+        message = _converter_for(cls)(body)
+    except (TypeError, ValueError, OverflowError) as error:
         return _malformed(f"{kind}: {error}")
+    if not getattr(message, "has_usable_values", True):
+        return _malformed(f"{kind}: a value out of range")
+    return Ok(Frame(frame_id, message))
 
 
 def _malformed(detail: str) -> Err[Fault]:
@@ -143,7 +152,10 @@
 def _convert_float(value: Any) -> float:
     if type(value) not in (int, float):
         raise TypeError(f"{type(value).__name__} in place of float")
-    return float(value)
+    number = float(value)
+    if math.isnan(number):
+        raise ValueError("not a number")
+    return number
 
 
 def _exact_type_converter(cls: type) -> Converter:
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -4,12 +4,34 @@
 
 from typing import NamedTuple
 
+from ..core.gateway.checks import MAX_EXACT_NUMBER, is_count
 from ..core.gateway.harmful_requests import BlockedRequest
-from ..core.gateway.model import InstanceEntry
+from ..core.gateway.model import HASH_COUNT, InstanceEntry
 from ..core.gateway.open_grants import OpenGrantReport
+from ..core.gateway.positions import OFFSET_BITS
 from ..core.gateway.ranges import OwnedRange
 from .messages import message
 
+MAX_AMOUNT = 1 << 31  # Requests in one report.
+MAX_PERMITS = 1 << 16  # Permits in one message; a reply is kept permit by permit.
+
+
+def _is_amount(value: int) -> bool:
+    return 0 <= value <= MAX_AMOUNT
+
+
+def _is_hash(value: int) -> bool:
+    return 0 <= value < HASH_COUNT
+
+
+def _is_range(first: int, last: int) -> bool:
+    return 0 <= first <= last < HASH_COUNT
+
+
+def _is_offset(value: int) -> bool:
+    """Returns whether a value is an offset; negative ones mean that none is known."""
+    return -(1 << OFFSET_BITS) < value < 1 << OFFSET_BITS
+
 
 class KeyRequestCount(NamedTuple):
     """Number of requests for one key hash of a keyed service.
@@ -42,6 +64,11 @@
     failures: int
 
 
+def _is_sample(sample: ResponseSample) -> bool:
+    are_amounts = _is_amount(sample.answers) and _is_amount(sample.failures)
+    return are_amounts and 0 <= sample.work_ratio_sum <= MAX_EXACT_NUMBER
+
+
 class InFlightCount(NamedTuple):
     """Number of the sender's requests in flight at one instance.
 
@@ -73,6 +100,16 @@
     listing: int
     is_eligible: bool = False
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return (
+            all(_is_hash(i.key_hash) and _is_amount(i[2]) for i in self.key_counts)
+            and all(_is_sample(item) for item in self.response_samples)
+            and all(_is_amount(item.count) for item in self.in_flight)
+            and _is_offset(self.listing)
+        )
+
 
 @message("gateway_owners")
 class GatewayOwners(NamedTuple):
@@ -88,6 +125,13 @@
     changed: tuple[OwnedRange, ...]
     position: int
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return _is_offset(self.position) and all(
+            _is_range(item.first, item.last) for item in self.changed
+        )
+
 
 class SharedRecord(NamedTuple):
     """A record of a log that all daemons of the site read.
@@ -117,6 +161,11 @@
     position: int
     records: tuple[SharedRecord, ...]
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return _is_offset(self.base) and _is_offset(self.position)
+
 
 @message("gateway_term_ask")
 class GatewayTermEndRequest(NamedTuple):
@@ -128,6 +177,11 @@
 
     term: int
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return is_count(self.term)
+
 
 @message("gateway_role_offer")
 class GatewayRoleOffer(NamedTuple):
@@ -139,6 +193,11 @@
 
     term: int
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return is_count(self.term)
+
 
 @message("gateway_term_ended")
 class GatewayTermEnded(NamedTuple):
@@ -150,6 +209,11 @@
 
     term: int
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return is_count(self.term)
+
 
 @message("gateway_open_grants_ask")
 class GatewayOpenGrantsRequest(NamedTuple):
@@ -161,6 +225,11 @@
 
     term: int
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return is_count(self.term)
+
 
 @message("gateway_open_grants")
 class GatewayOpenGrants(NamedTuple):
@@ -174,6 +243,11 @@
     process: str
     grants: tuple[OpenGrantReport, ...]
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return all(_is_range(item.first, item.last) for item in self.grants)
+
 
 @message("gateway_listing")
 class GatewayListing(NamedTuple):
@@ -197,6 +271,11 @@
     entries: tuple[InstanceEntry, ...]
     removed_instances: tuple[str, ...]
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return all(map(_is_offset, self[:4]))
+
 
 class OverloadedInstance(NamedTuple):
     """Load of one instance in a `GatewayOverload`.
@@ -224,6 +303,15 @@
 
     instances: tuple[OverloadedInstance, ...]
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return all(
+            _is_amount(item.in_flight_count)
+            and 0 <= item.admitted_part <= MAX_EXACT_NUMBER
+            for item in self.instances
+        )
+
 
 class RateLimitReport(NamedTuple):
     """Rate limit that one incarnation of an instance named.
@@ -244,6 +332,11 @@
     age_ms: float
 
 
+def _is_limit(report: RateLimitReport) -> bool:
+    """Returns whether a report is usable; a limit that was never seen has no age."""
+    return 0 <= report.per_s <= MAX_EXACT_NUMBER and report.age_ms >= 0
+
+
 @message("gateway_rate_limits")
 class GatewayRateLimits(NamedTuple):
     """Rate limits that the sender knows.
@@ -254,6 +347,11 @@
 
     limits: tuple[RateLimitReport, ...]
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return all(map(_is_limit, self.limits))
+
 
 @message("gateway_permit_ask")
 class GatewayPermitRequest(NamedTuple):
@@ -270,6 +368,12 @@
     per_s: float
     count: int
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        is_rate = 0 <= self.per_s <= MAX_EXACT_NUMBER
+        return _is_limit(self.limit) and is_rate and 0 <= self.count <= MAX_PERMITS
+
 
 @message("gateway_permits")
 class GatewayPermits(NamedTuple):
@@ -285,6 +389,12 @@
     count: int
     wait_ms: float
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        is_time = 0 <= self.wait_ms <= MAX_EXACT_NUMBER
+        return _is_limit(self.limit) and is_time and 0 <= self.count <= MAX_PERMITS
+
 
 @message("gateway_reachability")
 class GatewayReachability(NamedTuple):
@@ -322,6 +432,11 @@
 
     requests: tuple[BlockedRequest, ...]
 
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return all(abs(item.left_ms) <= MAX_EXACT_NUMBER for item in self.requests)
+
 
 @message("gateway_answered_requests")
 class GatewayAnsweredRequests(NamedTuple):
@@ -343,3 +458,8 @@
     """
 
     era: int
+
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return is_count(self.era)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -297,3 +297,42 @@
 @pytest.mark.parametrize("text", ["", "{}", "[]", "[1]", "x", json.dumps(["a"] * 6)])
 def test_malformed_state_is_refused(text):
     assert decode_state(text) is None
+
+
+ODD_STATES = [
+    "[" * 10_000,
+    json.dumps([float("inf"), "s", 1, 1, True, 1]),
+    json.dumps([1, "s", float("nan"), 1, True, 1]),
+    json.dumps([1, "s", 1, float("inf"), True, 1]),
+    json.dumps([1, "s", 10**300, 1, True, 1]),
+    json.dumps([1, "s", 10**400, 1, True, 1]),
+    json.dumps([1, "s", 1, 1, True, float("-inf")]),
+]
+
+
+@pytest.mark.parametrize("text", ODD_STATES, ids=lambda text: text[:40])
+def test_a_state_with_a_number_out_of_range_is_refused(text):
+    """A request whose end is not a number would never end."""
+    assert decode_state(text) is None
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 10_000,
+        b'{"code": [1]}',
+        b'{"code": {}}',
+        b'{"retry_after_ms": NaN}',
+        b'{"retry_after_ms": Infinity}',
+        b'{"retry_after_ms": -5}',
+        b'{"retry_after_ms": %d}' % 10**400,
+    ],
+    ids=lambda body: repr(body[:30]),
+)
+def test_an_odd_refusal_of_another_daemon_is_a_refusal(make_setup, body):
+    head = f"HTTP/1.1 503 X\r\n{fields.OUTCOME}: {fields.NOT_RUN}\r\n"
+    length = f"Content-Length: {len(body)}\r\n\r\n"
+    problem = make_setup(head.encode() + length.encode() + body)
+    reply = problem.forward(problem.make_job())
+    assert reply.outcome == fields.NOT_RUN
+    assert reply.retry_after_ms is None
--- a/tests/gateway/test_listing_eras.py
+++ b/tests/gateway/test_listing_eras.py
@@ -125,3 +125,24 @@
     assert [type(message) for message in messages] == [GatewayListing]
     follower.receive(messages)
     assert follower.positions == [900]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 10**200},
+        {"start_ms": 10**200},
+        {"address": "a..b:80"},
+        {"instance": "i\r\nX: y"},
+        {"cold_ms": float("inf")},
+    ],
+    ids=repr,
+)
+def test_an_odd_entry_of_a_granter_of_an_earlier_build_hides_no_other(
+    granter, follower, change
+):
+    era, listing = granter.broadcast(era=1, offset=900)
+    odd = ENTRY._replace(instance="i-0")._replace(**change)
+    follower.receive([era, listing._replace(entries=(odd, *listing.entries))])
+    assert set(follower.site.fleet.instances) == {"i-1"}
+    assert follower.positions == [make_position(1, 900)]
