Drop a handover that the next owner might refuse

Cause: the Handover field of a release's answer went on to the next owner as it came, with bytes beyond ASCII, control characters or of any length. An owner that refuses the grant with it gets the range no other way.

Change: a handover that is not printable ASCII of at most 4096 characters counts as none: the keys are slow for a while, and the release stays done.

--- a/src/skylarktrail/platform/lease_client.py
+++ b/src/skylarktrail/platform/lease_client.py
@@ -19,6 +19,7 @@
 MAX_POOLS = 256
 # Responses to these calls have short bodies. A server in trouble may never end one.
 MAX_BODY_BYTES = 4096
+MAX_HANDOVER_CHARACTERS = 4096
 # Closing a connection, or the end of its process, resets it, so that bytes of a call
 # that a link still holds back are dropped, not delivered after the call was given up.
 RESET_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -103,7 +104,17 @@
     except (urllib3.exceptions.HTTPError, OSError, ValueError, OverflowError):
         return CallResult(call.call_id, SILENT)
     outcome = OUTCOMES.get(response.status, SILENT) if is_whole else SILENT
-    return CallResult(call.call_id, outcome, response.headers.get("Handover", ""))
+    return CallResult(call.call_id, outcome, _read_handover(response))
+
+
+def _read_handover(response: urllib3.BaseHTTPResponse) -> str:
+    """Returns what the next owner is to be sent; empty if it is not usable.
+
+    Without it, the keys are only slow for a while.
+    """
+    text = response.headers.get("Handover", "")
+    is_usable = text.isascii() and text.isprintable()
+    return text if is_usable and len(text) <= MAX_HANDOVER_CHARACTERS else ""
 
 
 def _read_body(response: urllib3.BaseHTTPResponse) -> bool:
