Let the soak compare holdings without gaps and draw owners' further faults

Cause: the soak looked at the holders of sampled keys every 0.3 s and reported a key only if two looks in a row showed two holders, so shorter overlaps and those of other keys passed. Late grants, series of restarts, replaced instances, series of signals, a store back from an older copy, gateways cut off from the store alone, answers cut in their head, repeated refusals and odd entries were not drawn at all.

Change: instances print what they hold at each change, the driver notes when it kills a process, and after each run soak/holdings.py compares all holdings; any time in common is a finding. The earlier look stays. Links abort both ends when one fails, as they do on the platform; the run's end no longer prints errors of connections that were left open.

--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -93,6 +93,7 @@
             "store", "standins.platform.store", ["--address", self.store_address]
         )
         self.instances: dict[str, Process] = {}
+        self.former_instances: dict[str, Process] = {}
         self.instance_addresses: dict[str, str] = {}
         self.advertised_addresses: dict[str, str] = {}
         self._add_instances(instances)
@@ -122,7 +123,8 @@
             self.wait_for(address, "/ready")
 
     def __exit__(self, *_: object) -> None:
-        kill_all([*self.gateways.values(), *self.instances.values(), self.store])
+        instances = [*self.former_instances.values(), *self.instances.values()]
+        kill_all([*self.gateways.values(), *instances, self.store])
 
     def settings_path(self, gateway: str) -> Path:
         """Returns the settings file of a gateway."""
@@ -166,14 +168,38 @@
         """Writes a new configuration to the store and returns its version."""
         self.version += 1
         value = make_configuration(self.version) | changes
-        self._put_record("keyed.op", "config", value)
+        self.put_record("keyed.op", "config", value)
         return self.version
 
     def set_zone_out(self, zone: str, is_out: bool) -> None:
         """Takes a zone out of service or brings it back."""
-        self._put_record("keyed.op", f"evacuate/{zone}", {} if is_out else None)
+        self.put_record("keyed.op", f"evacuate/{zone}", {} if is_out else None)
         (self.zones_out.add if is_out else self.zones_out.discard)(zone)
 
+    def put_record(self, topic: str, key: str, value: Any) -> None:
+        """Writes a keyed record to the store, as operators and instances do."""
+        body = json.dumps({"topic": topic, "key": key, "value": value}).encode()
+        self._send("POST", f"http://{self.store_address}/operator/put", {}, body, 2.0)
+
+    def replace_instance(self, name: str) -> str:
+        """Kills an instance and starts another one at its address.
+
+        Returns:
+            The name of the other instance.
+        """
+        former = self.instances.pop(name)
+        former.kill()
+        self.former_instances[name] = former
+        other = f"{name}r"
+        self.instance_addresses[other] = self.instance_addresses.pop(name)
+        self.advertised_addresses[other] = self.advertised_addresses.pop(name)
+        arguments = ["--name", other, *former.arguments[2:]]
+        self.instances[other] = self._make_process(
+            other, "standins.platform.instance", arguments
+        )
+        self.instances[other].start()
+        return other
+
     def request(
         self,
         kind: RequestKind,
@@ -233,10 +259,10 @@
     def read_run_times(self) -> dict[str, list[float]]:
         """Returns the times of the runs by request id, from the instances' output.
 
-        Includes the runs of killed instances.
+        Includes the runs of killed and replaced instances.
         """
         times: dict[str, list[float]] = {}
-        for process in self.instances.values():
+        for process in [*self.former_instances.values(), *self.instances.values()]:
             for line in process.output().splitlines():
                 words = line.split()
                 if len(words) == 3 and words[0] == "run":
@@ -252,10 +278,6 @@
                     found.append(json.loads(line))
         return found
 
-    def _put_record(self, topic: str, key: str, value: Any) -> None:
-        body = json.dumps({"topic": topic, "key": key, "value": value}).encode()
-        self._send("POST", f"http://{self.store_address}/operator/put", {}, body, 2.0)
-
     def _send(
         self, method: str, url: str, headers: dict[str, str], body: bytes, timeout_s
     ) -> GatewayResponse:
--- a/demo/process.py
+++ b/demo/process.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import threading
+import time
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Iterator
@@ -52,6 +53,8 @@
     Attributes:
         module: Module to run from the next start on.
         source_dir: Directory of the package `skylarktrail` from the next start on.
+        arguments: Command-line arguments.
+        kill_times_ms: Times of CLOCK_MONOTONIC at which it was killed.
     """
 
     def __init__(
@@ -60,7 +63,8 @@
         self.name = name
         self.module = module
         self.source_dir = PROJECT_DIR / "src"
-        self._arguments = arguments
+        self.kill_times_ms: list[float] = []
+        self.arguments = arguments
         self._output_path = directory / f"{name}.log"
         self._size_at_start = 0
         self._popen: subprocess.Popen[bytes] | None = None
@@ -71,7 +75,7 @@
         with self._output_path.open("ab") as output, defer_signals():
             self._size_at_start = output.tell()
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", self.module, *self._arguments],
+                [sys.executable, "-m", self.module, *self.arguments],
                 cwd=PROJECT_DIR,
                 env=_environment(self.source_dir),
                 stdin=subprocess.DEVNULL,
@@ -107,6 +111,8 @@
 
     def kill(self) -> None:
         """Kills the process and waits for its end."""
+        if self.is_running:
+            self.kill_times_ms.append(time.monotonic() * 1000)
         self.send_signal(signal.SIGKILL)
         if self._popen is not None:
             self._popen.wait()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,9 @@
     parser.add_argument(
         "--cuts", action="store_true", help="cut gateways off from all instances too"
     )
+    parser.add_argument(
+        "--all", action="store_true", help="all faults, more of them at the same time"
+    )
     arguments = parser.parse_args()
     # Exits through the context managers, which end the processes of the current run.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -32,6 +35,7 @@
             arguments.gateways,
             arguments.instances,
             arguments.cuts,
+            arguments.all,
         )
         outcome = run.execute()
         print(
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 CHUNK_BYTES = 1 << 16
+REFUSALS = (b"HTTP/1.1 409", b"HTTP/1.1 421", b"HTTP/1.1 429", b"HTTP/1.1 503")
 
 
 class LinkImpairment(NamedTuple):
@@ -17,11 +18,29 @@
         silent: Direction in which bytes are dropped: `to_target`, `to_source`, `both`,
             or empty for none.
         is_refusing: Whether new connections are closed immediately.
+        late_ms: Further delay of each chunk on the way to the target.
+        answer_limit_bytes: Bytes of the next answer after which a connection ends; 0
+            for no limit.
+        repeats_refusals: Whether each refusal is written twice.
     """
 
     delay_ms: float = 0.0
     silent: str = ""
     is_refusing: bool = False
+    late_ms: float = 0.0
+    answer_limit_bytes: int = 0
+    repeats_refusals: bool = False
+
+    def chunk_delay_ms(self, direction: str) -> float:
+        """Returns the delay of a chunk."""
+        return self.delay_ms + (self.late_ms if direction == "to_target" else 0.0)
+
+    def change_answer(self, data: bytes) -> bytes:
+        """Returns what is passed on of a chunk of an answer."""
+        if self.answer_limit_bytes:
+            return data[: self.answer_limit_bytes]
+        is_refusal = self.repeats_refusals and data.startswith(REFUSALS)
+        return data * 2 if is_refusal else data
 
 
 UNIMPAIRED = LinkImpairment()
@@ -84,6 +103,7 @@
     async def _accept(
         self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        writers = [writer]
         link.open_writers.add(writer)
         try:
             if link.impairment.is_refusing:
@@ -92,6 +112,7 @@
             target_reader, target_writer = await asyncio.open_connection(
                 host, int(port)
             )
+            writers.append(target_writer)
             link.open_writers.add(target_writer)
             await asyncio.gather(
                 self._copy_bytes(link, "to_target", reader, target_writer),
@@ -100,8 +121,9 @@
         except (OSError, asyncio.CancelledError):
             pass  # One end closed, or the run ended; the connection is aborted below.
         finally:
-            writer.transport.abort()
-            link.open_writers.discard(writer)
+            for open_writer in writers:
+                open_writer.transport.abort()
+                link.open_writers.discard(open_writer)
 
     async def _copy_bytes(
         self,
@@ -113,12 +135,16 @@
         try:
             while data := await reader.read(CHUNK_BYTES):
                 impairment = link.impairment
-                if impairment.delay_ms:
-                    await asyncio.sleep(impairment.delay_ms / 1000)
+                if delay_ms := impairment.chunk_delay_ms(direction):
+                    await asyncio.sleep(delay_ms / 1000)
                 if impairment.silent in ("both", direction):
                     continue
+                if direction == "to_source":
+                    data = impairment.change_answer(data)
                 writer.write(data)
                 await writer.drain()
+                if direction == "to_source" and impairment.answer_limit_bytes:
+                    break
         finally:
             if writer.can_write_eof():
                 try:
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,12 +12,15 @@
 
 from .checks import find_wrong_runs
 from .faults import CUT_FAULTS, FAULTS, Undo
+from .further_faults import FURTHER_FAULTS
+from .holdings import find_shared_ranges, read_site_holdings
 from .instance_links import MODULE
 from .load import SiteLoad
 from .proxy import Proxies
 
 MAX_FAULT_DURATION_S = 4.0
 MAX_CONCURRENT_FAULTS = 3
+MAX_CONCURRENT_FAULTS_OF_ALL = 5
 # Longer than the leases and the authority of a lost granter.
 RECOVERY_TIME_S = 8.0
 MIN_RECOVERED_RATIO = 0.95
@@ -48,6 +51,7 @@
         gateways: Number of gateway daemons.
         instances: Number of instances of each service.
         has_cuts: Whether gateways may be cut off from all instances.
+        has_all_faults: Whether all faults are drawn, more of them at once.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         gateways: int,
         instances: int,
         has_cuts: bool = False,
+        has_all_faults: bool = False,
     ):
         self._rng = random.Random(seed)
         self._seconds = seconds
@@ -67,9 +72,13 @@
             gateways,
             instances,
             self._add_proxy,
-            MODULE if has_cuts else "skylarktrail",
+            MODULE if has_cuts or has_all_faults else "skylarktrail",
         )
         self._fault_by_name = FAULTS | CUT_FAULTS if has_cuts else FAULTS
+        self._max_faults = MAX_CONCURRENT_FAULTS
+        if has_all_faults:
+            self._fault_by_name = FAULTS | CUT_FAULTS | FURTHER_FAULTS
+            self._max_faults = MAX_CONCURRENT_FAULTS_OF_ALL
         self._load = SiteLoad(self._site)
         self._findings: list[str] = []
         self._faults: list[str] = []
@@ -85,12 +94,13 @@
             with self._site:
                 self._execute()
                 runs = self._site.read_run_times()
+                holdings = read_site_holdings(self._site)
         finally:
             self._load.signal_stop()
             self._proxies.stop()
         records = self._load.records
         findings = self._load.findings + self._findings
-        findings += find_wrong_runs(records, runs)
+        findings += find_wrong_runs(records, runs) + find_shared_ranges(holdings)
         served = sum(record.response.status == 200 for record in records)
         return SoakResult(len(records), served, self._faults, findings)
 
@@ -113,7 +123,7 @@
             active = [fault for fault in active if fault[0] > time.monotonic()]
             for undo in expired:
                 undo()
-            if len(active) < MAX_CONCURRENT_FAULTS:
+            if len(active) < self._max_faults:
                 name = self._rng.choice(sorted(self._fault_by_name))
                 self._faults.append(name)
                 begin = self._fault_by_name[name]
--- a/standins/platform/instance.py
+++ b/standins/platform/instance.py
@@ -61,6 +61,7 @@
                 and not first <= held_range[0] <= held_range[1] <= last
             ]
             self._held_ranges.append((first, last, fence, now_ms() + lease_ms))
+            self._print_held_ranges()
             return True
 
     def release(self, first: int, last: int, fence: int, timeout_s: float) -> None:
@@ -71,6 +72,7 @@
                 for held_range in self._held_ranges
                 for remainder in _subtract_range(held_range, first, last, fence)
             ]
+            self._print_held_ranges()
             end = time.monotonic() + timeout_s
             while any(first <= key <= last for key in self.running_keys):
                 self.changed.wait(max(0.0, end - time.monotonic()))
@@ -90,6 +92,11 @@
             if lease_end_ms > now_ms()
         ]
 
+    def _print_held_ranges(self) -> None:
+        """Prints what is held from now on, for a driver that compares instances."""
+        rows = [[low, high, end_ms] for low, high, _, end_ms in self._held_ranges]
+        print(f"holds {now_ms()} {json.dumps(rows)}", flush=True)
+
 
 def _subtract_range(held_range, first, last, fence):
     low, high, held_fence, lease_end_ms = held_range
@@ -126,6 +133,7 @@
             beats=True,
             lost_share=0.0,
             rate_limit_per_s=0.0,
+            grant_delay_ms=0.0,
         )
         self._loss_accumulator = 0.0
         route = self.application.route
@@ -180,6 +188,7 @@
         payload = json.loads(request.body)
         if request.header("Target-Instance") not in ("", self._name):
             return self._make_response(421, b"", NOT_EXECUTED)
+        time.sleep(self.controls["grant_delay_ms"] / 1000)
         is_accepted = self._key_ranges.grant(
             payload["from"], payload["to"], payload["fence"], payload["holdMs"]
         )
@@ -216,6 +225,7 @@
             self._run_times_ms.append(now_ms())
             print(f"run {name} {time.time():.3f}", flush=True)
         if CRASH_PATH in request.path:
+            print(f"ends {now_ms()}", flush=True)
             os._exit(1)
         time.sleep(self.controls["work_ms"] / 1000)
         with self._lock:
@@ -265,6 +275,7 @@
     parser.add_argument("--heartbeat-ms", type=float, default=300.0)
     parser.add_argument("--keyed", action="store_true")
     arguments = parser.parse_args()
+    print(f"begins {now_ms()}", flush=True)
     instance = Instance(arguments)
     threading.Thread(target=instance.send_heartbeats, daemon=True).start()
     serve(instance.application, [arguments.address], THREAD_COUNT)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
 from demo.gateway_site import REQUEST_KINDS, GatewayResponse
 from soak.checks import RequestRecord, check_response, find_shared_keys, find_wrong_runs
 from soak.faults import FAULTS
+from soak.further_faults import FURTHER_FAULTS
 from soak.run import SoakRun
 
 STOCK, BOOKING = REQUEST_KINDS
@@ -82,6 +83,14 @@
     assert outcome.served > 0.3 * outcome.requests
 
 
+def test_run_with_all_faults_has_no_findings():
+    run = SoakRun(901, 12.0, gateways=3, instances=4, has_all_faults=True)
+    outcome = run.execute()
+    assert FURTHER_FAULTS.keys() & set(outcome.faults)
+    assert outcome.findings == []
+    assert outcome.served > 0.3 * outcome.requests
+
+
 class FakeProcess:
     """Stands in for a daemon process; a signal ends it."""
 
