--- a/src/skylarktrail/daemon/pools.py
+++ b/src/skylarktrail/daemon/pools.py
@@ -5,7 +5,7 @@
 import socket
 import threading
 
-import urllib3
+from ..http_pools import WholeResponseConnection, WholeResponsePool
 
 CONNECT_TIMEOUT_MS = 300
 _thread_state = threading.local()
@@ -36,8 +36,14 @@
             pass
 
 
-class TrackedConnection(urllib3.connection.HTTPConnection):
-    """A connection that registers itself in the abort handle of its thread."""
+class TrackedConnection(WholeResponseConnection):
+    """A connection that registers itself in the abort handle of its thread.
+
+    Attributes:
+        is_last_response: Whether it is closed when its present response was read.
+    """
+
+    is_last_response = False
 
     def request(self, *args, **kwargs) -> None:
         """Registers the connection in this thread's abort handle; sends a request."""
@@ -47,11 +53,18 @@
         super().request(*args, **kwargs)
 
 
-class TrackedPool(urllib3.HTTPConnectionPool):
+class TrackedPool(WholeResponsePool):
     """A pool of tracked connections."""
 
     ConnectionCls = TrackedConnection
 
+    def _put_conn(self, conn: TrackedConnection | None) -> None:
+        """Returns a connection to the pool, which opens a closed one again."""
+        if conn is not None and conn.is_last_response:
+            conn.close()
+            conn.is_last_response = False
+        super()._put_conn(conn)
+
 
 def set_abort_handle(abort_handle: AbortHandle | None) -> None:
     """Sets the abort handle of this thread's next request."""
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -23,7 +23,11 @@
 # A server in trouble may send bytes without end. The daemon keeps whole responses in
 # memory, of which it has 200 MB on a small VM.
 MAX_RESPONSE_BODY_BYTES = 16 << 20
+# Failed requests that a connection remembers; it is closed rather than forget one.
+MAX_FAILED_REQUESTS = 64
 ZERO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER value: close() sends a reset.
+# A response has one of them at most; h11 refuses two different lengths.
+FRAMING_FIELDS = frozenset(("content-length", "transfer-encoding"))
 
 Fields = list[tuple[str, str]]
 
@@ -90,7 +94,9 @@
         status: HTTP status.
         fields: Header fields, names in lower case.
         body: Complete body.
-        is_reusable: Whether the connection can carry another request.
+        is_reusable: Whether the connection can carry another request. A connection
+            whose response names no request cannot: a copy of that response would be
+            taken for the response to the next request.
     """
 
     status: int
@@ -102,6 +108,16 @@
         """Returns the fields by name."""
         return dict(self.fields)
 
+    def has_conflict(self, id_field: str) -> bool:
+        """Returns whether the fields name several requests or ends of the body.
+
+        Args:
+            id_field: Name, in lower case, of the header field with the request id.
+        """
+        names = {name for name, _ in self.fields}
+        ids = {value for name, value in self.fields if name == id_field}
+        return len(ids) > 1 or FRAMING_FIELDS <= names
+
 
 class Connection:
     """A connection to one instance, for one request at a time.
@@ -109,7 +125,8 @@
     Args:
         address: `host:port` of the instance.
         id_field: Name, in lower case, of the header field with the request id.
-        names_requests: Whether all responses of the server have that field.
+        names_requests: Whether all responses of the server have that field. If not,
+            one without it may answer a request on a connection that was used before.
 
     Attributes:
         is_aborted: Whether `abort` was called.
@@ -127,6 +144,24 @@
         self._id_field = id_field
         self._names_requests = names_requests
         self._socket: socket.socket | None = None
+        # Hashes of the ids of requests whose responses were no success. They take
+        # less memory than the ids; two equal ones cost no more than a connection.
+        self._failed_requests: set[int] = set()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection cannot remember another failed request."""
+        return len(self._failed_requests) >= MAX_FAILED_REQUESTS
+
+    def may_carry(self, request_id: str) -> bool:
+        """Returns whether a request may be sent on this connection.
+
+        A server may send a response once more. If that was a refusal, and the request
+        is sent to the server again, the copy would be taken for the response to a
+        request that the server runs. So a request whose response was no success is not
+        sent on the same connection again.
+        """
+        return hash(request_id) not in self._failed_requests
 
     def open(self, timeout_ms: float) -> Result[None, Fault]:
         """Connects within a timeout.
@@ -137,9 +172,9 @@
         host, _, port = self.address.rpartition(":")
         timeout_s = max(0.001, min(CONNECT_TIMEOUT_MS, timeout_ms) / 1000)
         try:
-            sock = socket.create_connection((host, int(port)), timeout_s)
+            sock = socket.create_connection((host.strip("[]"), int(port)), timeout_s)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:  # No usable address.
             return Err(Fault(codes.INSTANCE_UNREACHED, self.address, repr(error)))
         self._socket = sock
         return Ok(None)
@@ -200,9 +235,13 @@
         parser = h11.Connection(h11.CLIENT)
         try:
             data = _encode_request(parser, request)
+        except (h11.LocalProtocolError, ValueError) as error:  # It cannot be sent.
+            return Err(Fault(codes.INSTANCE_UNREACHED, self.address, repr(error)))
+        try:
             _set_timeout(sock, get_end_ms())
             sock.sendall(data)
-            return self._read_response(sock, parser, request, get_end_ms)
+            result = self._read_response(sock, parser, request, get_end_ms)
+            return result.inspect(lambda response: self._remember(request, response))
         except TimeoutError:
             return Err(Fault(codes.INSTANCE_SILENT, self.address))
         except h11.RemoteProtocolError as error:
@@ -211,6 +250,10 @@
             code = codes.ATTEMPT_CUT if self.is_aborted else codes.INSTANCE_BROKEN
             return Err(Fault(code, self.address, repr(error)))
 
+    def _remember(self, request: OutgoingRequest, response: RawResponse) -> None:
+        if not 200 <= response.status < 300:
+            self._failed_requests.add(hash(request.request_id))
+
     def _read_response(
         self,
         sock: socket.socket,
@@ -225,8 +268,12 @@
                 return Err(
                     Fault(code, self.address, "connection closed before the response")
                 )
+            if response.has_conflict(self._id_field):
+                return Err(
+                    Fault(codes.INSTANCE_GARBLED, self.address, "conflicting fields")
+                )
             if self._is_response_to(response, request):
-                return Ok(response)
+                return Ok(self._mark_reusable(response))
             if not response.is_reusable and parser.their_state is not h11.DONE:
                 break
             trailing = parser.trailing_data[0]
@@ -248,6 +295,10 @@
             return not self._names_requests or not self.idle_since_ms
         return answered_id == request.request_id
 
+    def _mark_reusable(self, response: RawResponse) -> RawResponse:
+        is_named = self._id_field in response.field_map()
+        return response._replace(is_reusable=response.is_reusable and is_named)
+
     def _read_next(
         self,
         sock: socket.socket,
@@ -287,9 +338,8 @@
 
 
 def _encode_request(parser: h11.Connection, request: OutgoingRequest) -> bytes:
-    head = h11.Request(
-        method=request.method, target=request.target, headers=request.fields
-    )
+    fields = [(name, value.encode("latin-1")) for name, value in request.fields]
+    head = h11.Request(method=request.method, target=request.target, headers=fields)
     data = parser.send(head) or b""
     if request.body:
         data += parser.send(h11.Data(data=request.body)) or b""
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -137,11 +137,26 @@
         return self._handle(request, None)
 
     def handle_forwarded(self, request: CallerRequest) -> Reply:
-        """Handles a request that another daemon forwards; it is not forwarded again."""
+        """Handles a request that another daemon forwards; it is not forwarded again.
+
+        A refusal names the request, so that the other daemon can tell it from one of
+        an earlier request on the same connection.
+        """
         state = decode_state(request.headers.get(fields.FORWARDED.lower(), ""))
         if state is None:
-            return Problem(caller_codes.REQUEST_MALFORMED, fields.NOT_RUN)
-        return self._handle(request, state)
+            problem = Problem(caller_codes.REQUEST_MALFORMED, fields.NOT_RUN)
+            return self._name_request(request, problem)
+        reply = self._handle(request, state)
+        if isinstance(reply, Problem):
+            return self._name_request(request, reply)
+        return reply
+
+    def _name_request(self, request: CallerRequest, problem: Problem) -> Problem:
+        name = self._header_codec.REQUEST_ID
+        request_id = request.headers.get(name.lower())
+        if request_id is None:
+            return problem
+        return problem._replace(added_headers=((name, request_id),))
 
     def _handle(self, request: CallerRequest, state: ForwardedState | None) -> Reply:
         with self._lock:
@@ -298,7 +313,13 @@
         assert instance is not None
         entry = instance.entry
         sent_ms = now_ms()
-        result = self._exchange(job, entry, lambda: self._attempt_end_ms(job, sent_ms))
+        try:
+            result = self._exchange(
+                job, entry, lambda: self._attempt_end_ms(job, sent_ms)
+            )
+        except Exception:  # Else the request would count as in flight for good.
+            self._site.finish(ticket, now_ms())
+            raise
         elapsed_ms = now_ms() - sent_ms
         with self._site.lock:
             self._site.finish(ticket, now_ms())
@@ -335,6 +356,7 @@
             entry.instance,
             entry.address,
             get_end_ms() - now_ms(),
+            job.metadata.request_id,
             not job.route.is_idempotent,
         )
         if acquired.is_err():
@@ -393,11 +415,14 @@
             self._rate_limiter.observe(instance, metadata.rate_limit_per_s)
         if raw_response.status == MISDIRECTED_STATUS:
             return self._handle_misdirected(job, ticket, metadata)
-        if metadata.is_not_run:
+        is_success = 200 <= raw_response.status < 300
+        if metadata.is_not_run and not is_success:
             instance.record_failure()
             return Attempt(name, "NOT_RUN", False)
         is_unmodified = metadata.is_signed and "content-encoding" not in headers
-        if not is_unmodified or raw_response.status in NOT_RUN_STATUSES:
+        is_contradictory = metadata.is_not_run  # A success that says "not run".
+        is_unconfirmed = raw_response.status in NOT_RUN_STATUSES
+        if not is_unmodified or is_contradictory or is_unconfirmed:
             instance.record_failure()
             return Attempt(name, codes.INSTANCE_GARBLED.name)
         response = Response(raw_response.status, raw_response.fields, raw_response.body)
@@ -406,6 +431,8 @@
             return Attempt(name, "FAILED", True, response, not job.route.is_idempotent)
         self._site.scheduler.record_response(ticket, elapsed_ms)
         self._request_guard.record_answer(job.fingerprint)
+        if job.key_hash is not None:
+            self._site.record_held_key(job.service, job.key_hash)
         return Attempt(name, "ANSWERED", True, response, True)
 
     def _handle_misdirected(
--- a/src/skylarktrail/platform/entries.py
+++ b/src/skylarktrail/platform/entries.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+from ..core.gateway.checks import is_usable_entry
 from ..core.gateway.model import InstanceEntry
 
 DRAINING = "draining"
@@ -15,28 +16,26 @@
     """Decodes one entry.
 
     Returns:
-        The entry, or None if it is invalid, as other programs may write entries too.
+        The entry; None if it is not usable, as other programs may write entries too.
+        Each value of the entry can be used wherever the daemons use it.
     """
     try:
-        return _decode(instance, json.loads(value))
+        entry = _decode(instance, json.loads(value))
+        return entry if entry is not None and is_usable_entry(entry) else None
     except (KeyError, TypeError, ValueError, OverflowError, RecursionError):
         return None
 
 
 def _decode(instance: str, document: dict[str, Any]) -> InstanceEntry | None:
-    state = document["state"]
-    texts = (document["backend"], document["address"], document["zone"])
-    if state not in STATES or not all(isinstance(item, str) for item in texts):
-        return None
-    host, _, port = document["address"].rpartition(":")
-    if not host or not 0 < int(port) < 65536:
+    state, slots = document["state"], _to_integer(document["slots"])
+    if state not in STATES or slots < 0:
         return None
     return InstanceEntry(
         instance,
         document["backend"],
         document["address"],
         document["zone"],
-        max(1, _to_integer(document["slots"])),
+        max(1, slots),
         state == DRAINING,
         float(_to_integer(document.get("coldRemainingMs", 0))),
         _to_integer(document.get("born", 0)),
--- a/src/skylarktrail/platform/lease_client.py
+++ b/src/skylarktrail/platform/lease_client.py
@@ -10,6 +10,7 @@
 from urllib3.connection import HTTPConnection
 
 from ..core.gateway.lease_calls import CallResult, GrantCall, ReleaseCall
+from ..http_pools import make_pool_manager
 from .headers import TARGET
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -19,6 +20,7 @@
 MAX_POOLS = 256
 # Responses to these calls have short bodies. A server in trouble may never end one.
 MAX_BODY_BYTES = 4096
+MAX_HANDOVER_CHARACTERS = 4096
 # Closing a connection, or the end of its process, resets it, so that bytes of a call
 # that a link still holds back are dropped, not delivered after the call was given up.
 RESET_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -56,7 +58,7 @@
 
 def _make_pools(pools: int, connections: int) -> urllib3.PoolManager:
     options = [*HTTPConnection.default_socket_options, RESET_ON_CLOSE]
-    return urllib3.PoolManager(
+    return make_pool_manager(
         num_pools=pools, maxsize=connections, block=False, socket_options=options
     )
 
@@ -100,10 +102,20 @@
         return CallResult(call.call_id, REFUSED if is_refused else UNSENT)
     except urllib3.exceptions.ConnectTimeoutError:
         return CallResult(call.call_id, UNSENT)
-    except (urllib3.exceptions.HTTPError, OSError):
+    except (urllib3.exceptions.HTTPError, OSError, ValueError, OverflowError):
         return CallResult(call.call_id, SILENT)
     outcome = OUTCOMES.get(response.status, SILENT) if is_whole else SILENT
-    return CallResult(call.call_id, outcome, response.headers.get("Handover", ""))
+    return CallResult(call.call_id, outcome, _read_handover(response))
+
+
+def _read_handover(response: urllib3.BaseHTTPResponse) -> str:
+    """Returns what the next owner is to be sent; empty if it is not usable.
+
+    Without it, the keys are only slow for a while.
+    """
+    text = response.headers.get("Handover", "")
+    is_usable = text.isascii() and text.isprintable()
+    return text if is_usable and len(text) <= MAX_HANDOVER_CHARACTERS else ""
 
 
 def _read_body(response: urllib3.BaseHTTPResponse) -> bool:
