--- a/src/skylarktrail/gateway/adapters.py
+++ b/src/skylarktrail/gateway/adapters.py
@@ -5,7 +5,7 @@
 from typing import Callable, Protocol, TypeVar
 
 from .granter_messages import LeaseClient
-from .router import HeaderCodec
+from .header_codec import HeaderCodec
 from .site_store import SiteStore
 
 
--- a/src/skylarktrail/platform/adapter.py
+++ b/src/skylarktrail/platform/adapter.py
@@ -6,7 +6,7 @@
 
 from ..gateway.adapters import register_adapter
 from ..gateway.granter_messages import LeaseClient
-from ..gateway.router import HeaderCodec
+from ..gateway.header_codec import HeaderCodec
 from ..gateway.site_store import SiteStore
 from . import headers
 from .lease_client import HttpLeaseClient
