--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -497,7 +497,7 @@
         owners = self._list_keyed_instances(at_ms)
         if granter is None or not owners:
             return
-        addresses = {i.entry.address: n for n, i in self.fleet.instances.items()}
+        addresses = self.fleet.list_addresses()
         confirmed_ms = self.role.confirmed_ms
         actions = granter.step(owners, at_ms, addresses, confirmed_ms)
         self._plan_moves(granter, at_ms)
@@ -535,7 +535,13 @@
             can_keep = can_keep and not entry.is_draining
             can_receive = can_keep and not instance.is_suspended(at_ms)
             keyed[name] = KeyedInstance(
-                name, entry.address, entry.start_ms, can_receive, 1.0, can_keep
+                name,
+                entry.address,
+                entry.start_ms,
+                can_receive,
+                1.0,
+                can_keep,
+                entry.is_draining,
             )
         return keyed
 
