Carry no further call on a connection of urllib3 after a refusal

Cause: answers to lease calls and to calls of providers/ name no call. A 409, 400, 404, 421 or 503 that an instance wrote once more when the next renewal came was taken for that renewal's answer: it was carried out, and the granter knew it as fenced, replaced or silent. For fenced and replaced it did not count the longer lease that the instance then had.

Change: one rule in http_pools.py, from which all clients of urllib3 take their pools: a connection is closed when a response without a 2xx status was read.

Ruled out: a connection for each renewal, as there is one a second for each range. Not covered: a copy of a 200.

--- a/src/skylarktrail/daemon/exchange.py
+++ b/src/skylarktrail/daemon/exchange.py
@@ -143,8 +143,8 @@
     if not _has_verifiable_end(response, request.method):
         response.close()
         return ExchangeResult(Outcome.BROKEN, None, "answer without a length")
-    if _can_be_mistaken(response) and response.connection is not None:
-        response.connection.is_last_response = True
+    if response.connection is not None:
+        response.connection.is_last_response = _can_be_mistaken(response)
     chunks, size = [], 0
     while chunk := response.read1(CHUNK_BYTES):
         chunks.append(chunk)
--- a/src/skylarktrail/daemon/pools.py
+++ b/src/skylarktrail/daemon/pools.py
@@ -37,13 +37,7 @@
 
 
 class TrackedConnection(WholeResponseConnection):
-    """A connection that registers itself in the abort handle of its thread.
-
-    Attributes:
-        is_last_response: Whether it is closed when its present response was read.
-    """
-
-    is_last_response = False
+    """A connection that registers itself in the abort handle of its thread."""
 
     def request(self, *args, **kwargs) -> None:
         """Registers the connection in this thread's abort handle; sends a request."""
@@ -58,13 +52,6 @@
 
     ConnectionCls = TrackedConnection
 
-    def _put_conn(self, conn: TrackedConnection | None) -> None:
-        """Returns a connection to the pool, which opens a closed one again."""
-        if conn is not None and conn.is_last_response:
-            conn.close()
-            conn.is_last_response = False
-        super()._put_conn(conn)
-
 
 def set_abort_handle(abort_handle: AbortHandle | None) -> None:
     """Sets the abort handle of this thread's next request."""
--- a/src/skylarktrail/http_pools.py
+++ b/src/skylarktrail/http_pools.py
@@ -1,9 +1,10 @@
-"""Connection pools of urllib3 that take no answer for whole that was cut.
+"""Connection pools of urllib3 for answers that are whole and not a copy of a refusal.
 
 `http.client` takes the end of a connection within a head, a chunk's size or a trailer
 for the end of that part, and some of its reads return less than the length in the head.
 Here each of these raises, so that urllib3 reports a `ProtocolError`. All HTTP clients
-that use urllib3 take their pools from this module.
+that use urllib3 take their pools from this module. A connection carries no further call
+after a response without a 2xx status.
 """
 
 from __future__ import annotations
@@ -59,9 +60,23 @@
 
 
 class WholeResponseConnection(HTTPConnection):
-    """A connection whose responses are whole."""
+    """A connection whose responses are whole.
+
+    Attributes:
+        is_last_response: Whether the pool closes it when its present response was read.
+            That is so after each response without a 2xx status. Few answers name their
+            call, so a refusal that a server sends once more must not come on the
+            connection of a later call.
+    """
 
     response_class = WholeResponse
+    is_last_response = False
+
+    def getresponse(self) -> urllib3.response.HTTPResponse:
+        """Returns the response to the last request."""
+        response = super().getresponse()
+        self.is_last_response = not 200 <= response.status < 300
+        return response
 
 
 class WholeResponsePool(urllib3.HTTPConnectionPool):
@@ -69,6 +84,12 @@
 
     ConnectionCls = WholeResponseConnection
 
+    def _put_conn(self, conn: WholeResponseConnection | None) -> None:
+        """Returns a connection to the pool, which opens a closed one again."""
+        if conn is not None and conn.is_last_response:
+            conn.close()
+        super()._put_conn(conn)
+
 
 def make_pool(address: str, connections: int) -> WholeResponsePool:
     """Creates a pool for `host:port` that keeps up to `connections` idle."""
--- a/src/skylarktrail/platform/store_client.py
+++ b/src/skylarktrail/platform/store_client.py
@@ -185,9 +185,6 @@
             return Err(response.unwrap_err())
         answer = response.unwrap()
         if answer.status != 200:
-            # No answer names its call, so a refusal that the store sends once more must
-            # not come on the connection of a later call.
-            self._reopen()
             self._record_era(path, answer)
             code = STATUS_FAULTS.get(answer.status, codes.STORE_SILENT)
             return Err(Fault(code, path, f"status {answer.status}"))
--- a/tests/platform/test_lease_client.py
+++ b/tests/platform/test_lease_client.py
@@ -121,3 +121,38 @@
     server._serve = serve_release
     assert client.release(make_release(server.address)).outcome == "done"
     assert released, "the release was answered over the connection of the grant"
+
+
+def repeat_refusal(status: int, carried_out: list[int]):
+    """Returns a function that refuses the first call and carries out all others.
+
+    It writes the refusal once more when the next call comes on the connection.
+    """
+    refusal = b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\n{}" % status
+    refused = []
+
+    def serve(connection):
+        copy = b""
+        while read_request(connection):
+            if not refused:
+                refused.append(status)
+                copy = refusal
+                connection.sendall(copy)
+                continue
+            carried_out.append(status)
+            connection.sendall(copy + OK_ANSWER)
+            copy = b""
+
+    return serve
+
+
+@pytest.mark.parametrize("status", [400, 404, 409, 421, 503])
+def test_copy_of_a_refusal_does_not_answer_a_renewal(start_server, status):
+    """The granter believed a lease not renewed that its owner had renewed."""
+    carried_out = []
+    server = start_server(repeat_refusal(status, carried_out))
+    client = HttpLeaseClient()
+    renewal = make_grant(server.address)._replace(is_renewal=True)
+    assert client.grant(renewal).outcome != "done"
+    assert client.grant(renewal).outcome == "done"
+    assert len(carried_out) == 1
