--- a/src/skylarktrail/core/follower.py
+++ b/src/skylarktrail/core/follower.py
@@ -119,7 +119,9 @@
         states = {
             offset: envelope.body
             for offset, envelope in records
-            if envelope and isinstance(envelope.body, Checkpoint)
+            if envelope
+            and isinstance(envelope.body, Checkpoint)
+            and self._state.can_load(envelope.body.state)
         }
         found = [
             FoundCheckpoint(offset, body.end_offset) for offset, body in states.items()
--- a/src/skylarktrail/core/state.py
+++ b/src/skylarktrail/core/state.py
@@ -157,6 +157,15 @@
             "shapes": {name: list(shape) for name, shape in self.shapes.items()},
         }
 
+    def can_load(self, plain: dict[str, Any]) -> bool:
+        """Returns whether a checkpoint of any writer has the form of `dump`."""
+        scratch = State(self._check_file)
+        try:
+            scratch.load(plain)
+            return scratch.dump() == plain
+        except Exception:  # A malformed checkpoint may raise anything.
+            return False
+
     def load(self, plain: dict[str, Any]) -> None:
         """Replaces the state by the result of `dump`."""
         self.next_offset = plain["next_offset"]
--- a/src/skylarktrail/providers/http.py
+++ b/src/skylarktrail/providers/http.py
@@ -36,8 +36,7 @@
         method: HTTP method.
         url: URL of the request.
         timeout_ms: Timeout for connecting and for each read.
-        parse: Converts the body; may raise ValueError, KeyError, TypeError or
-            IndexError for a malformed one.
+        parse: Converts the body; may raise any exception for a malformed one.
         request_options: Passed on to urllib3.
 
     Returns:
@@ -48,11 +47,11 @@
         response = manager.request(
             method, url, timeout=timeout_ms / 1000, retries=False, **request_options
         )
-    except urllib3.exceptions.HTTPError as error:
+    except (urllib3.exceptions.HTTPError, ValueError, OverflowError) as error:
         return Err(Fault(codes.PLATFORM_NO_ANSWER, url, type(error).__name__))
     if not 200 <= response.status < 300:
         return Err(Fault(codes.PLATFORM_REFUSED, url, str(response.status)))
     try:
         return Ok(parse(response.data))
-    except (ValueError, KeyError, TypeError, IndexError) as error:
+    except Exception as error:  # Decoders of a malformed body raise many types.
         return Err(Fault(codes.PLATFORM_MALFORMED, url, repr(error)))
--- a/src/skylarktrail/providers/http_grants.py
+++ b/src/skylarktrail/providers/http_grants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 
 from result import Result
 
@@ -16,16 +17,35 @@
     plain = json.loads(body)
     held = plain.get("held")
     return GrantAnswer(
-        bool(plain["accepted"]),
-        plain.get("reason", ""),
-        plain["boot_id"],
-        int(plain["clock_ms"]),
-        int(plain["term"]),
-        int(plain["version"]),
-        None if held is None else tuple(GrantedSlice(*item) for item in held),
+        _check(plain["accepted"], bool),
+        _check(plain.get("reason", ""), str),
+        _check(plain["boot_id"], str),
+        _to_integer(plain["clock_ms"]),
+        _to_integer(plain["term"]),
+        _to_integer(plain["version"]),
+        None if held is None else tuple(map(_parse_slice, held)),
     )
 
 
+def _parse_slice(item: list[Any]) -> GrantedSlice:
+    return GrantedSlice(*map(_to_integer, item))
+
+
+def _check(value: Any, kind: type) -> Any:
+    if type(value) is not kind:
+        raise TypeError(f"not a {kind.__name__}")
+    return value
+
+
+def _to_integer(value: Any) -> int:
+    """Returns a number as a whole number of at most 64 bits."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError("not a number")
+    if not 0 <= value < 1 << 64:
+        raise ValueError("a number out of range")
+    return int(value)
+
+
 @adapter(GRANT_ADAPTERS, "http")
 class HttpGrantClient:
     """Client of the grant endpoint of servers."""
--- a/src/skylarktrail/providers/http_reports.py
+++ b/src/skylarktrail/providers/http_reports.py
@@ -6,6 +6,7 @@
 
 from result import Result
 
+from ..core.gateway.checks import MAX_EXACT_NUMBER
 from ..errors import Fault
 from .http import make_pool_manager, send_request
 from .interface import Health, LoadReport
@@ -19,9 +20,10 @@
 
 def _parse_load(body: bytes) -> LoadReport:
     plain = json.loads(body)
-    return LoadReport(
-        int(plain["in_flight"]), int(plain["slots"]), float(plain["age_ms"])
-    )
+    figures = (plain["in_flight"], plain["slots"], plain["age_ms"])
+    if not all(0 <= item <= MAX_EXACT_NUMBER for item in figures):
+        raise ValueError("a figure out of range")
+    return LoadReport(int(figures[0]), int(figures[1]), float(figures[2]))
 
 
 def _parse_cancel(body: bytes) -> bool:
