Keep a gateway running whose settings file is not UTF-8

Cause: the file is read each second for changes, as text. Bytes that are not UTF-8, as of a file that is read while it is written, raised UnicodeDecodeError in the main thread, and the process ended.

--- a/src/skylarktrail/gateway/run.py
+++ b/src/skylarktrail/gateway/run.py
@@ -53,7 +53,7 @@
     path: str, service: GatewayService, signals: queue.SimpleQueue[int]
 ) -> None:
     """Reloads changed settings until a signal asks the daemon to stop."""
-    text = _read_text(path)
+    data = _read_bytes(path)
     while True:
         try:
             signal_number = signals.get(timeout=SETTINGS_POLL_S)
@@ -61,17 +61,17 @@
             signal_number = 0
         if signal_number in (signal.SIGTERM, signal.SIGINT):
             return
-        newer = _read_text(path)
-        if newer != text or signal_number:
-            text = newer
+        newer = _read_bytes(path)
+        if newer != data or signal_number:
+            data = newer
             _reload(path, service)
 
 
-def _read_text(path: str) -> str:
+def _read_bytes(path: str) -> bytes:
     try:
-        return Path(path).read_text()
+        return Path(path).read_bytes()
     except OSError:
-        return ""  # The file is being replaced; the next poll reads it.
+        return b""  # The file is being replaced; the next poll reads it.
 
 
 def _reload(path: str, service: GatewayService) -> None:
