Follow an instance again whose sequence another writer raised

Cause: an entry with a lower sequence of the same incarnation was ignored for good, as a store may return an earlier one. One entry of another writer under the id of an instance, with a high sequence, hid all later ones: the instance was sent requests while it drained and after. A start far in the future did the same for all true starts.

Change: a sequence or start above 2^42 (as a time, the year 2109) is odd. A lower sequence counts after 5 s, as an instance that reaches the store has written a newer entry by then.

Open: a later start below 2^42 under the id of an instance is taken for its next life.

--- a/src/skylarktrail/core/gateway/checks.py
+++ b/src/skylarktrail/core/gateway/checks.py
@@ -13,6 +13,9 @@
 
 MAX_EXACT_NUMBER = 1 << 53  # Whole numbers up to this one are exact as floats, too.
 MAX_COLD_MS = 86_400_000  # A day; the start of an instance takes seconds.
+# The year 2109. A later start would make all true starts seem to be earlier ones.
+MAX_START_MS = 1 << 42
+MAX_SEQUENCE = 1 << 42  # A higher number would hide all true ones of the incarnation.
 MAX_NAME_BYTES = 255
 MAX_SLOTS = 1 << 16  # More would draw the requests of a whole site to one instance.
 MAX_HOST_CHARACTERS = 253
@@ -58,6 +61,6 @@
         and is_address(entry.address)
         and 1 <= entry.slots <= MAX_SLOTS
         and 0 <= entry.cold_ms <= MAX_COLD_MS
-        and is_count(entry.start_ms)
-        and is_count(entry.sequence)
+        and 0 <= entry.start_ms <= MAX_START_MS
+        and 0 <= entry.sequence <= MAX_SEQUENCE
     )
--- a/src/skylarktrail/core/gateway/fleet.py
+++ b/src/skylarktrail/core/gateway/fleet.py
@@ -9,6 +9,8 @@
 
 # Entries that expired during an outage of the store are written again within this time.
 OUTAGE_GRACE_MS = 2000.0
+# An instance that reaches the store writes a newer entry within this time.
+MAX_OUTDATED_MS = 5000.0
 
 
 class FleetChange(NamedTuple):
@@ -36,6 +38,7 @@
         self.instances: dict[str, Instance] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._unreliable_until_ms = 0.0
+        self._lower_since_ms: dict[str, float] = {}
 
     def record_store_outage(self, now_ms: float) -> None:
         """Records that a read of the store has failed."""
@@ -76,7 +79,7 @@
                 return ""
             self.instances[entry.instance] = Instance(entry, now_ms)
             return "reborn"
-        if entry.sequence < known.entry.sequence:
+        if self._is_outdated(entry, known.entry, now_ms):
             return ""
         was_draining = known.entry.is_draining
         known.update_entry(entry, now_ms)
@@ -84,7 +87,25 @@
             return ""
         return "draining" if entry.is_draining else "ready"
 
+    def _is_outdated(
+        self, entry: InstanceEntry, known: InstanceEntry, now_ms: float
+    ) -> bool:
+        """Returns whether a store may have returned an earlier entry of an incarnation.
+
+        If it does for long, the known entry is the wrong one: another writer left it.
+        """
+        if entry.sequence >= known.sequence:
+            self._lower_since_ms.pop(entry.instance, None)
+            return False
+        since_ms = self._lower_since_ms.setdefault(entry.instance, now_ms)
+        if now_ms - since_ms < MAX_OUTDATED_MS:
+            return True
+        del self._lower_since_ms[entry.instance]
+        return False
+
     def _remove(self, names: set[str]) -> list[FleetChange]:
+        for name in names:
+            self._lower_since_ms.pop(name, None)
         removed = [self.instances.pop(name) for name in sorted(names)]
         return [FleetChange(i.entry.instance, "gone", i.entry.service) for i in removed]
 
--- a/tests/core/gateway/test_fleet.py
+++ b/tests/core/gateway/test_fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from skylarktrail.core.gateway.fleet import OUTAGE_GRACE_MS, Fleet
+from skylarktrail.core.gateway.fleet import MAX_OUTDATED_MS, OUTAGE_GRACE_MS, Fleet
 from skylarktrail.core.gateway.instance import Instance
 from skylarktrail.core.gateway.model import LoadReport
 
@@ -36,6 +36,28 @@
     assert fleet.find("i-1").entry.start_ms == 5000
 
 
+def test_an_earlier_entry_of_an_incarnation_is_ignored_for_a_while(make_entry):
+    """A store that returns to an older copy serves it until the instance writes."""
+    fleet = Fleet()
+    fleet.merge([make_entry(sequence=90)], 0.0)
+    draining = make_entry(sequence=80, is_draining=True)
+    assert fleet.merge([draining], 1000.0) == []
+    assert fleet.merge([make_entry(sequence=91)], 2000.0) == []
+    assert fleet.merge([draining], 3000.0 + MAX_OUTDATED_MS - 1) == []
+    assert fleet.find("i-1").entry.sequence == 91
+
+
+def test_a_sequence_of_another_writer_does_not_hide_an_instance_for_good(make_entry):
+    """A shutdown that it announces would never be seen."""
+    fleet = Fleet()
+    fleet.merge([make_entry(sequence=1 << 42)], 0.0)
+    for second in range(1, 5):
+        assert fleet.merge([make_entry(sequence=second)], second * 1000.0) == []
+    draining = make_entry(sequence=9, is_draining=True)
+    changes = fleet.merge([draining], 1000.0 + MAX_OUTDATED_MS)
+    assert changes_of(changes) == [("i-1", "draining")]
+
+
 def test_entries_lost_during_an_outage_of_the_store_are_kept_until_they_return(
     make_entry,
 ):
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -71,6 +71,7 @@
     *[GOOD | {"slots": value} for value in ODD_NUMBERS],
     *[GOOD | {"born": value} for value in ODD_NUMBERS],
     *[GOOD | {"sequence": value} for value in ODD_NUMBERS],
+    *[GOOD | {name: 1 << 50} for name in ("born", "sequence", "slots")],
     *[GOOD | {"coldRemainingMs": value} for value in HUGE_INTEGERS[:2] + ["x"]],
     *[GOOD | {"backend": value} for value in [*ODD_TEXTS, ""]],
     *[GOOD | {"zone": value} for value in ODD_TEXTS],
