Confirm no granter's term by a read that ends before the end of the log

Cause: the store limits the size of an answer. RecordBatch.end, the end of the log, was not used, so a read of a part counted as one of the whole log: it confirmed the term of a granter from the time when it began, though the record of its successor stood in the part that was not read yet. A granter that is a part of the log behind goes on for its whole authority so.

Change: an update tells whether the log goes on behind it (has_more). Its records are applied and broadcast, the role is not told of it, and the next read follows at once. GranterRole is unchanged: it hears of reads that reached the end, and of broadcasts, which confirm no term.

Ruled out: a claim on a part.

--- a/src/skylarktrail/gateway/log_reader.py
+++ b/src/skylarktrail/gateway/log_reader.py
@@ -112,7 +112,9 @@
         is_applied = self._apply_read(update, position)
         if self._is_granter() and position is not None and update.records:
             self._broadcast(update, position)
-        if not is_applied:
+        # A read that ends before the log does shows nothing of what follows, so it is
+        # not finished: a successor's record may be there.
+        if not is_applied or update.has_more:
             self._wakeup.set()
             return 0.0
         return self._finish_read(update, position, started_ms)
--- a/src/skylarktrail/gateway/site_store.py
+++ b/src/skylarktrail/gateway/site_store.py
@@ -31,6 +31,7 @@
         is_snapshot: Whether zones that are not named are not evacuated.
         position: Position of the next read.
         records: Keys and values from which the update was decoded.
+        has_more: Whether the log went on behind the position.
     """
 
     config: SiteConfig | None
@@ -38,6 +39,7 @@
     is_snapshot: bool
     position: int
     records: tuple[tuple[str, bytes], ...] = ()
+    has_more: bool = False
 
 
 class SharedUpdate(NamedTuple):
@@ -47,11 +49,13 @@
         records: Keys and values in order; an empty value deletes the key.
         is_snapshot: Whether keys that are not named do not exist.
         position: Position of the next read.
+        has_more: Whether the log went on behind the position.
     """
 
     records: list[tuple[str, bytes]]
     is_snapshot: bool
     position: int
+    has_more: bool = False
 
 
 class SiteStore(Protocol):
--- a/src/skylarktrail/platform/site_store.py
+++ b/src/skylarktrail/platform/site_store.py
@@ -39,11 +39,13 @@
         records: Records in order; for a snapshot, the newest of each key.
         is_snapshot: Whether keys that are not named do not exist.
         position: Position of the next read.
+        has_more: Whether the log went on behind the position.
     """
 
     records: list[KeyedRecord]
     is_snapshot: bool
     position: int
+    has_more: bool = False
 
 
 class PlatformStore:
@@ -88,6 +90,7 @@
                 [(item.key, item.value) for item in keyed.records],
                 keyed.is_snapshot,
                 keyed.position,
+                keyed.has_more,
             )
         )
 
@@ -155,7 +158,8 @@
         if records.is_err():
             return Err(Fault(codes.STORE_MALFORMED, topic, records.unwrap_err()))
         reached = make_position(era, batch.next_offset)
-        return Ok(KeyedRead(records.unwrap(), False, reached))
+        has_more = batch.next_offset < batch.end
+        return Ok(KeyedRead(records.unwrap(), False, reached, has_more))
 
 
 def _to_snapshot(newest: NewestRecords, era: int) -> KeyedRead:
@@ -181,4 +185,8 @@
         elif record.key.startswith(EVACUATION_PREFIX):
             zones[record.key.removeprefix(EVACUATION_PREFIX)] = bool(record.value)
     records = tuple((item.key, item.value) for item in read.records)
-    return Ok(OperatorUpdate(config, zones, read.is_snapshot, read.position, records))
+    return Ok(
+        OperatorUpdate(
+            config, zones, read.is_snapshot, read.position, records, read.has_more
+        )
+    )
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -125,6 +125,7 @@
         mode: `up`; `silent` delays responses until the mode changes; `busy` refuses.
         delay_ms: Delay of each response.
         lost_share: Share of the writes whose response is truncated.
+        read_records: Maximum number of records in the response to a read; 0 for none.
 
     `POST /operator/copy` keeps a copy of all records, and `POST /operator/restore` goes
     back to it. What operators and instances wrote is then written again.
@@ -134,7 +135,11 @@
         self._key_ttl_ms = key_ttl_ms
         self.application = Application()
         self.controls = Controls(
-            self.application, mode="up", delay_ms=0.0, lost_share=0.0
+            self.application,
+            mode="up",
+            delay_ms=0.0,
+            lost_share=0.0,
+            read_records=0,
         )
         self._keep_ms = keep_ms
         self._logs: dict[str, PartitionLog] = {}
@@ -244,6 +249,7 @@
             records = log.read_from(offset)
             if records is None:
                 return json_response({"firstOffset": log.first}, 410)
+            records = records[: self.controls["read_records"] or None]
             offsets = log.end.to_bytes(OFFSET_BYTES, "big")
             offsets += log.first.to_bytes(OFFSET_BYTES, "big")
         frames = b"".join(
