Test that a granter behind a link that cuts the store's answers stops

A link cuts each answer of the store to a granter in its head. Its successor takes the keys from their owner by a release and grants them to another instance; the first owner restarts when the former granter's authority has ended, and so has forgotten all fences. On the former granter grants the keys to it once more: each cut read counted as one that brought nothing new and confirmed its term.

Ruled out as a cause of this test's finding: a restart within the former granter's authority.

--- a/tests/cutting_server.py
+++ b/tests/cutting_server.py
@@ -105,3 +105,29 @@
         match = _LENGTH.search(head)
         if is_ended and len(body) >= (int(match.group(1)) if match else 0):
             return data
+
+
+class CuttingRelay(CuttingServer):
+    """Passes requests on to a server, and cuts the answers to them.
+
+    Args:
+        target: `host:port` of the server.
+
+    Attributes:
+        cut_count: Number of answers that were cut.
+    """
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self.cut_count = 0
+        super().__init__()
+
+    def _serve(self, connection: socket.socket) -> None:
+        request = _read_request(connection)
+        if request:
+            with socket.create_connection(self._target, TIMEOUT_S) as server:
+                server.sendall(request)
+                self.answer = _read_request(server)
+            self.cut_count += self.sent_bytes is not None
+            connection.sendall(self.answer[: self.sent_bytes])
