End the wait for a former granter only by its own confirmation

Cause: any reply to the request to end a term counted as the confirmation, whatever its kind and term, and so ended the wait for the authority of the former granter.

Change: only a GatewayTermEnded of the term asked for does.

Measured: tests/gateway/test_term_end_replies.py; 2 of its first 4 tests failed before (another term, another kind), all 5 pass. tests/gateway, peer, platform, core/gateway: 653 passed.

Ruled out: nothing shows that a daemon has sent such a reply; replies are matched to requests by the id of their frame. The process that confirms is still not named.

--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -167,7 +167,8 @@
         """Asks a former granter to stop granting; calls back once it confirms."""
 
         def check(future: Future) -> None:
-            if future.result().is_ok():
+            reply = future.result().ok()
+            if isinstance(reply, GatewayTermEnded) and reply.term == term:
                 on_ended()
 
         request = self._links.request(
