--- a/src/skylarktrail/platform/site_store.py
+++ b/src/skylarktrail/platform/site_store.py
@@ -37,11 +37,13 @@
         records: Records in order; for a snapshot, the newest of each key.
         is_snapshot: Whether keys that are not named do not exist.
         position: Position of the next read.
+        has_more: Whether the log went on behind the position.
     """
 
     records: list[KeyedRecord]
     is_snapshot: bool
     position: int
+    has_more: bool = False
 
 
 class PlatformStore:
@@ -86,6 +88,7 @@
                 [(item.key, item.value) for item in keyed.records],
                 keyed.is_snapshot,
                 keyed.position,
+                keyed.has_more,
             )
         )
 
@@ -150,7 +153,9 @@
             return Err(Fault(codes.STORE_TRIMMED, topic, f"era {era}"))
         batch = read.unwrap()
         records = [decode_keyed_record(item) for item in batch.records]
-        return Ok(KeyedRead(records, False, make_position(era, batch.next_offset)))
+        reached = make_position(era, batch.next_offset)
+        has_more = batch.next_offset < batch.end
+        return Ok(KeyedRead(records, False, reached, has_more))
 
 
 def _to_snapshot(newest: NewestRecords, era: int) -> KeyedRead:
@@ -182,6 +187,12 @@
     records = tuple((item.key, item.value) for item in read.records)
     return Ok(
         OperatorUpdate(
-            config, zones, read.is_snapshot, read.position, records, tuple(faults)
+            config,
+            zones,
+            read.is_snapshot,
+            read.position,
+            records,
+            tuple(faults),
+            read.has_more,
         )
     )
