--- a/src/skylarktrail/gateway/service_stepper.py
+++ b/src/skylarktrail/gateway/service_stepper.py
@@ -64,8 +64,7 @@
         if not owners:
             return []
         with self._site.lock:
-            instances = self._site.fleet.instances
-            addresses = {i.entry.address: name for name, i in instances.items()}
+            addresses = self._site.fleet.list_addresses()
         confirmed_ms = self._role.confirmed_ms
         actions = granter.step(owners, at_ms, addresses, confirmed_ms)
         self._plan_moves(service, granter, at_ms)
@@ -152,6 +151,7 @@
                 id(i) in kept and not i.is_suspended(at_ms),
                 capacities[i.entry.instance],
                 id(i) in kept,
+                _is_leaving(i, zones_out),
             )
             for i in instances
         }
@@ -180,6 +180,10 @@
 
     A granter that is cut off from all instances cannot tell which of them are lost.
     """
-    if instance.entry.is_draining or instance.entry.zone in zones_out:
+    if _is_leaving(instance, zones_out):
         return False
     return is_cut or not instance.is_unreachable(at_ms)
+
+
+def _is_leaving(instance: Instance, zones_out: set[str]) -> bool:
+    return instance.entry.is_draining or instance.entry.zone in zones_out
