--- a/tests/core/gateway/test_granter.py
+++ b/tests/core/gateway/test_granter.py
@@ -188,7 +188,8 @@
     def needs_fencing_without_unanswered(self, now_ms):
         return not self.is_acknowledged
 
-    monkeypatch.setattr(LeasedRange, "needs_fencing", needs_fencing_without_unanswered)
+    for name in ("needs_fencing", "needs_fencing_before_release"):
+        monkeypatch.setattr(LeasedRange, name, needs_fencing_without_unanswered)
     with pytest.raises(AssertionError):
         for seed in range(30):
             run_with_faults(seed)
