Give leases an end in the test of a link that cuts the store's answers

The stand-in's ranges take the end of a lease since it counts from the arrival of a grant; the test passed its length, so no lease was ever in force. Failed on the merged code (3 of 3), 3 of 3 pass.

--- a/tests/gateway/test_cut_store_link.py
+++ b/tests/gateway/test_cut_store_link.py
@@ -27,6 +27,7 @@
 from skylarktrail.gateway.clock import now_ms
 from skylarktrail.platform.lease_client import HttpLeaseClient
 from skylarktrail.platform.site_store import PlatformStore
+from standins import serving
 from standins.platform.instance import KeyRanges
 from standins.platform.store import Store
 from standins.serving import Application, json_response
@@ -64,8 +65,9 @@
 
     def _handle_grant(self, request):
         call = json.loads(request.body)
+        lease_end_ms = serving.now_ms() + call["holdMs"]
         is_accepted = self._ranges.grant(
-            call["from"], call["to"], call["fence"], call["holdMs"]
+            call["from"], call["to"], call["fence"], lease_end_ms
         )
         return json_response({}, 200 if is_accepted else 409)
 
