Take no listing at its address for proof that an owner has ended

Cause: an entry of another instance at the address of an unlisted owner ended its lease if that entry was later than the owner's known process. The owner may have started there once more, under its identifier, and taken renewals before its new entry was read. Answers of another process (400, 404, 421) counted from before the owner was unlisted and from renewals, whose connections are shared, so that copies of one answer counted as two.

Only answers to fencing grants and releases count now, from when the owner is unlisted. Listings by address are gone from the granter.

Weighed: an owner whose address has another user costs two calls, about 0.3 s, before its keys move.

--- a/src/skylarktrail/core/gateway/fleet.py
+++ b/src/skylarktrail/core/gateway/fleet.py
@@ -5,7 +5,6 @@
 from typing import Iterable, NamedTuple
 
 from .instance import Instance
-from .lease_calls import ListedProcess
 from .model import InstanceEntry
 
 # Entries that expired during an outage of the store are written again within this time.
@@ -70,17 +69,6 @@
         """Returns the instance with an identifier, if there is one."""
         return self.instances.get(instance)
 
-    def list_addresses(self) -> dict[str, ListedProcess]:
-        """Returns the process that started last of those listed at each address."""
-        processes: dict[str, ListedProcess] = {}
-        for instance in self.instances.values():
-            entry = instance.entry
-            known = processes.get(entry.address)
-            if known is None or known.start_ms < entry.start_ms:
-                process = ListedProcess(entry.instance, entry.start_ms)
-                processes[entry.address] = process
-        return processes
-
     def _merge_one(self, entry: InstanceEntry, now_ms: float) -> str:
         known = self.instances.get(entry.instance)
         if known is None:
--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -24,7 +24,6 @@
     GranterAction,
     KeyedInstance,
     LeaseTimings,
-    ListedProcess,
     LostRange,
     OpenGrant,
     RecordOwners,
@@ -48,6 +47,7 @@
 FENCING_LEASE_MS = 300.0  # Of a grant that only fences earlier ones before a release.
 GRANT, RENEWAL, FENCING, RELEASE = "grant", "renewal", "fencing", "release"
 # Answers of another process at its address that prove that an unlisted owner has ended.
+# Fencing grants and releases have connections of their own, so no answer is a copy.
 PROOF_ANSWER_COUNT = 2
 
 
@@ -93,7 +93,6 @@
         self._silent_instances = SilentInstances(timings.lease_ms)
         self._confirmed_ms = math.inf
         self._may_get_former_calls = False
-        self._addresses: Mapping[str, ListedProcess] = {}
         self._is_recording = False
         self._last_record_ms = -math.inf
         self._recorded = list(recorded.ranges)
@@ -183,19 +182,16 @@
         self,
         owners: Mapping[str, KeyedInstance],
         now_ms: float,
-        addresses: Mapping[str, ListedProcess] | None = None,
         confirmed_ms: float = math.inf,
     ) -> list[GranterAction]:
         """Updates the ranges and returns the actions that are due.
 
         Args:
             owners: All listed instances of the service by identifier.
-            addresses: Process of any service that was listed last at each address.
             confirmed_ms: When the last read began that confirmed the term.
         """
         self._confirmed_ms = confirmed_ms
         self._owners = self._silent_instances.exclude(owners, now_ms)
-        self._addresses = addresses or {}
         self._give_up_calls(now_ms)
         self._release_ended(now_ms)
         self._update_deferrals(now_ms)
@@ -352,7 +348,7 @@
         if result.outcome == "fenced":
             item.is_acknowledged = False
             item.fence = 0
-        elif result.outcome == "replaced":
+        elif result.outcome == "replaced" and call.kind == FENCING:
             item.replaced_answers += 1
         elif result.outcome == "silent":
             lease_end_ms += LATE_ARRIVAL_MS
@@ -453,15 +449,10 @@
     def _has_owner_ended(self, item: LeasedRange) -> bool:
         """Returns whether the process of an unlisted owner has ended for certain.
 
-        The entry of the process that was at its address before may outlast its own.
+        Another instance that is listed at its address proves nothing: its entry may be
+        older than the process that is there, which may be the owner's again.
         """
-        listed = self._addresses.get(item.address)
-        is_succeeded = (
-            listed is not None
-            and listed.instance != item.owned.owner
-            and listed.start_ms > item.process_start_ms
-        )
-        return is_succeeded or item.replaced_answers >= PROOF_ANSWER_COUNT
+        return item.replaced_answers >= PROOF_ANSWER_COUNT
 
     def _reaches_known_process(self, item: LeasedRange) -> bool:
         """Returns whether calls to an owner reach the process that is known of it.
@@ -539,6 +530,9 @@
                 continue
             owner = self._owners.get(item.owned.owner)
             if owner is not None:
+                item.replaced_answers = (
+                    0  # Only what answers once it is unlisted counts.
+                )
                 self._observe_start(item, owner.start_ms, now_ms)
             is_ended = owner is None and self._has_owner_ended(item)
             is_idle = item.is_releasing and not item.call_id
--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -51,18 +51,6 @@
     is_leaving: bool = False
 
 
-class ListedProcess(NamedTuple):
-    """The process that is listed at an address, as input of the granter.
-
-    Attributes:
-        instance: Identifier of its instance.
-        start_ms: Start of its incarnation.
-    """
-
-    instance: str
-    start_ms: int
-
-
 class GrantCall(NamedTuple):
     """A grant of a range, or a renewal of its lease, to be sent to an instance.
 
--- a/src/skylarktrail/gateway/service_stepper.py
+++ b/src/skylarktrail/gateway/service_stepper.py
@@ -63,12 +63,10 @@
         owners = self._list_keyed_instances(service, at_ms)
         if not owners:
             return []
-        with self._site.lock:
-            addresses = self._site.fleet.list_addresses()
         confirmed_ms = self._role.confirmed_ms
-        actions = granter.step(owners, at_ms, addresses, confirmed_ms)
+        actions = granter.step(owners, at_ms, confirmed_ms)
         self._plan_moves(service, granter, at_ms)
-        actions += granter.step(owners, at_ms, addresses, confirmed_ms)
+        actions += granter.step(owners, at_ms, confirmed_ms)
         self._log_lost_ranges(service, granter)
         return actions
 
--- /dev/null
+++ b/tests/core/gateway/test_owner_proofs.py
@@ -0,0 +1,165 @@
+"""Tests of a review: other ways to two owners of the same keys."""
+
+from __future__ import annotations
+
+import pytest
+
+from skylarktrail.core.gateway.granter import Granter
+from skylarktrail.core.gateway.lease_calls import (
+    CallResult,
+    GrantCall,
+    KeyedInstance,
+    RecordOwners,
+    ReleaseCall,
+)
+from skylarktrail.core.gateway.positions import make_position, offset_of
+from skylarktrail.core.gateway.ranges import OwnedRange, OwnerTable
+
+from .lease_world import ENTRY_TTL_MS, EVEN_LOAD, OK, SILENT, LeaseWorld
+from .lease_world_daemon import TIMINGS
+from .lease_world_store import SNAPSHOT, SharedRead, SimulatedStore
+from .test_lease_world import (
+    RECOVERY_TARGET_MS,
+    WATCH_MS,
+    elect,
+    first_hash_of,
+    isolate_granter,
+    load_on,
+    lose_granter,
+)
+
+
+@pytest.mark.parametrize("away_ms", (12_000, 30_000))
+def test_a_granter_long_out_of_office_claims_a_term_after_a_restore(away_ms):
+    """It has not heard of its successor, whose record the store has lost."""
+    for seed in range(6):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(3000)
+        end = len(world.store.records)
+        first = isolate_granter(world)
+        second = next(name for name in world.daemons if name != first)
+        elect(world, second)
+        world.advance(away_ms)
+        low = first_hash_of(world, "s1")
+        held = world.held_by("s1")
+        world.distribution = load_on(low, low + 16_000)
+        world.advance_until(lambda: world.held_by("s1") < held, 14_000)
+        world.distribution = EVEN_LOAD
+        world.advance(1500)
+        # The copy ends with the term of the first granter.
+        world.restore_store(len(world.store.records) - end)
+        for name in world.daemons:
+            if name != first:
+                world.store_faults.states[name] = SILENT
+        world.store_faults.states[first] = OK
+        world.cut_peers.discard(first)
+        world.advance(1500)
+        for name in world.daemons:
+            world.store_faults.states[name] = OK
+        world.advance(2 * WATCH_MS)
+
+
+RECORDED = OwnerTable([OwnedRange(0, 65535, "s1", 1)])
+
+
+def keyed(name, start_ms=1, can_keep=True, is_leaving=False):
+    return KeyedInstance(name, name, start_ms, can_keep, 1.0, can_keep, is_leaving)
+
+
+def answer(granter, actions, kind, outcome, now_ms):
+    """Completes the calls of a kind; returns them."""
+    calls = [item for item in actions if isinstance(item, kind)]
+    for call in calls:
+        granter.handle_result(CallResult(call.call_id, outcome), now_ms)
+    return calls
+
+
+def make_moving(granter, owners, now_ms):
+    """Renews a range, records its move and returns the time."""
+    assert answer(granter, granter.step(owners, now_ms), GrantCall, "done", now_ms + 5)
+    now_ms += 1000.0
+    renewals = answer(
+        granter, granter.step(owners, now_ms), GrantCall, "done", now_ms + 5
+    )
+    assert renewals and renewals[0].is_renewal
+    return now_ms + 10
+
+
+def test_answers_to_renewals_prove_no_end_of_an_owner():
+    """They may be answers that were sent again for calls to another instance."""
+    granter = Granter(TIMINGS, 1, RECORDED, -1e9)
+    owners = {"s1": keyed("s1"), "s2": keyed("s2")}
+    now_ms = make_moving(granter, owners, 100.0)
+    for _ in range(2):
+        now_ms += 1000.0
+        calls = answer(
+            granter, granter.step(owners, now_ms), GrantCall, "replaced", now_ms
+        )
+        assert calls and calls[0].is_renewal
+    del owners["s1"]
+    granter.step(owners, now_ms + 50)
+    assert not granter.pop_lost_ranges()
+
+
+@pytest.mark.parametrize("other_ms", (300, 600, 1200, 2000))
+def test_an_owner_restarts_after_another_process_at_its_address(other_ms):
+    """The other's entry is later than the owner's, and earlier than its new process.
+
+    That one has the owner's identifier, so that it takes renewals before it is listed.
+    """
+    for seed in range(6):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(2000 + 150 * seed)
+        world.replace("s1", "x", 100)
+        world.advance(other_ms)
+        world.add_instance("s1", "a1")
+        world.instances.pop("x")
+        world.schedule(ENTRY_TTL_MS, lambda: world.store.remove_entry("x"))
+        world.advance(2 * WATCH_MS)
+
+
+def test_a_term_that_has_ended_begins_again_after_a_restore():
+    """Its successor is lost, and so is the successor's record."""
+    for seed in range(4):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(3000)
+        end = len(world.store.records)
+        former = world.find_granter()
+        ended_term = former.term
+        second = next(name for name in world.daemons if name != former.name)
+        elect(world, second)
+        world.advance(3000)
+        assert not former.is_granter
+        world.kill_daemon(second)
+        world.restore_store(len(world.store.records) - end)
+        for _ in range(200):
+            world.advance(100)
+            granter = world.find_granter()
+            assert granter is None or granter.term > ended_term, world.trace()
+
+
+@pytest.mark.parametrize("is_moving", (False, True))
+def test_keys_are_held_after_the_store_has_lost_the_record_of_a_lost_successor(
+    is_moving,
+):
+    for seed in range(4):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(3000)
+        end = len(world.store.records)
+        former = world.find_granter()
+        second = next(name for name in world.daemons if name != former.name)
+        elect(world, second)
+        if is_moving:
+            low = first_hash_of(world, "s1")
+            world.distribution = load_on(low, low + 16_000)
+        world.advance(4000)
+        world.distribution = EVEN_LOAD
+        world.advance(1000)
+        world.kill_daemon(second)
+        world.restore_store(len(world.store.records) - end)
+        world.advance(60_000)
+        assert not world.unheld_ranges(), world.trace()
