Fence an owner again after a release that was not answered

Cause: while a former granter may still renew, an owner that leaves is fenced and then released. The process that knew the fence may end while it works on the release; the next one answered the repeated release without a fence, and the former granter renewed there.

--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -365,6 +365,9 @@
             self._mark_released(item, "released", now_ms)
             return
         item.next_call_ms = now_ms + RETRY_DELAY_MS
+        if now_ms < item.former_calls_end_ms:
+            # The process that knew the fence may have ended meanwhile.
+            item.is_acknowledged = False
         if result.outcome == "replaced":
             item.replaced_answers += 1
 
--- a/tests/core/gateway/test_owner_proofs.py
+++ b/tests/core/gateway/test_owner_proofs.py
@@ -75,6 +75,44 @@
     return calls
 
 
+def test_a_release_that_fails_is_fenced_again_before_the_next():
+    """The process that knew the fence may have ended while it worked on the keys."""
+    granter = Granter(TIMINGS, 2, RECORDED, 9000.0)
+    owners = {"s1": keyed("s1"), "s2": keyed("s2")}
+    assert answer(granter, granter.step(owners, 100.0), GrantCall, "done", 110.0)
+    owners["s1"] = keyed("s1", can_keep=False, is_leaving=True)
+    granter.step(owners, 200.0)
+    granter.rebalance(EVEN_LOAD, False)
+    actions = granter.step(owners, 210.0)
+    assert any(isinstance(item, RecordOwners) for item in actions)
+    granter.handle_recorded(True)
+    assert answer(granter, granter.step(owners, 220.0), GrantCall, "done", 230.0)
+    assert answer(granter, granter.step(owners, 240.0), ReleaseCall, "silent", 1900.0)
+    actions = granter.step(owners, 2200.0)
+    assert not [item for item in actions if isinstance(item, ReleaseCall)], actions
+
+
+def test_a_draining_owner_restarts_while_it_works_on_a_release():
+    for seed in range(12):
+        world = LeaseWorld(seed)
+        world.wait_for_granter()
+        world.advance(2000)
+        first, _ = lose_granter(world)
+        world.advance(300)
+        owner = world.instances["s1"]
+        owner.work_ms = 2500.0
+        world.drain("s1")
+        is_asked = world.advance_until(
+            lambda: f"s1 ({owner.start_ms}) releases" in world.trace(), 2000
+        )
+        assert is_asked, world.trace()
+        world.advance(100 + 30 * seed)
+        world.restart("s1", entry_delay_ms=60_000)
+        world.advance_until(lambda: not world.unheld_ranges(), 5000)
+        world.set_link(first, "a1", OK)
+        world.advance(2 * WATCH_MS)
+
+
 def make_moving(granter, owners, now_ms):
     """Renews a range, records its move and returns the time."""
     assert answer(granter, granter.step(owners, now_ms), GrantCall, "done", now_ms + 5)
