Report a range as open whose move was cancelled before its release

Cause: a move that is on record and was cancelled as its target was lost has no target any more, so a renewal that is not proven was not reported to a successor, which reads the move from the record and releases the owner without a fence.

--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -174,7 +174,8 @@
         """
         if self.call_id or self.is_inherited_move or self.needs_fencing(now_ms):
             return True
-        return bool(self.target) and now_ms < self.unproven_grant_end_ms
+        is_moving = self.target or self.is_releasing
+        return bool(is_moving) and now_ms < self.unproven_grant_end_ms
 
     def can_release(self, now_ms: float) -> bool:
         """Returns whether a release sent now would end every lease of the owner."""
--- a/tests/core/gateway/test_owner_proofs.py
+++ b/tests/core/gateway/test_owner_proofs.py
@@ -124,6 +124,28 @@
     return now_ms + 10
 
 
+def test_a_cancelled_move_that_is_on_record_is_reported_as_open():
+    """A renewal may still be carried out late; the successor inherits the move."""
+    granter = Granter(TIMINGS, 1, RECORDED, -1e9)
+    owners = {"s1": keyed("s1"), "s2": keyed("s2")}
+    now_ms = make_moving(granter, owners, 100.0)
+    owners["s1"] = keyed("s1", can_keep=False, is_leaving=True)
+    granter.step(owners, now_ms)
+    granter.rebalance(EVEN_LOAD, False)
+    actions = granter.step(owners, now_ms + 60)
+    recorded = [item for item in actions if isinstance(item, RecordOwners)]
+    assert recorded and recorded[0].ranges[0].next_owner == "s2"
+    granter.handle_recorded(True)
+    assert granter.open_grants(now_ms + 65)
+    # s2 is lost; the fencing grant is withheld, so that no call is in flight.
+    del owners["s2"]
+    owners["s3"] = keyed("s3")
+    actions = granter.step(owners, now_ms + 130)
+    answer(granter, actions, GrantCall, "withheld", now_ms + 135)
+    # The store has still the move to s2 on record.
+    assert granter.open_grants(now_ms + 140)
+
+
 def test_answers_to_renewals_prove_no_end_of_an_owner():
     """They may be answers that were sent again for calls to another instance."""
     granter = Granter(TIMINGS, 1, RECORDED, -1e9)
