--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -300,6 +300,10 @@
                 self,
                 lambda peer: peer.receive_records(self.name, position, read),
             )
+        if read.has_more:
+            self._is_read_wanted = True
+            self.after(0.0, self._read_shared)
+            return
         self.role.handle_read(read.position, started_ms, self.world.now_ms)
         self._step()
         self._register_member()
--- a/tests/core/gateway/lease_world_store.py
+++ b/tests/core/gateway/lease_world_store.py
@@ -18,11 +18,13 @@
         records: Keys and values in order; for a snapshot, the newest of each key.
         is_snapshot: Whether keys that are not named do not exist.
         position: Position of the next read.
+        has_more: Whether the log went on behind the position.
     """
 
     records: list[tuple[str, bytes]]
     is_snapshot: bool
     position: int
+    has_more: bool = False
 
 
 class SimulatedStore:
--- a/tests/core/gateway/test_owner_proofs.py
+++ b/tests/core/gateway/test_owner_proofs.py
@@ -191,6 +191,44 @@
     assert not granter.pop_lost_ranges()
 
 
+class PartialStore(SimulatedStore):
+    """Serves a log in parts, as one that limits the size of an answer."""
+
+    limit = 1 << 30
+
+    def read(self, position):
+        read = super().read(position)
+        if position == SNAPSHOT or not isinstance(read, SharedRead):
+            return read
+        records = read.records[: self.limit]
+        end = make_position(self.era, offset_of(position) + len(records))
+        return SharedRead(records, False, end, len(records) < len(read.records))
+
+
+def test_a_read_that_ends_before_the_log_confirms_no_term():
+    for seed in range(4):
+        world = LeaseWorld(seed)
+        world.store.__class__ = PartialStore
+        world.wait_for_granter()
+        world.advance(2000)
+        first = isolate_granter(world)
+        world.set_links_of(first, "hang")
+        for number in range(40):
+            world.store.append("note", b"%d" % number, None)
+        low = first_hash_of(world, "s1")
+        held = world.held_by("s1")
+        second = next(name for name in world.daemons if name != first)
+        elect(world, second)
+        world.distribution = load_on(low, low + 16_000)
+        world.store.limit = 1
+        world.store_faults.states[first] = OK
+        world.advance_until(lambda: world.held_by("s1") < held, 16_000)
+        world.advance(2000)
+        world.restart("s1", entry_delay_ms=300)
+        world.set_links_of(first, OK)
+        world.advance(2 * WATCH_MS)
+
+
 @pytest.mark.parametrize("other_ms", (300, 600, 1200, 2000))
 def test_an_owner_restarts_after_another_process_at_its_address(other_ms):
     """The other's entry is later than the owner's, and earlier than its new process.
