Record owners again that a store lacks when it is back from an older copy

The granter in office claimed its next term and recorded none.

Cause: a full read kept the owners of services that it did not list, and the granter took those for owners on record. So it recorded the era, too, which tells the next granter that the recorded owners are right.

Change: owners that are known and missing in a full read count like those with a malformed record. The granter records them again before the era; the next granter grants nothing before all leases have ended; other daemons go on sending to the owners that they know.

Measured: both new tests fail without the change. Not covered, as before: a copy older than the first record of an era, where a granter that began later trusts it.

--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -281,6 +281,7 @@
         recorded = self._shared.owners.get(service, OwnerTable())
         granter = Granter(self._timings, self.term, recorded, authority_end_ms)
         self.granters[service] = granter
+        self._repair_owners()
         self._share_open_grants(now_ms)
         return granter
 
@@ -475,8 +476,7 @@
         record = GranterRecord(self._daemon, self._process, term)
         self._former_granters.observe(record, now_ms)
         for service, granter in self.granters.items():
-            recorded = self._shared.owners.get(service, OwnerTable())
-            granter.continue_in_term(term, recorded)
+            granter.continue_in_term(term, self._shared.recorded_owners(service))
         self._update_gate()
         self._effects.on_term_started(term, self._position)
 
@@ -490,6 +490,8 @@
             return False
         if self._shared.era >= era_of(self._position):
             return False
+        if self._shared.has_uncertain_owners():
+            return False
         services = set(self._shared.owners) | set(self.granters)
         granters = [self.granters.get(service) for service in services]
         return all(item is not None and item.is_recorded for item in granters)
--- a/src/skylarktrail/core/gateway/shared_state.py
+++ b/src/skylarktrail/core/gateway/shared_state.py
@@ -154,7 +154,8 @@
         owners: Owners of the key hashes by service.
         era: Era of the store in which all owners were recorded last; 0 if there is no
             record of it, `UNKNOWN_ERA` if that is malformed.
-        malformed_keys: Keys of members, targets and owners whose record is malformed.
+        malformed_keys: Keys of members, targets and owners whose record is malformed,
+            and of owners that are known but have no record.
         is_granter_missed: Whether the present term may be later than that of the
             granter, as its record is malformed and earlier ones were not read.
     """
@@ -188,13 +189,26 @@
                 for k, v in self.forward_targets.items()
                 if FORWARD_PREFIX + k in names
             }
+            # A store that is back from an older copy may have lost them.
+            known = {OWNERS_PREFIX + service for service in self.owners}
+            self.malformed_keys |= known - names
         for key, value in records:
             self._apply_one(key, value, is_snapshot)
 
     def are_owners_malformed(self, service: str) -> bool:
-        """Returns whether the last record of a service's owners is malformed."""
+        """Returns whether the record of a service's owners is malformed or lost."""
         return OWNERS_PREFIX + service in self.malformed_keys
 
+    def has_uncertain_owners(self) -> bool:
+        """Returns whether the known owners of any service may not be on record."""
+        return any(key.startswith(OWNERS_PREFIX) for key in self.malformed_keys)
+
+    def recorded_owners(self, service: str) -> OwnerTable:
+        """Returns the owners that are on record, as far as that is known."""
+        if self.are_owners_malformed(service):
+            return OwnerTable()
+        return self.owners.get(service, OwnerTable())
+
     def record_owners(self, service: str, owners: OwnerTable) -> None:
         """Records the owners of a service, as the last record has them."""
         self.owners[service] = owners
--- a/tests/core/gateway/test_granter_role.py
+++ b/tests/core/gateway/test_granter_role.py
@@ -186,6 +186,37 @@
     assert daemon.shared.era == 2
 
 
+def test_a_granter_in_office_records_owners_that_a_new_era_lacks(daemon):
+    """The store comes back from a copy that is older than the first record of owners.
+
+    A daemon that starts later would know no owners, and trust the recorded era.
+    """
+    former = granter_record("d2", "p2", 4)
+    daemon.become_granter(make_position(1, 5), former, owners_record(OWNERS))
+    daemon.answer_grants(daemon.step_service())
+    daemon.now_ms += 1000
+    daemon.read(make_position(2, 4), former, is_snapshot=True)
+    assert daemon.land() == GRANTER_KEY
+    daemon.step_service()
+    assert daemon.land() == OWNERS_PREFIX + SERVICE
+    daemon.role.step(daemon.now_ms)
+    assert daemon.land() == ERA_KEY
+
+
+def test_the_next_granter_trusts_no_owners_that_a_new_era_lacks(daemon):
+    """It heard of them from the former granter, which ended with the earlier era."""
+    former = granter_record("d2", "p2", 4)
+    daemon.read(make_position(1, 5), former, owners_record(OWNERS))
+    daemon.read(make_position(2, 4), former, is_snapshot=True)
+    daemon.now_ms += RESTORE_GRACE_MS + 1
+    daemon.role.handle_candidacy(True, daemon.now_ms)
+    assert daemon.land() == GRANTER_KEY
+    daemon.now_ms += FORMER_LEASES_MS + 1
+    daemon.read(make_position(2, 6))
+    daemon.step_service()
+    assert daemon.land() == OWNERS_PREFIX + SERVICE
+
+
 def test_leases_are_renewed_while_the_granter_claims_its_next_term(daemon):
     daemon.become_granter(make_position(1, 5), owners_record(OWNERS))
     daemon.answer_grants(daemon.step_service())
