--- a/src/skylarktrail/gateway/site_store.py
+++ b/src/skylarktrail/gateway/site_store.py
@@ -32,6 +32,7 @@
         position: Position of the next read.
         records: Keys and values from which the update was decoded.
         faults: Faults of records that are malformed and change nothing.
+        has_more: Whether the log went on behind the position.
     """
 
     config: SiteConfig | None
@@ -40,6 +41,7 @@
     position: int
     records: tuple[tuple[str, bytes], ...] = ()
     faults: tuple[Fault, ...] = ()
+    has_more: bool = False
 
 
 class SharedUpdate(NamedTuple):
@@ -49,11 +51,13 @@
         records: Keys and values in order; an empty value deletes the key.
         is_snapshot: Whether keys that are not named do not exist.
         position: Position of the next read.
+        has_more: Whether the log went on behind the position.
     """
 
     records: list[tuple[str, bytes]]
     is_snapshot: bool
     position: int
+    has_more: bool = False
 
 
 class SiteStore(Protocol):
