--- a/src/skylarktrail/core/gateway/granter.py
+++ b/src/skylarktrail/core/gateway/granter.py
@@ -535,9 +535,7 @@
                 continue
             owner = self._owners.get(item.owned.owner)
             if owner is not None:
-                item.replaced_answers = (
-                    0  # Only what answers once it is unlisted counts.
-                )
+                item.replaced_answers = 0  # They count while it is unlisted.
                 self._observe_start(item, owner.start_ms, now_ms)
             is_ended = owner is None and self._has_owner_ended(item)
             is_idle = item.is_releasing and not item.call_id
