--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -34,7 +34,8 @@
         lease_end_ms: When the longest lease of this granter expires.
         next_call_ms: When the next call about the range is due.
         call_id: Number of the call in flight; 0 if there is none.
-        replaced_answers: Consecutive calls that another process answered.
+        replaced_answers: Fencing grants and releases that another process answered
+            since the owner is unlisted.
         handover: State handed over by the previous owner.
         target: Instance that gets the range next; empty for none.
         target_start_ms: Start of the target's incarnation.
