--- a/review/common/review_site.py
+++ b/review/common/review_site.py
@@ -174,7 +174,10 @@
 
 
 def run_case(
-    case_dir: Path, run: Callable[[Record, Path, bool], bool], directory: Path
+    case_dir: Path,
+    run: Callable[[Record, Path, bool], bool],
+    directory: Path,
+    has_trouble: bool,
 ) -> int:
     """Runs a case; returns its exit status.
 
@@ -182,11 +185,11 @@
         case_dir: Folder of the case.
         run: Runs it with or without the disruption; returns whether the rule held.
         directory: Temporary folder for settings and output.
+        has_trouble: Whether to run it with the disruption.
     """
     # Ends the processes of the site, as the site is left by this exception.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     record = Record(case_dir)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"begins, {'with' if has_trouble else 'without'} the disruption")
     try:
         has_held = run(record, directory, has_trouble)
