--- a/review/common-2/small_site.py
+++ b/review/common-2/small_site.py
@@ -182,6 +182,7 @@
         self.work_ms = work_ms
         self.random = random.Random(7)
         self.version = 0
+        self.limits: dict[str, int] = {}
         self._began_s = now_s()
         self._record = record.open("w")
         self._record_lock = threading.Lock()
@@ -351,7 +352,7 @@
                     for service in self.services
                     if not service.backend
                 ],
-                "limits": {},
+                "limits": self.limits,
                 "hosts": [{"hostname": HOSTNAME, "paths": paths}],
             },
         )
--- a/review/common-2/troubled_front.py
+++ b/review/common-2/troubled_front.py
@@ -1,7 +1,8 @@
 """The socket of an instance in trouble: passes calls on, or answers without end.
 
-While its trouble lasts it answers each grant call with bytes that have no end, until
-the caller closes. All other calls, and all calls afterwards, reach the instance.
+While its trouble lasts it answers each grant call, or other request, with bytes that
+have no end, until the caller closes. All other calls, and all calls afterwards, reach
+the instance.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 
     def __init__(self, arguments: argparse.Namespace) -> None:
         self._arguments = arguments
-        self._began_s = time.monotonic()
+        self._prefix = arguments.prefix.encode()
         self._lock = threading.Lock()
         self.endless_open = 0
         self.endless_total = 0
@@ -58,7 +59,7 @@
         try:
             caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while data := caller.recv(CHUNK_BYTES):
-                if data.startswith(b"POST /api/grant ") and self.is_troubled():
+                if data.startswith(self._prefix) and self.is_troubled():
                     self._answer_without_end(caller)
                     return
                 if target is None:
@@ -85,8 +86,7 @@
             if kind == "body":
                 caller.sendall(BODY_HEAD)
             piece = {"interim": INTERIM, "body": b" "}[kind]
-            if not pause_s:
-                piece *= 1000
+            piece *= self._arguments.repeat
             while True:
                 caller.sendall(piece)
                 time.sleep(pause_s)
@@ -118,6 +118,8 @@
     parser.add_argument("--target", required=True)
     parser.add_argument("--trouble-file", required=True)
     parser.add_argument("--kind", choices=("interim", "body"), required=True)
+    parser.add_argument("--prefix", default="POST /api/grant ")
+    parser.add_argument("--repeat", type=int, default=1000, help="pieces a send")
     parser.add_argument("--pause-s", type=float, default=0.0)
     Front(parser.parse_args()).run()
 
