--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,5 +7,5 @@
 python3 -m compileall -q standins review/common-2
 PYTHONPATH="target/deps:.:review/common-2" python3 -c "
 import standins.platform.store
-import breaking_instance, echoing_instance, small_site, troubled_front
+import breaking_instance, echoing_instance, poisoned_key_instance, restarter, small_site
 "
--- a/review/common-2/small_site.py
+++ b/review/common-2/small_site.py
@@ -182,7 +182,6 @@
         self.work_ms = work_ms
         self.random = random.Random(7)
         self.version = 0
-        self.limits: dict[str, int] = {}
         self._began_s = now_s()
         self._record = record.open("w")
         self._record_lock = threading.Lock()
@@ -287,8 +286,13 @@
                 if name not in self.instances:
                     self.add_instance(service, name, ZONES[index % len(ZONES)])
 
-    def start(self) -> None:
-        """Starts all programs and waits until the daemons are ready and serve."""
+    def start(self, avoided_key: int = -1) -> None:
+        """Starts all programs and waits until the daemons are ready and serve.
+
+        Args:
+            avoided_key: A key that no request of this start has.
+        """
+        key = (avoided_key + HASH_COUNT // 2) % HASH_COUNT
         self.store.start()
         self.wait_until(lambda: self.get(self.store_address, "/calls").status == 200)
         self.publish()
@@ -299,7 +303,7 @@
             self.wait_until(lambda: self.get(address, "/ready").status == 200)
         for service in self.services:
             for daemon in self.daemons:
-                self.wait_until(lambda: self.request(service, daemon).status == 200)
+                self.wait_until(lambda: self.request(service, daemon, key).status == 200)
         self.note("ready")
 
     def wait_until(self, condition: Any, timeout_s: float = START_TIMEOUT_S) -> None:
@@ -352,7 +356,7 @@
                     for service in self.services
                     if not service.backend
                 ],
-                "limits": self.limits,
+                "limits": {},
                 "hosts": [{"hostname": HOSTNAME, "paths": paths}],
             },
         )
