--- a/review/common-2/breaking_instance.py
+++ b/review/common-2/breaking_instance.py
@@ -10,6 +10,7 @@
 import threading
 
 from echoing_instance import EchoingInstance
+
 from standins.platform import instance
 from standins.serving import Request, Response, now_ms
 
--- a/review/common-2/poisoned_key_instance.py
+++ b/review/common-2/poisoned_key_instance.py
@@ -6,6 +6,7 @@
 import time
 
 from echoing_instance import EchoingInstance
+
 from standins.platform import instance
 from standins.serving import Request, Response, now_ms
 
--- a/review/common-2/small_site.py
+++ b/review/common-2/small_site.py
@@ -303,7 +303,9 @@
             self.wait_until(lambda: self.get(address, "/ready").status == 200)
         for service in self.services:
             for daemon in self.daemons:
-                self.wait_until(lambda: self.request(service, daemon, key).status == 200)
+                self.wait_until(
+                    lambda: self.request(service, daemon, key).status == 200
+                )
         self.note("ready")
 
     def wait_until(self, condition: Any, timeout_s: float = START_TIMEOUT_S) -> None:
