feat: interfaces of customers, public routes and priorities

Customer, CustomerDirectory, SiteConfig.customers, Route.is_public, Job.customer and Ticket.priority are added; the scheduler orders by the priority of the ticket. Not yet covered by a test; nothing sets these values before the keys are decoded.

--- a/src/skylarktrail/core/gateway/model.py
+++ b/src/skylarktrail/core/gateway/model.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from .customers import CustomerDirectory
+
 HASH_COUNT = 1 << 16  # Key hashes are 16 bits wide.
 
 
@@ -32,6 +34,7 @@
         timeout_ms: Maximum time until a request is answered.
         target_ms: Latency target set by the operators.
         priority: Priority of the requests; 0 is the highest.
+        is_public: Whether requests need no API key.
     """
 
     name: str
@@ -43,6 +46,7 @@
     timeout_ms: float
     target_ms: float
     priority: int
+    is_public: bool = False
 
 
 class ServiceSpec(NamedTuple):
@@ -89,12 +93,16 @@
         routes: All routes.
         services: Services by name.
         limits: Limits on the requests of callers.
+        customers: Customers by API key.
+        has_customers: Whether requests need an API key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits = CallerLimits()
+    customers: CustomerDirectory = CustomerDirectory()
+    has_customers: bool = False
 
 
 class InstanceEntry(NamedTuple):
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -465,7 +465,7 @@
             return False
         if ticket.is_late:
             return instance.occupancy(now_ms) + 1 <= slots
-        priority = max(0, ticket.route.priority)
+        priority = max(0, ticket.priority)
         queue = QUEUE_LENGTH_RATIO / (1 + QUEUE_PRIORITY_RATIO * priority)
         return instance.occupancy(now_ms) < slots * (1 + queue)
 
--- a/src/skylarktrail/core/gateway/ticket.py
+++ b/src/skylarktrail/core/gateway/ticket.py
@@ -26,6 +26,7 @@
         placed_ms: When it was placed.
         occupancy: Estimated requests at the instance when it was placed.
         on_decided: Called when a waiting ticket is placed or refused.
+        priority: Priority of the request; 0 is the highest.
         submitted_ms: When it was submitted.
         permit_instance: Instance for which it waits for a permit; empty if it does not.
         is_late: Whether its response cannot meet the latency target any more.
@@ -40,6 +41,7 @@
         target_end_ms: float,
         is_return: bool,
         on_decided: Callable[[], None],
+        priority: int | None = None,
     ) -> None:
         self.route = route
         self.service = service
@@ -55,6 +57,7 @@
         self.placed_ms = 0.0
         self.occupancy = 0.0
         self.on_decided = on_decided
+        self.priority = route.priority if priority is None else priority
         self.submitted_ms = 0.0
         self.permit_instance = ""
         self.is_late = False
@@ -66,4 +69,4 @@
 
     def sort_key(self) -> tuple[int, bool, float]:
         """Returns the key that orders waiting tickets."""
-        return self.route.priority, self.is_late, self.end_ms
+        return self.priority, self.is_late, self.end_ms
--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -5,6 +5,7 @@
 from functools import cached_property
 from typing import NamedTuple
 
+from ..core.gateway.customers import Customer
 from ..core.gateway.fingerprints import make_fingerprint
 from ..core.gateway.model import Route
 from ..core.gateway.ticket import Ticket
@@ -68,6 +69,9 @@
         refused: Ticket of the refusal; None unless the request was refused.
         is_forwarded: Whether another daemon forwarded the request.
         earlier_run_count: Attempts of that daemon that an instance may have run.
+        customer: Customer that sent the request; None if it is not known.
+        is_key_checked: Whether the configuration has customers, so that the daemon
+            sets the header fields with the API key and the customer itself.
     """
 
     def __init__(
@@ -91,6 +95,8 @@
         self.refused: Ticket | None = None
         self.is_forwarded = False
         self.earlier_run_count = 0
+        self.customer: Customer | None = None
+        self.is_key_checked = False
 
     @cached_property
     def fingerprint(self) -> str:
@@ -108,6 +114,12 @@
             "admitted_part": round(refused.admitted_part, 2) if refused else 1.0,
         }
 
+    @property
+    def priority(self) -> int:
+        """Returns the priority of the customer or else of the route."""
+        own = self.customer.priority if self.customer else None
+        return self.route.priority if own is None else own
+
     @property
     def may_have_run(self) -> bool:
         """Returns whether an instance may have run the request in any attempt."""
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -209,6 +209,7 @@
             job.target_end_ms,
             job.is_return or bool(job.attempts),
             decided.set,
+            job.priority,
         )
         ticket.avoided_instances = avoided
         self._site.submit(ticket, now_ms())
