feat: the directory of customers lists all of them

Quotas need the limits of all customers, and a customer without a key still means that requests need one. CustomerDirectory takes the customers with their keys and has customers and is_empty; SiteConfig.has_customers, which said the same, is removed. Not yet covered by a test; nothing sets these values before the keys are decoded.

--- a/src/skylarktrail/core/gateway/customers.py
+++ b/src/skylarktrail/core/gateway/customers.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Mapping, NamedTuple
+from typing import Iterable, NamedTuple
 
 
 class Customer(NamedTuple):
@@ -27,14 +27,31 @@
 
 
 class CustomerDirectory:
-    """Customers of one configuration by API key; immutable.
+    """Customers of one configuration and their API keys; immutable.
 
     Args:
-        customers_by_key: Customers by API key.
+        key_holders: Customers with their API keys. A key that several of them hold
+            identifies the first one.
+
+    Attributes:
+        customers: All customers, also those without a key.
     """
 
-    def __init__(self, customers_by_key: Mapping[str, Customer] | None = None) -> None:
-        self._customers_by_key = dict(customers_by_key or {})
+    def __init__(
+        self, key_holders: Iterable[tuple[Customer, Iterable[str]]] = ()
+    ) -> None:
+        self._customers_by_key: dict[str, Customer] = {}
+        customers = []
+        for customer, api_keys in key_holders:
+            customers.append(customer)
+            for api_key in api_keys:
+                self._customers_by_key.setdefault(api_key, customer)
+        self.customers = tuple(customers)
+
+    @property
+    def is_empty(self) -> bool:
+        """Returns whether there are no customers, so that no request needs a key."""
+        return not self.customers
 
     def find(self, api_key: str) -> Customer | None:
         """Returns the customer that holds an API key, if any."""
--- a/src/skylarktrail/core/gateway/model.py
+++ b/src/skylarktrail/core/gateway/model.py
@@ -93,8 +93,8 @@
         routes: All routes.
         services: Services by name.
         limits: Limits on the requests of callers.
-        customers: Customers by API key.
-        has_customers: Whether requests need an API key.
+        customers: Customers, whose requests carry API keys; requests need none if there
+            are no customers.
     """
 
     version: int
@@ -102,7 +102,6 @@
     services: dict[str, ServiceSpec]
     limits: CallerLimits = CallerLimits()
     customers: CustomerDirectory = CustomerDirectory()
-    has_customers: bool = False
 
 
 class InstanceEntry(NamedTuple):
