feat: requests with API keys run only while the configuration is confirmed

A daemon that is cut off from the store and the others does not learn that a key was removed, and served its requests for good. It is confirmed by the daemon's own reads of the operators' log and by the replies of the granter to gateway_config_ask; the granter's long polls get shorter.

--- a/src/skylarktrail/config/gateway_settings.py
+++ b/src/skylarktrail/config/gateway_settings.py
@@ -15,6 +15,8 @@
 
 SCHEMA = "gateway_settings"
 KIND = "gateway"
+# In a fifth of a shorter bound, the granter's replies and the reads do not arrive.
+MIN_REVOKE_MS = 1000.0
 
 
 class StoreSettings(NamedTuple):
@@ -39,6 +41,8 @@
             daemons.
         grace_s: Time between SIGTERM and SIGKILL, seconds.
         lease_max_ms: Longest lease that an instance accepts, milliseconds.
+        revoke_ms: Time after which no daemon runs requests with a removed API key,
+            milliseconds; 0 for no bound.
     """
 
     repeat_ratio: float = 0.2
@@ -46,6 +50,7 @@
     repeat_extra: float = 20.0
     grace_s: float = 6.0
     lease_max_ms: float = 10_000.0
+    revoke_ms: float = 0.0
 
 
 class GatewaySettings(NamedTuple):
@@ -109,7 +114,7 @@
     fields["bounds"] = bounds = SiteBounds(**document.get("bounds", {}))
     leases = _make_leases(document.get("leases", {}), bounds)
     fields["leases"] = leases
-    fault = _find_lease_fault(leases, bounds)
+    fault = _find_lease_fault(leases, bounds) or _find_revocation_fault(bounds)
     if fault is not None:
         return Err([fault])
     return Ok(GatewaySettings(**fields))
@@ -124,6 +129,14 @@
     return leases._replace(outage_lease_ms=min(outage_lease_ms, bounds.lease_max_ms))
 
 
+def _find_revocation_fault(bounds: SiteBounds) -> Fault | None:
+    """Returns the fault of a bound that daemons could not keep while they serve."""
+    if 0 < bounds.revoke_ms < MIN_REVOKE_MS:
+        detail = f"0 for no bound, or {MIN_REVOKE_MS:.0f} at least"
+        return Fault(codes.VALUE_OUT_OF_RANGE, "$.bounds.revoke_ms", detail)
+    return None
+
+
 def _find_lease_fault(leases: LeaseTimings, bounds: SiteBounds) -> Fault | None:
     """Returns the first fault of the durations of leases, if there is one."""
     if leases.renew_ms * 2 > leases.lease_ms:
--- a/src/skylarktrail/gateway/log_reader.py
+++ b/src/skylarktrail/gateway/log_reader.py
@@ -78,7 +78,20 @@
             if not self._wakeup.wait(FOLLOWER_WAIT_MS / 1000):
                 return 0.0
             return self._read(0)
-        return self._read(0 if self._monitor.is_failing else LONG_POLL_MS)
+        return self._read(0 if self._monitor.is_failing else self._long_poll_ms())
+
+    def _long_poll_ms(self) -> int:
+        """Returns how long a read waits for new records."""
+        return LONG_POLL_MS
+
+    def trigger_read(self) -> None:
+        """Starts the next read at once."""
+        self._wakeup.set()
+
+    def applied_position(self) -> int:
+        """Returns the position up to which all records are applied; -1 for none."""
+        with self._lock:
+            return -1 if self._position is None else self._position
 
     def _expects_broadcasts(self) -> bool:
         """Returns whether the granter sends new records, or may soon do so."""
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -245,8 +245,13 @@
         self, message: Message, timeout_ms: int
     ) -> Future[Result[Message, Fault]]:
         """Sends a request to the granter; the future raises no exception."""
-        granter = self._site.shared.granter.daemon
-        return self._links.request(granter, message, timeout_ms)
+        return self.request(self._site.shared.granter.daemon, message, timeout_ms)
+
+    def request(
+        self, daemon: str, message: Message, timeout_ms: int
+    ) -> Future[Result[Message, Fault]]:
+        """Sends a request to one daemon; the future raises no exception."""
+        return self._links.request(daemon, message, timeout_ms)
 
     def broadcast(self, message: Message) -> None:
         """Sends a message to all other daemons."""
--- a/src/skylarktrail/gateway/operator_watcher.py
+++ b/src/skylarktrail/gateway/operator_watcher.py
@@ -8,6 +8,7 @@
 
 from ..errors.code import Fault
 from .clock import now_ms
+from .config_confirmer import ConfigConfirmer
 from .event_log import EventLog
 from .log_reader import BATCHING_PAUSE_MS, LogReader
 from .messenger import Messenger
@@ -17,7 +18,11 @@
 
 
 class OperatorWatcher(LogReader):
-    """Reads the operators' records: configuration and evacuated zones."""
+    """Reads the operators' records: configuration and evacuated zones.
+
+    Args:
+        confirmer: Is told of the reads that reach the end of the log; None for nobody.
+    """
 
     log_name = "operators"
 
@@ -29,9 +34,15 @@
         log: EventLog,
         messenger: Messenger,
         is_granter: Callable[[], bool],
+        confirmer: ConfigConfirmer | None = None,
     ) -> None:
         super().__init__(store, site, monitor, messenger, is_granter)
         self._log = log
+        self._confirmer = confirmer
+
+    def _long_poll_ms(self) -> int:
+        wait_ms = super()._long_poll_ms()
+        return self._confirmer.limit_wait_ms(wait_ms) if self._confirmer else wait_ms
 
     def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
         return self._store.read_operators(position, wait_ms)
@@ -44,7 +55,14 @@
         config = self._site.apply_operators(update, now_ms())
         if config is not None:
             routes = len(config.routes)
-            self._log.state("config_in_force", version=config.version, routes=routes)
+            self._log.state(
+                "config_in_force",
+                version=config.version,
+                routes=routes,
+                customers=len(config.customers.customers),
+            )
+            if self._confirmer:
+                self._confirmer.record_config()
         for zone, is_out in update.zones.items():
             self._log.state("zone_out" if is_out else "zone_back", zone=zone)
 
@@ -59,4 +77,6 @@
     def _finish_read(
         self, update: OperatorUpdate, position: int | None, started_ms: float
     ) -> float:
+        if self._confirmer:
+            self._confirmer.record_read(update.position, started_ms)
         return BATCHING_PAUSE_MS if update.position != position else 0.0
--- a/src/skylarktrail/gateway/reply_recorder.py
+++ b/src/skylarktrail/gateway/reply_recorder.py
@@ -39,6 +39,7 @@
         problem: Problem,
         route: Route | None = None,
         key_decision: KeyDecision = KeyDecision(False),
+        config_age_ms: float = 0.0,
     ) -> Problem:
         """Counts and logs the refusal of a request without a job; returns it.
 
@@ -48,6 +49,7 @@
             problem: The refusal.
             route: Its route, if it has one.
             key_decision: Result of the check of its API key.
+            config_age_ms: Time since the configuration was confirmed as the newest.
         """
         self._metrics.count_refusal("", problem.code)
         self._log.write(
@@ -59,6 +61,7 @@
             route=route.name if route else "",
             customer=key_decision.customer.name if key_decision.customer else "",
             why=key_decision.refusal_reason,
+            config_age_ms=round(config_age_ms),
             **self._site.versions(now_ms())._asdict(),
         )
         return problem
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -18,6 +18,7 @@
 from ..errors.code import Fault
 from .attempt_judge import AttemptJudge
 from .clock import now_ms
+from .config_confirmer import ConfigConfirmer
 from .connection_pool import ConnectionPool
 from .disconnect_monitor import DisconnectMonitor
 from .event_log import EventLog
@@ -57,6 +58,7 @@
         disconnect_monitor: Aborts requests whose callers disconnect.
         log: Receives a line for each request.
         metrics: Counts replies, refusals and attempts.
+        confirmer: Knows whether the configuration is the newest; None if it always is.
 
     Attributes:
         is_draining: Whether the daemon shuts down.
@@ -75,6 +77,7 @@
         disconnect_monitor: DisconnectMonitor,
         log: EventLog,
         metrics: GatewayMetrics,
+        confirmer: ConfigConfirmer | None = None,
     ) -> None:
         self._site = site
         self._header_codec = header_codec
@@ -85,6 +88,7 @@
         self._request_guard = request_guard
         self._disconnect_monitor = disconnect_monitor
         self._metrics = metrics
+        self._confirmer = confirmer
         self._job_maker = JobMaker(site)
         self._judge = AttemptJudge(
             site, header_codec, connections, rate_limiter, request_guard
@@ -147,18 +151,20 @@
         if state is not None and self._site.is_cut:
             problem = make_refusal(codes.DAEMON_CUT_OFF, CLOSED_RETRY_MS)
             return self._recorder.record_unrouted(request, metadata, problem)
+        # Asked first, so that the configuration is at least as new as it says.
+        freshness = self._confirmer.freshness() if self._confirmer else ()
         table = self._site.route_table
         route = table.find(request.headers.get("host", ""), request.path)
         if route is None:
             problem = Problem(caller_codes.ROUTE_UNKNOWN, fields.NOT_RUN)
             return self._recorder.record_unrouted(request, metadata, problem)
         key_decision = check_key(
-            table.config.customers, route.is_public, metadata.api_key
+            table.config.customers, route.is_public, metadata.api_key, *freshness
         )
         if key_decision.refusal_reason:
             problem = make_key_refusal(key_decision)
             return self._recorder.record_unrouted(
-                request, metadata, problem, route, key_decision
+                request, metadata, problem, route, key_decision, self._config_age_ms()
             )
         if state is None:
             job = self._job_maker.make(request, metadata, route)
@@ -170,6 +176,9 @@
         self._recorder.record(job, reply)
         return reply
 
+    def _config_age_ms(self) -> float:
+        return self._confirmer.age_ms() if self._confirmer else 0.0
+
     def _refuse_blocked(self, job: Job) -> Problem | None:
         """Returns the refusal of a request that ends the instances that run it."""
         blocked_ms = self._request_guard.blocked_ms(job.fingerprint)
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -32,6 +32,7 @@
 from .adapters import ADAPTERS
 from .candidacy import CandidacyRenewer
 from .clock import now_ms
+from .config_confirmer import ConfigConfirmer
 from .connection_pool import ConnectionPool
 from .disconnect_monitor import DisconnectMonitor
 from .event_log import EventLog
@@ -126,6 +127,14 @@
             GatewayOpenGrantsRequest, self._on_open_grants_request
         )
         self._rate_limiter = RateLimiter(self._site, self._messenger, self._log)
+        self._confirmer = ConfigConfirmer(
+            self._site,
+            self._messenger,
+            self._log,
+            settings.bounds.revoke_ms,
+            lambda: self._operators.trigger_read(),
+            lambda: self._operators.applied_position(),
+        )
         self._request_guard = RequestGuard(self._messenger, self._log)
         self._reach_monitor = ReachMonitor(
             self._site,
@@ -158,6 +167,7 @@
             self._disconnect_monitor,
             self._log,
             self._metrics,
+            self._confirmer,
         )
         self._overload_broadcaster = OverloadBroadcaster(
             self._site, self._messenger.is_granter, self._messenger.broadcast
@@ -202,6 +212,7 @@
         """Applies changed bounds from the settings file."""
         self._bounds = bounds
         self._site.set_bounds(bounds)
+        self._confirmer.set_revoke_ms(bounds.revoke_ms)
         self._log.state("settings_reloaded", bounds=bounds._asdict())
 
     def log_settings_faults(self, faults: list[Fault]) -> None:
@@ -309,6 +320,7 @@
             log,
             self._messenger,
             self._messenger.is_granter,
+            self._confirmer,
         )
         self._shared = SharedWatcher(
             self._make_store(),
@@ -338,6 +350,7 @@
             "load-report": LoadReporter(self._messenger, site).run_once,
             "load-teller": self._overload_broadcaster.run_once,
             "rate-limits": self._rate_limiter.run_once,
+            "config-confirmer": self._confirmer.run_once,
             "request-guard": self._request_guard.run_once,
             "reachability": self._reach_monitor.run_once,
         }
@@ -448,6 +461,12 @@
             "Log lines left out to bound their volume.",
             lambda: self._log.dropped,
         )
+        add(
+            "config_confirmation_age_ms",
+            "Time since the configuration was confirmed as the newest; 0 if keys are "
+            "not revoked in bounded time.",
+            self._confirmer.age_ms,
+        )
         add(
             "connections_opened",
             "Connections opened to instances.",
--- a/src/skylarktrail/gateway/shared_watcher.py
+++ b/src/skylarktrail/gateway/shared_watcher.py
@@ -77,10 +77,6 @@
             return self._messenger.is_granter_alive()
         return super()._expects_broadcasts()
 
-    def trigger_read(self) -> None:
-        """Starts the next read at once."""
-        self._wakeup.set()
-
     def _record_read_result(self, read: Result[Any, Fault]) -> float | None:
         pause_ms = super()._record_read_result(read)
         if self._is_granter() and self._monitor.failure_count >= STORE_LOST_FAILURES:
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -44,6 +44,10 @@
             {"bounds": {"lease_max_ms": 1000}},
             ("VALUE_OUT_OF_RANGE", "$.leases.lease_ms"),
         ),
+        (
+            {"bounds": {"revoke_ms": 900}},
+            ("VALUE_OUT_OF_RANGE", "$.bounds.revoke_ms"),
+        ),
         (
             {"leases": {"lease_ms": 3000, "outage_lease_ms": 2000}},
             ("VALUE_OUT_OF_RANGE", "$.leases.outage_lease_ms"),
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -78,6 +78,8 @@
     ),
     gateway_messages.GatewayAnsweredRequests(("0c1f",)),
     gateway_messages.GatewayStoreEra(2),
+    gateway_messages.GatewayConfigAsk(),
+    gateway_messages.GatewayConfigConfirmed(7, 12.5),
     gateway_messages.GatewayOpenGrants(
         "p1", (gateway_messages.OpenGrantReport("stock", "i-1", 0, 99),)
     ),
--- a/tests/peer/test_odd_frames.py
+++ b/tests/peer/test_odd_frames.py
@@ -76,6 +76,10 @@
     messages.GatewayBlockedRequests((BlockedRequest("f", math.nan),)),
     messages.GatewayStoreEra(-1),
     messages.GatewayStoreEra(HUGE),
+    messages.GatewayConfigConfirmed(-1, 0.0),
+    messages.GatewayConfigConfirmed(HUGE, 0.0),
+    messages.GatewayConfigConfirmed(1, -1.0),
+    messages.GatewayConfigConfirmed(1, float("inf")),
 ]
 
 
