--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -7,6 +7,7 @@
 
 from result import Result
 
+from ..core.gateway.key_check import check_key
 from ..core.gateway.model import InstanceEntry
 from ..core.gateway.ticket import Ticket
 from ..daemon import fields
@@ -17,6 +18,7 @@
 from ..errors.code import Fault
 from .attempt_judge import AttemptJudge
 from .clock import now_ms
+from .config_confirmer import ConfigConfirmer
 from .connection_pool import ConnectionPool
 from .disconnect_monitor import DisconnectMonitor
 from .event_log import EventLog
@@ -29,7 +31,7 @@
 from .outgoing import make_outgoing_request
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
-from .refusals import make_refusal, refusal_code
+from .refusals import make_key_refusal, make_refusal, refusal_code
 from .reply_recorder import Reply, ReplyRecorder
 from .request_guard import RequestGuard
 from .site_state import SiteState
@@ -56,6 +58,7 @@
         disconnect_monitor: Aborts requests whose callers disconnect.
         log: Receives a line for each request.
         metrics: Counts replies, refusals and attempts.
+        confirmer: Knows whether the configuration is the newest; None if it always is.
 
     Attributes:
         is_draining: Whether the daemon shuts down.
@@ -74,6 +77,7 @@
         disconnect_monitor: DisconnectMonitor,
         log: EventLog,
         metrics: GatewayMetrics,
+        confirmer: ConfigConfirmer | None = None,
     ) -> None:
         self._site = site
         self._header_codec = header_codec
@@ -84,6 +88,7 @@
         self._request_guard = request_guard
         self._disconnect_monitor = disconnect_monitor
         self._metrics = metrics
+        self._confirmer = confirmer
         self._job_maker = JobMaker(site)
         self._judge = AttemptJudge(
             site, header_codec, connections, rate_limiter, request_guard
@@ -123,7 +128,8 @@
         request_id = request.headers.get(name.lower())
         if request_id is None:
             return problem
-        return problem._replace(added_headers=((name, request_id),))
+        named = (name, request_id)
+        return problem._replace(added_headers=(*problem.added_headers, named))
 
     def _handle(self, request: CallerRequest, state: ForwardedState | None) -> Reply:
         with self._lock:
@@ -145,18 +151,34 @@
         if state is not None and self._site.is_cut:
             problem = make_refusal(codes.DAEMON_CUT_OFF, CLOSED_RETRY_MS)
             return self._recorder.record_unrouted(request, metadata, problem)
-        route = self._site.find_route(request.headers.get("host", ""), request.path)
+        # Asked first, so that the configuration is at least as new as it says.
+        freshness = self._confirmer.freshness() if self._confirmer else ()
+        table = self._site.route_table
+        route = table.find(request.headers.get("host", ""), request.path)
         if route is None:
             problem = Problem(caller_codes.ROUTE_UNKNOWN, fields.NOT_RUN)
             return self._recorder.record_unrouted(request, metadata, problem)
+        key_decision = check_key(
+            table.config.customers, route.is_public, metadata.api_key, *freshness
+        )
+        if key_decision.refusal_reason:
+            problem = make_key_refusal(key_decision)
+            return self._recorder.record_unrouted(
+                request, metadata, problem, route, key_decision, self._config_age_ms()
+            )
         if state is None:
             job = self._job_maker.make(request, metadata, route)
         else:
             job = self._job_maker.make_forwarded(request, metadata, route, state)
+        job.customer = key_decision.customer
+        job.is_key_checked = key_decision.is_checked
         reply = self._refuse_blocked(job) or self._serve(job)
         self._recorder.record(job, reply)
         return reply
 
+    def _config_age_ms(self) -> float:
+        return self._confirmer.age_ms() if self._confirmer else 0.0
+
     def _refuse_blocked(self, job: Job) -> Problem | None:
         """Returns the refusal of a request that ends the instances that run it."""
         blocked_ms = self._request_guard.blocked_ms(job.fingerprint)
@@ -209,6 +231,7 @@
             job.target_end_ms,
             job.is_return or bool(job.attempts),
             decided.set,
+            job.priority,
         )
         ticket.avoided_instances = avoided
         self._site.submit(ticket, now_ms())
@@ -282,8 +305,10 @@
 
     def _make_request(self, job: Job, entry: InstanceEntry) -> OutgoingRequest:
         codec = self._header_codec
-        added = codec.encode_for_instance(entry, job.end_ms - now_ms())
-        return make_outgoing_request(job, entry.address, codec.REPLACED_FIELDS, added)
+        left_ms = job.end_ms - now_ms()
+        customer = job.customer.name if job.customer else ""
+        added = codec.encode_for_instance(entry, left_ms, customer)
+        return make_outgoing_request(job, entry.address, codec, added)
 
     def _release_connection(
         self, instance: str, connection: Connection, result: Result[RawResponse, Fault]
