--- a/src/skylarktrail/core/gateway/model.py
+++ b/src/skylarktrail/core/gateway/model.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from .customers import Customer
+
 HASH_COUNT = 1 << 16  # Key hashes are 16 bits wide.
 
 
@@ -89,12 +91,14 @@
         routes: All routes.
         services: Services by name.
         limits: Limits on the requests of callers.
+        customers: All customers.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits = CallerLimits()
+    customers: tuple[Customer, ...] = ()
 
 
 class InstanceEntry(NamedTuple):
--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -5,6 +5,7 @@
 from functools import cached_property
 from typing import NamedTuple
 
+from ..core.gateway.customers import Customer
 from ..core.gateway.fingerprints import make_fingerprint
 from ..core.gateway.model import Route
 from ..core.gateway.ticket import Ticket
@@ -68,6 +69,7 @@
         refused: Ticket of the refusal; None unless the request was refused.
         is_forwarded: Whether another daemon forwarded the request.
         earlier_run_count: Attempts of that daemon that an instance may have run.
+        customer: Customer that sent the request; None if it is not known.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         self.refused: Ticket | None = None
         self.is_forwarded = False
         self.earlier_run_count = 0
+        self.customer: Customer | None = None
 
     @cached_property
     def fingerprint(self) -> str:
