feat: customer quotas over all daemons

A customer's requests are counted by each daemon and reported to the granter, which has a token bucket for each customer. A customer that is nearly out of quota is metered: each of its requests then needs credit of the granter. A daemon without a reply uses a share of its own, by the same code as for permits. Requests over the quota get 429, code 4019, and count neither for retry budgets nor for the load of keys.

Tests of permits, wire forms, repeated refusals, odd requests, forwarding and errors pass; the quotas themselves have no test in this commit.

--- a/src/skylarktrail/core/gateway/budget.py
+++ b/src/skylarktrail/core/gateway/budget.py
@@ -52,6 +52,8 @@
 class TokenBucket:
     """Token bucket with a rate and a burst, both in tokens.
 
+    Its level falls below 0 if more is consumed than it holds.
+
     Args:
         rate_per_s: Tokens added per second.
         burst: Maximum number of tokens.
@@ -84,6 +86,16 @@
         self._refill(now_ms)
         return self._tokens >= 1
 
+    def level(self, now_ms: float) -> float:
+        """Returns the number of tokens; negative for a deficit."""
+        self._refill(now_ms)
+        return self._tokens
+
+    def consume(self, count: float, now_ms: float) -> None:
+        """Consumes tokens, whether available or not; adds them if `count` < 0."""
+        self._refill(now_ms)
+        self._tokens = min(self.burst, self._tokens - count)
+
     def set_rate(self, rate_per_s: float, burst: float, now_ms: float) -> None:
         """Replaces rate and burst from now on."""
         self._refill(now_ms)
--- a/src/skylarktrail/core/gateway/permits.py
+++ b/src/skylarktrail/core/gateway/permits.py
@@ -16,12 +16,10 @@
 from typing import NamedTuple
 
 from .budget import TokenBucket
+from .own_share import OwnShare
 
 USED_RATIO = 0.9  # Fraction of the accepted rate for which permits are issued.
 BURST_S = 0.25  # Permits that may be saved up, as time at the rate.
-# Fraction of the accepted rate that daemons without the granter use together. Others
-# may get permits meanwhile, so the two together may exceed the rate for a while.
-OWN_SHARE_RATIO = 0.4
 # An instance that accepts no requests is probed, to notice when that changes.
 MIN_RATE_PER_S = 0.2
 PERMIT_TTL_MS = 250.0  # Longest time from the receipt of a permit to its use.
@@ -113,7 +111,7 @@
         self._ends_ms: deque[float] = deque()
         self._is_requested = False
         self._denied_until_ms = -math.inf
-        self._own_share: TokenBucket | None = None
+        self._own_share = OwnShare()
 
     def has_permit(self, now_ms: float) -> bool:
         """Returns whether a permit is left."""
@@ -150,10 +148,7 @@
 
     def take_own_share(self, per_s: float, daemon_count: int, now_ms: float) -> None:
         """Adds a permit of this daemon's own share, as the granter cannot be asked."""
-        share_per_s = max(MIN_RATE_PER_S, per_s) * OWN_SHARE_RATIO
-        rate_per_s = share_per_s / max(1, daemon_count)
-        if self._own_share is None:
-            self._own_share = TokenBucket(rate_per_s, 1.0, now_ms, tokens=0.0)
-        self._own_share.set_rate(rate_per_s, 1.0, now_ms)
-        count = 1 if self._own_share.try_acquire(now_ms) else 0
-        self.record_reply(IssuedPermits(count, self._own_share.wait_ms(now_ms)), now_ms)
+        own_share = self._own_share
+        rate_per_s = max(MIN_RATE_PER_S, per_s)
+        count = 1 if own_share.try_acquire(rate_per_s, daemon_count, now_ms) else 0
+        self.record_reply(IssuedPermits(count, own_share.wait_ms(now_ms)), now_ms)
--- a/src/skylarktrail/errors/caller.py
+++ b/src/skylarktrail/errors/caller.py
@@ -122,3 +122,10 @@
     "Send it faster; it has not run.",
     status=408,
 )
+QUOTA_EXCEEDED = declare(
+    4019,
+    "QUOTA_EXCEEDED",
+    "The customer has used up its quota.",
+    "Send it again after the time given; it has not run.",
+    status=429,
+)
--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -8,6 +8,7 @@
 from ..core.gateway.customers import Customer
 from ..core.gateway.fingerprints import make_fingerprint
 from ..core.gateway.model import Route
+from ..core.gateway.quota_gate import Refusal
 from ..core.gateway.ticket import Ticket
 from ..daemon.response import Response
 from ..daemon.routes import CallerRequest
@@ -70,6 +71,7 @@
         is_forwarded: Whether another daemon forwarded the request.
         earlier_run_count: Attempts of that daemon that an instance may have run.
         customer: Customer that sent the request; None if it is not known.
+        quota_refusal: Refusal for the quota; None unless it was refused for that.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self.is_forwarded = False
         self.earlier_run_count = 0
         self.customer: Customer | None = None
+        self.quota_refusal: Refusal | None = None
 
     @cached_property
     def fingerprint(self) -> str:
@@ -105,8 +108,9 @@
     def refusal_log_fields(self) -> dict[str, object]:
         """Returns the fields of the refusal in the request log."""
         refused = self.refused
+        reason = self.quota_refusal.reason if self.quota_refusal else ""
         return {
-            "why": refused.refusal_reason if refused else "",
+            "why": refused.refusal_reason if refused else reason,
             "backlog_ms": round(refused.backlog_ms, 1) if refused else 0.0,
             "admitted_part": round(refused.admitted_part, 2) if refused else 1.0,
         }
--- a/src/skylarktrail/gateway/job_maker.py
+++ b/src/skylarktrail/gateway/job_maker.py
@@ -28,7 +28,7 @@
     def make(
         self, request: CallerRequest, metadata: CallerMetadata, route: Route
     ) -> Job:
-        """Makes the job of a caller's request and counts it."""
+        """Makes the job of a caller's request; see also `count`."""
         service = self._site.choose_service(route)
         job = Job(request, metadata, route, service)
         if self._site.service(service).is_keyed:
@@ -38,11 +38,14 @@
         spent_ms = self._estimate_spent_ms(route, metadata)
         job.is_return = spent_ms > 0
         job.target_end_ms = job.start_ms + route.target_ms - spent_ms
-        self._site.record_first_attempt(service, job.start_ms)
-        if job.key_hash is not None:
-            self._site.count_key(service, job.key_hash)
         return job
 
+    def count(self, job: Job) -> None:
+        """Counts a caller's request for budgets and loads, unless over its quota."""
+        self._site.record_first_attempt(job.service, job.start_ms)
+        if job.key_hash is not None:
+            self._site.count_key(job.service, job.key_hash)
+
     def make_forwarded(
         self,
         request: CallerRequest,
--- a/src/skylarktrail/gateway/metrics.py
+++ b/src/skylarktrail/gateway/metrics.py
@@ -16,6 +16,11 @@
     "answers": ("Answers to callers, by route and status.", ("route", "status")),
     "refusals": ("Requests refused, by service and code.", ("service", "code")),
     "attempts": ("Attempts at instances, by outcome.", ("service", "outcome")),
+    "quota_requests": (
+        "Requests of customers with a quota, by customer and decision.",
+        ("customer", "decision"),
+    ),
+    "quota_reports": ("Reports of usage sent to the granter.", ()),
     "store_calls": ("Calls to the store, by call and outcome.", ("call", "outcome")),
     "lease_calls": ("Grants and releases, by outcome.", ("kind", "outcome")),
     "forwards": (
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -27,6 +27,7 @@
 from .job_maker import JobMaker
 from .metrics import GatewayMetrics
 from .outgoing import make_outgoing_request
+from .quota_keeper import QuotaKeeper
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
 from .refusals import make_refusal, refusal_code
@@ -52,6 +53,7 @@
         forwarder: Forwards requests to other daemons.
         reach_monitor: Decides whether this daemon reaches the instances.
         rate_limiter: Keeps the requests to an instance within the rate that it names.
+        quota_keeper: Keeps the requests of customers within their quotas.
         request_guard: Blocks requests that end the instances that run them.
         disconnect_monitor: Aborts requests whose callers disconnect.
         log: Receives a line for each request.
@@ -70,6 +72,7 @@
         forwarder: Forwarder,
         reach_monitor: ReachMonitor,
         rate_limiter: RateLimiter,
+        quota_keeper: QuotaKeeper,
         request_guard: RequestGuard,
         disconnect_monitor: DisconnectMonitor,
         log: EventLog,
@@ -81,6 +84,7 @@
         self._forwarder = forwarder
         self._reach_monitor = reach_monitor
         self._rate_limiter = rate_limiter
+        self._quota_keeper = quota_keeper
         self._request_guard = request_guard
         self._disconnect_monitor = disconnect_monitor
         self._metrics = metrics
@@ -153,10 +157,28 @@
             job = self._job_maker.make(request, metadata, route)
         else:
             job = self._job_maker.make_forwarded(request, metadata, route, state)
-        reply = self._refuse_blocked(job) or self._serve(job)
+        reply = self._serve_within_quota(job)
         self._recorder.record(job, reply)
         return reply
 
+    def _serve_within_quota(self, job: Job) -> Reply:
+        """Serves a request unless it is over the quota of its customer.
+
+        The daemon that forwards a request has counted it. One over the quota adds
+        nothing to retry budgets and loads.
+        """
+        if job.is_forwarded:
+            return self._refuse_blocked(job) or self._serve(job)
+        refusal = self._quota_keeper.acquire(job.customer, job.end_ms)
+        if refusal is not None:
+            job.quota_refusal = refusal
+            return make_refusal(caller_codes.QUOTA_EXCEEDED, refusal.wait_ms)
+        self._job_maker.count(job)
+        reply = self._refuse_blocked(job) or self._serve(job)
+        if isinstance(reply, Problem) and reply.outcome == fields.NOT_RUN:
+            self._quota_keeper.give_back(job.customer)
+        return reply
+
     def _refuse_blocked(self, job: Job) -> Problem | None:
         """Returns the refusal of a request that ends the instances that run it."""
         blocked_ms = self._request_guard.blocked_ms(job.fingerprint)
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -52,6 +52,7 @@
 from .metrics import GatewayMetrics
 from .operator_watcher import OperatorWatcher
 from .overload_broadcaster import OverloadBroadcaster
+from .quota_keeper import QuotaKeeper
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
 from .request_guard import RequestGuard
@@ -126,6 +127,9 @@
             GatewayOpenGrantsRequest, self._on_open_grants_request
         )
         self._rate_limiter = RateLimiter(self._site, self._messenger, self._log)
+        self._quota_keeper = QuotaKeeper(
+            self._site, self._messenger, self._log, self._metrics
+        )
         self._request_guard = RequestGuard(self._messenger, self._log)
         self._reach_monitor = ReachMonitor(
             self._site,
@@ -155,6 +159,7 @@
             forwarder,
             self._reach_monitor,
             self._rate_limiter,
+            self._quota_keeper,
             self._request_guard,
             self._disconnect_monitor,
             self._log,
@@ -339,6 +344,7 @@
             "load-report": LoadReporter(self._messenger, site).run_once,
             "load-teller": self._overload_broadcaster.run_once,
             "rate-limits": self._rate_limiter.run_once,
+            "quotas": self._quota_keeper.run_once,
             "request-guard": self._request_guard.run_once,
             "reachability": self._reach_monitor.run_once,
         }
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -9,6 +9,7 @@
 from ..core.gateway.model import HASH_COUNT, InstanceEntry
 from ..core.gateway.open_grants import OpenGrantReport
 from ..core.gateway.positions import OFFSET_BITS
+from ..core.gateway.quotas import QuotaGrant, QuotaUsage
 from ..core.gateway.ranges import OwnedRange
 from .messages import message
 
@@ -463,3 +464,57 @@
     def has_usable_values(self) -> bool:
         """Whether all values are within their ranges."""
         return is_count(self.era)
+
+
+def _is_usage(usage: QuotaUsage) -> bool:
+    return all(map(_is_amount, (usage.used, usage.returned, usage.wanted)))
+
+
+def _is_grant(grant: QuotaGrant) -> bool:
+    is_time = 0 <= grant.wait_ms <= MAX_EXACT_NUMBER
+    return is_time and 0 <= grant.granted <= MAX_PERMITS
+
+
+@message("gateway_quota_report")
+class GatewayQuotaReport(NamedTuple):
+    """A daemon reports the usage of customers, and asks the granter for credit.
+
+    Attributes:
+        usages: Customers with news since the last report.
+    """
+
+    usages: tuple[QuotaUsage, ...]
+
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return all(map(_is_usage, self.usages))
+
+
+@message("gateway_quota_reply")
+class GatewayQuotaReply(NamedTuple):
+    """Reply to a `GatewayQuotaReport`.
+
+    Attributes:
+        grants: Reply about each customer of the report.
+        metered: Names of other customers that are metered.
+    """
+
+    grants: tuple[QuotaGrant, ...]
+    metered: tuple[str, ...]
+
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return all(map(_is_grant, self.grants))
+
+
+@message("gateway_quota_states")
+class GatewayQuotaStates(NamedTuple):
+    """Metered customers, broadcast by the granter; no other customer is metered.
+
+    Attributes:
+        metered: Their names.
+    """
+
+    metered: tuple[str, ...]
--- a/tests/gateway/test_odd_requests.py
+++ b/tests/gateway/test_odd_requests.py
@@ -58,6 +58,8 @@
             blocked_ms=lambda fingerprint: 0.0,
             record_answer=lambda fingerprint: None,
             record_end=lambda end: None,
+            acquire=lambda customer, end_ms: None,
+            give_back=lambda customer: None,
         )
         self._router = GatewayRouter(
             self.site,
@@ -67,6 +69,7 @@
             nothing,
             nothing,
             nothing,
+            nothing,
             self.disconnect_monitor,
             EventLog("d1", io.StringIO()),
             GatewayMetrics(),
--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -150,6 +150,12 @@
     def observe(self, instance, per_s):
         """Ignores a limit."""
 
+    def acquire(self, customer, end_ms):
+        """Admits a request without a quota."""
+
+    def give_back(self, customer):
+        """Ignores a refusal."""
+
 
 def make_request(**added) -> CallerRequest:
     """Returns a caller's request."""
@@ -212,6 +218,7 @@
             Unused(),
             Unused(),
             Unused(),
+            Unused(),
             RequestGuard(),
             monitors[-1],
             EventLog("d1", io.StringIO()),
