--- a/src/skylarktrail/core/gateway/own_share.py
+++ b/src/skylarktrail/core/gateway/own_share.py
@@ -15,9 +15,14 @@
 
 
 class OwnShare:
-    """Token bucket with this daemon's share; it starts empty."""
+    """Token bucket with this daemon's share; it starts empty.
 
-    def __init__(self) -> None:
+    Args:
+        used: Tokens that were used before and that the share has to refill first.
+    """
+
+    def __init__(self, used: float = 0.0) -> None:
+        self._used = used
         self._bucket: TokenBucket | None = None
 
     def try_acquire(self, per_s: float, daemon_count: int, now_ms: float) -> bool:
@@ -30,7 +35,7 @@
         """
         rate_per_s = per_s * OWN_SHARE_RATIO / max(1, daemon_count)
         if self._bucket is None:
-            self._bucket = TokenBucket(rate_per_s, BURST, now_ms, tokens=0.0)
+            self._bucket = TokenBucket(rate_per_s, BURST, now_ms, -self._used)
         self._bucket.set_rate(rate_per_s, BURST, now_ms)
         return self._bucket.try_acquire(now_ms)
 
--- a/src/skylarktrail/core/gateway/quota_gate.py
+++ b/src/skylarktrail/core/gateway/quota_gate.py
@@ -19,9 +19,11 @@
 # Usage that is reported at once: a count, and a time at the daemon's part of the rate.
 REPORTED_COUNT = 2.0
 REPORTED_S = 0.25
-# Further usage that may be unconfirmed, as time at the whole rate. A customer may send
-# all its requests to one daemon, and the granter usually replies within 100 ms.
+# Further usage that may be unconfirmed, as time at the whole rate, since a customer may
+# send all its requests to one daemon. None is allowed if the reply is late, as the
+# granter may be lost.
 UNCONFIRMED_S = 0.1
+LATE_REPLY_MS = 100.0
 RECENT_MS = 500.0  # Credit is wanted in advance for what was used within this time.
 CREDIT_TTL_MS = 1000.0
 
@@ -118,10 +120,12 @@
     Attributes:
         usages: What it reports.
         waiting: Names of the customers whose requests wait for the reply.
+        sent_ms: When it was sent.
     """
 
     usages: list[QuotaUsage]
     waiting: frozenset[str]
+    sent_ms: float
 
 
 class QuotaGate:
@@ -190,7 +194,7 @@
         waiting = frozenset(item.customer.name for item in news if item.waiting)
         for item in news:
             item.unconfirmed, item.unreported, item.returned = item.unreported, 0, 0
-        self._sent = _SentReport(usages, waiting)
+        self._sent = _SentReport(usages, waiting, now_ms)
         return usages
 
     def record_reply(
@@ -206,8 +210,6 @@
         grants = list(grants)
         sent = self._pop_sent()
         self.uses_own_share = False
-        for usage in self._usages.values():
-            usage.own_share = OwnShare()
         for grant in grants:
             usage = self._usages.get(grant.customer)
             if usage is not None:
@@ -231,7 +233,15 @@
         self.use_own_share(now_ms)
 
     def use_own_share(self, now_ms: float) -> None:
-        """Decides by this daemon's own share until the granter replies."""
+        """Decides by this daemon's own share until the granter replies.
+
+        Usage that the granter may not know is deducted from the share, other than the
+        little that calm customers have.
+        """
+        if not self.uses_own_share:
+            for usage in self._usages.values():
+                excess = max(0.0, usage.unreported - self._report_limit(usage))
+                usage.own_share = OwnShare(excess)
         self.uses_own_share = True
         self._decide_waiting(now_ms)
 
@@ -269,7 +279,7 @@
         sent, self._sent = self._sent, None
         for usage in self._usages.values():
             usage.unconfirmed = 0
-        return sent or _SentReport([], frozenset())
+        return sent or _SentReport([], frozenset(), 0.0)
 
     def _is_urgent(self, usage: _Usage) -> bool:
         return bool(usage.waiting) or usage.unreported > self._report_limit(usage)
@@ -291,7 +301,7 @@
             usage.admit(ticket, "credited", now_ms)
         elif self.uses_own_share:
             self._decide_by_own_share(usage, ticket, now_ms)
-        elif not usage.is_metered and self._has_room(usage):
+        elif not usage.is_metered and self._has_room(usage, now_ms):
             usage.count(ticket, "counted", now_ms)
         elif usage.is_metered and now_ms < usage.denied_until_ms:
             usage.refuse(ticket, usage.room_ms - now_ms, "quota")
@@ -299,8 +309,11 @@
             return False
         return True
 
-    def _has_room(self, usage: _Usage) -> bool:
-        limit = self._report_limit(usage) + UNCONFIRMED_S * usage.customer.rate_per_s
+    def _has_room(self, usage: _Usage, now_ms: float) -> bool:
+        """Returns whether a request may be counted without credit."""
+        limit = self._report_limit(usage) + 1
+        if self._sent is None or now_ms - self._sent.sent_ms < LATE_REPLY_MS:
+            limit += UNCONFIRMED_S * usage.customer.rate_per_s
         return usage.unreported + usage.unconfirmed < limit
 
     def _decide_by_own_share(
