--- a/src/skylarktrail/errors/caller.py
+++ b/src/skylarktrail/errors/caller.py
@@ -136,3 +136,10 @@
     "Try again after the time given, or at another daemon.",
     status=503,
 )
+QUOTA_EXCEEDED = declare(
+    4019,
+    "QUOTA_EXCEEDED",
+    "The customer has used up its quota.",
+    "Send it again after the time given; it has not run.",
+    status=429,
+)
--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -8,6 +8,7 @@
 from ..core.gateway.customers import Customer
 from ..core.gateway.fingerprints import make_fingerprint
 from ..core.gateway.model import Route
+from ..core.gateway.quota_gate import Refusal
 from ..core.gateway.ticket import Ticket
 from ..daemon.response import Response
 from ..daemon.routes import CallerRequest
@@ -72,6 +73,7 @@
         customer: Customer that sent the request; None if it is not known.
         is_key_checked: Whether the configuration has customers, so that the daemon
             sets the header fields with the API key and the customer itself.
+        quota_refusal: Refusal for the quota; None unless it was refused for that.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         self.earlier_run_count = 0
         self.customer: Customer | None = None
         self.is_key_checked = False
+        self.quota_refusal: Refusal | None = None
 
     @cached_property
     def fingerprint(self) -> str:
@@ -108,8 +111,9 @@
     def refusal_log_fields(self) -> dict[str, object]:
         """Returns the fields of the refusal in the request log."""
         refused = self.refused
+        reason = self.quota_refusal.reason if self.quota_refusal else ""
         return {
-            "why": refused.refusal_reason if refused else "",
+            "why": refused.refusal_reason if refused else reason,
             "backlog_ms": round(refused.backlog_ms, 1) if refused else 0.0,
             "admitted_part": round(refused.admitted_part, 2) if refused else 1.0,
         }
