--- a/tests/daemon/test_exchange.py
+++ b/tests/daemon/test_exchange.py
@@ -213,3 +213,26 @@
 def test_response_that_mixes_two_is_broken(start_backend, head):
     server = start_backend(respond_once(OK, head, b"\r\n", b"4\r\nfish\r\n0\r\n\r\n"))
     assert exchange_once(server.address).outcome is Outcome.BROKEN
+
+
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+def test_body_of_a_response_without_one_is_not_the_next_answer(start_backend, status):
+    """The body arrived late, was taken for a response, and answered another request."""
+    body = OK + b"Content-Length: 4\r\n\r\nfish"
+    head = b"Skylark-Request-Id: r1\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    def script(connection, number):
+        if number == 1:
+            read_request(connection)
+            connection.sendall(b"HTTP/1.1 %s\r\n%s" % (status, head))
+        while read_request(connection):
+            connection.sendall(
+                body if number == 1 else OK + b"Content-Length: 0\r\n\r\n"
+            )
+
+    server = start_backend(script)
+    pool = make_pool(server.address, 1)
+    first = exchange(pool, make_request("r1"), now_ms() + 2000, AbortHandle())
+    assert first.complete_response.body == b""
+    second = exchange(pool, make_request("r2"), now_ms() + 2000, AbortHandle())
+    assert second.complete_response.body == b""
