fix: a status outside 200 to 599 is no response

h11 accepts statuses up to 999, http.client also whatever int() reads, and it takes each interim status but 100 for a final one. An instance in trouble could thus send its caller a status that means nothing.

response_status.py has the rule for all readers: a final status is 200 to 599, up to eight interim ones other than 101 precede it. gateway/exchange.py reports anything else as INSTANCE_GARBLED. http_pools.py raises BadStatusLine, so that each reader on urllib3 sees a broken exchange and the connection is closed.

http_pools.py also closes the connection after a 204 or 304 that announces a body, which may arrive later. The gateway needs no change there: its responses have to name their request. waitress sends callers no body and no Content-Length with 204 and 304.

--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -14,13 +14,13 @@
 from ..errors import upstream as codes
 from ..errors.code import Fault
 from ..receive_budget import ReceiveBudget, Reservation
+from ..response_status import MAX_INTERIM_RESPONSES, is_final
 from .clock import now_ms
 
 RECEIVE_BYTES = 1 << 16
 CONNECT_TIMEOUT_MS = 400.0
 # Responses to earlier requests that are skipped before the exchange fails.
 MAX_STRAY_RESPONSES = 3
-MAX_INFORMATIONAL_RESPONSES = 8  # Interim responses (1xx) before a final one.
 # A server in trouble may send bytes without end; whole responses are kept in memory.
 MAX_RESPONSE_BODY_BYTES = 16 << 20
 # Failed requests that a connection remembers; it is closed rather than forget one.
@@ -317,7 +317,7 @@
         fields: Fields = []
         body: list[bytes] = []  # Pieces, as a growing buffer would be copied often.
         size_bytes = 0
-        informational_count = 0
+        interim_count = 0
         is_open = True
         while True:
             event = parser.next_event()
@@ -329,10 +329,12 @@
                 parser.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                if not is_final(status):
+                    raise h11.RemoteProtocolError(f"status {status}")
                 fields = [(n.decode(), v.decode("latin-1")) for n, v in event.headers]
             elif isinstance(event, h11.InformationalResponse):
-                informational_count += 1
-                if informational_count > MAX_INFORMATIONAL_RESPONSES:
+                interim_count += 1
+                if interim_count > MAX_INTERIM_RESPONSES:
                     raise h11.RemoteProtocolError("too many interim responses")
             elif isinstance(event, h11.Data):
                 size_bytes += len(event.data)
--- a/src/skylarktrail/http_pools.py
+++ b/src/skylarktrail/http_pools.py
@@ -1,9 +1,11 @@
-"""Connection pools of urllib3 for answers that are whole, bounded and no copies.
+"""Connection pools of urllib3 for answers that are whole, valid, bounded and no copies.
 
 `http.client` takes the end of a connection within a head, a chunk's size or a trailer
 for the end of that part, and some of its reads return less than the length in the head.
-Here each of these raises, so that urllib3 reports a `ProtocolError`. The read timeout
-of a call bounds its whole response, see `response_bounds`. All HTTP clients that use
+Here each of these raises, so that urllib3 reports a `ProtocolError`. It also takes
+"+200" and 999 for statuses, and each interim status but 100 for a final one; here, a
+status outside 200 to 599 is no response, see `response_status`. The read timeout of a
+call bounds its whole response, see `response_bounds`. All HTTP clients that use
 urllib3 take their pools from this module. A connection carries no further call after a
 response without a 2xx status, as that might be sent once more.
 """
@@ -12,6 +14,7 @@
 
 import http.client
 import io
+import re
 from functools import partial
 from typing import Any
 
@@ -19,17 +22,25 @@
 from urllib3.connection import HTTPConnection
 
 from .response_bounds import BoundedReader, ResponseBounds, ResponseTooLongError
+from .response_status import MAX_INTERIM_RESPONSES, is_final, is_interim
 
 DEFAULT_BOUNDS = ResponseBounds(max_bytes=16 << 20)
+BODILESS_STATUSES = frozenset((204, 304))
+_STATUS_LINE = re.compile(rb"HTTP/\S+\s+[0-9]{3}\s")
 
 
 class _WholeLineReader(io.BufferedReader):
-    """Reads an answer, all lines of which must be whole once it has begun."""
+    """Reads an answer, all lines of which must be whole once it has begun.
+
+    Attributes:
+        last_line: The line that was read last.
+    """
 
     def __init__(self, raw: io.RawIOBase, max_bytes: int) -> None:
         super().__init__(raw)
         self._max_bytes = max_bytes
         self._has_begun = False
+        self.last_line = b""
 
     def read(self, size: int | None = -1) -> bytes:
         """Reads up to `size` bytes, which takes that much memory at once.
@@ -53,11 +64,12 @@
         if is_cut and (line or self._has_begun):
             raise http.client.IncompleteRead(line)
         self._has_begun = True
+        self.last_line = line
         return line
 
 
 class WholeResponse(http.client.HTTPResponse):
-    """A response that raises `IncompleteRead` where it was cut.
+    """A response that raises `IncompleteRead` where it was cut, and has a valid status.
 
     Args:
         bounds: Bounds of the response.
@@ -79,6 +91,36 @@
         reader = BoundedReader(self.fp.detach(), sock, bounds, timeout_s)
         self.fp = _WholeLineReader(reader, bounds.max_bytes)
 
+    def begin(self) -> None:
+        """Reads the head.
+
+        Bytes of a body that the status excludes may arrive later. The connection is not
+        used again, or they would be read as the next response.
+
+        Raises:
+            http.client.BadStatusLine: The response has no valid final status.
+        """
+        super().begin()
+        if self.status in BODILESS_STATUSES and self._announces_body():
+            self.will_close = True
+
+    def _announces_body(self) -> bool:
+        length = self.headers.get("content-length", "0")
+        return length != "0" or "transfer-encoding" in self.headers
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Reads status lines up to one that is not interim; called by `begin`."""
+        for _ in range(1 + MAX_INTERIM_RESPONSES):
+            version, status, reason = super()._read_status()
+            line = self.fp.last_line
+            is_well_formed = _STATUS_LINE.match(line) is not None
+            if is_well_formed and is_final(status):
+                return version, status, reason
+            if not (is_well_formed and is_interim(status)):
+                raise http.client.BadStatusLine(repr(line))
+            http.client.parse_headers(self.fp)
+        raise http.client.BadStatusLine("too many interim responses")
+
     def read(self, amt: int | None = None) -> bytes:
         """Reads up to `amt` bytes; fewer only if the response has no more.
 
