feat: skylarkctl check warns of entries without effect, and compares with the log

A valid operator file may hold fields that do nothing, such as a hedge budget of a keyed service, or limits that contradict each other, such as a budget of extra attempts with a burst below 1. Nothing named them before the file was published.

config/operator_warnings.py finds them, with the codes 1300 to 1304. They are no faults, as is_valid decides on each daemon whether a file comes in force. `check` prints them and keeps the exit status for faults. With `--log` it shows what the file changes in the version in force and reports forbidden changes as faults; the comparison is shared with `diff` in ctl/differences.py. Without an answer of the log the status is 3.

--- a/src/skylarktrail/config/reference.py
+++ b/src/skylarktrail/config/reference.py
@@ -15,7 +15,8 @@
 every fault of an operator file, `skylarkctl check --settings FILE` those of a daemon's
 settings; `skylarkctl schema NAME` prints the schema `operator-file`, `settings` or
 `gateway-settings`. Rules that JSON Schema cannot express have the codes 1100 to 1204 in
-[errors.md](errors.md).
+[errors.md](errors.md). The codes from 1300 on are warnings: entries without an effect
+and limits that contradict each other. A file with warnings may be published.
 
 - A whole number is written without a fraction: 256, not 256.0.
 - A name has 1 to 63 of the characters a-z, 0-9, `.` and `-`, and begins with a letter
--- a/src/skylarktrail/ctl/arguments.py
+++ b/src/skylarktrail/ctl/arguments.py
@@ -56,14 +56,22 @@
     return value
 
 
-def add_log_arguments(parser: argparse.ArgumentParser) -> None:
-    """Adds the arguments that choose the platform's log and its adapter."""
-    parser.add_argument(
+def add_log_arguments(
+    parser: argparse.ArgumentParser,
+    alternatives: argparse._MutuallyExclusiveGroup | None = None,
+) -> None:
+    """Adds the arguments that choose the platform's log and its adapter.
+
+    Args:
+        parser: The parser of the command.
+        alternatives: Options that exclude --log, which is optional then.
+    """
+    (alternatives or parser).add_argument(
         "--log",
         metavar="ADDRESS",
         type=address,
         nargs="+",
-        required=True,
+        required=alternatives is None,
         help="addresses of the platform's log",
     )
     parser.add_argument(
--- a/src/skylarktrail/ctl/commands/diff.py
+++ b/src/skylarktrail/ctl/commands/diff.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import json
 from argparse import ArgumentParser, Namespace
 
-from ...config.changes import Change, check_change, diff
 from ...config.operator_file import check_operator_file
 from ...errors.code import Fault
 from ..arguments import read_json_file
+from ..differences import compare
 from ..exit_codes import ExitCode
 from ..registry import Report, command
 from ..report import fault_to_json, format_faults, report_faults
 
-VALUE_WIDTH = 60
-
 
 def _add_arguments(parser: ArgumentParser) -> None:
     parser.add_argument("old", metavar="OLD", help="file in force")
@@ -45,27 +42,14 @@
 
 
 def _report_differences(old: dict, new: dict) -> Report:
-    changes, faults = diff(old, new), check_change(old, new)
+    differences = compare(old, new)
+    faults = differences.faults
     data = {
-        "changes": [change._asdict() for change in changes],
+        "changes": differences.changes_to_json(),
         "faults": [fault_to_json(fault) for fault in faults],
     }
-    lines = [_format_change(change) for change in changes] or ["no difference"]
+    lines = [differences.format_changes()]
     if faults:
         lines.append(format_faults(faults))
     exit_code = ExitCode.FAULTS if faults else ExitCode.OK
     return Report(exit_code, data, "\n".join(lines))
-
-
-def _format_change(change: Change) -> str:
-    values = {
-        "added": f"added {_shorten(change.after)}",
-        "removed": f"removed {_shorten(change.before)}",
-        "changed": f"{_shorten(change.before)} -> {_shorten(change.after)}",
-    }
-    return f"{change.path}: {values[change.action]}\n    {change.effect}"
-
-
-def _shorten(value: object) -> str:
-    text = json.dumps(value)
-    return text if len(text) <= VALUE_WIDTH else text[: VALUE_WIDTH - 3] + "..."
--- a/src/skylarktrail/ctl/exit_codes.py
+++ b/src/skylarktrail/ctl/exit_codes.py
@@ -9,7 +9,7 @@
     """How a command ended.
 
     Attributes:
-        OK: The command did what was asked.
+        OK: The command did what was asked; a file may have warnings.
         FAULTS: A file has faults, or the publication was a conflict.
         USAGE: The command line is wrong.
         NO_ANSWER: The platform or a daemon did not respond; nothing was changed.
@@ -26,7 +26,7 @@
 
 
 EXIT_HELP = (
-    "exit status: 0 done; 1 faults in a file, or a conflict; 2 wrong command line; "
-    "3 no answer, nothing was changed; 4 sent, fate not known yet; "
-    "5 accepted, not in force everywhere yet"
+    "exit status: 0 done, with warnings or without; 1 faults in a file, or a conflict; "
+    "2 wrong command line; 3 no answer, nothing was changed; "
+    "4 sent, fate not known yet; 5 accepted, not in force everywhere yet"
 )
--- a/src/skylarktrail/errors/settings.py
+++ b/src/skylarktrail/errors/settings.py
@@ -245,3 +245,33 @@
     "The skew of idempotency keys in force cannot change.",
     "Keep idempotency.skew_ms: homes judge old keys by it.",
 )
+TENANTS_NONE = declare(
+    1300,
+    "TENANTS_NONE",
+    "The file has no tenant, so each request to its services is refused.",
+    "Add a tenant.",
+)
+POLICY_FIELD_UNUSED = declare(
+    1301,
+    "POLICY_FIELD_UNUSED",
+    "A field of a policy has no effect because of another field.",
+    "Remove the field, or change the other one.",
+)
+QUEUE_UNUSED = declare(
+    1302,
+    "QUEUE_UNUSED",
+    "Requests may queue but may not wait, so none does.",
+    "Raise policy.queue_wait_ms, or set policy.queue_limit to 0.",
+)
+WAIT_OVER_DEADLINE = declare(
+    1303,
+    "WAIT_OVER_DEADLINE",
+    "Requests may wait for longer than their longest deadline.",
+    "Lower policy.queue_wait_ms to below max_deadline_ms.",
+)
+BUDGET_WITHOUT_BURST = declare(
+    1304,
+    "BUDGET_WITHOUT_BURST",
+    "A budget of extra attempts that saves up less than one allows none.",
+    "Set policy.retry_burst to at least 1, or policy.retry_budget_percent to 0.",
+)
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -7,6 +7,7 @@
 import pytest
 
 from skylarktrail.core.traffic.messages import InstanceStatus, ServiceStatus
+from skylarktrail.ctl.commands import check as check_command
 from skylarktrail.ctl.commands import fetch as fetch_command
 from skylarktrail.ctl.commands import publish as publish_command
 from skylarktrail.ctl.run import main
@@ -288,6 +289,67 @@
     assert fetch()[0] == EXIT_STATUSES["no_answer"]
 
 
+@pytest.fixture
+def check(run_json, log, monkeypatch):
+    """Returns a function that runs `check --log` against the in-memory log."""
+    monkeypatch.setattr(check_command, "make_log_client", lambda name, addresses: log)
+    return lambda path: run_json("check", path, "--log", "127.0.0.1:1")
+
+
+def test_check_reports_warnings_without_a_failure(run, run_json, pecera, write_file):
+    pecera["services"][1]["policy"]["retry_burst"] = 0
+    path = write_file(pecera)
+    status, data = run_json("check", path)
+    assert (status, data["faults"]) == (EXIT_STATUSES["ok"], [])
+    assert [warning["code"] for warning in data["warnings"]] == [1304]
+    assert data["warnings"][0]["path"] == "$.services[1].policy.retry_burst"
+    assert "warning: E1304 BUDGET_WITHOUT_BURST" in run("check", path)[1]
+
+
+def test_check_compares_with_the_file_in_force(
+    publish, check, pecera, pecera_path, write_file
+):
+    status, data = check(pecera_path)
+    assert (status, data["revision"]) == (EXIT_STATUSES["ok"], 0)
+    assert {change["action"] for change in data["changes"]} == {"added"}
+    publish(pecera_path, "--base", "0")
+    assert check(pecera_path)[1]["changes"] == []
+    pecera["zones"][1]["state"] = "out"
+    status, data = check(write_file(pecera))
+    assert (status, data["revision"]) == (EXIT_STATUSES["ok"], 1)
+    assert [change["path"] for change in data["changes"]] == ["zones.alajuela.state"]
+
+
+def test_check_refuses_a_forbidden_change(
+    publish, check, pecera, pecera_path, write_file
+):
+    publish(pecera_path, "--base", "0")
+    pecera["services"][0]["granter_groups"] = 4
+    status, data = check(write_file(pecera))
+    assert status == EXIT_STATUSES["faults"]
+    assert data["faults"][0]["name"] == "GROUPS_FIXED"
+
+
+def test_check_without_a_response_from_the_log(check, log, pecera, write_file):
+    """The warnings are reported nevertheless, as they need no log."""
+    pecera["services"][1]["policy"]["retry_burst"] = 0
+    log.failing_read_count = 1
+    status, data = check(write_file(pecera))
+    assert (status, len(data["faults"])) == (EXIT_STATUSES["no_answer"], 1)
+    assert len(data["warnings"]) == 1 and "changes" not in data
+
+
+def test_check_of_a_faulty_file_reads_no_log(check, log, write_file):
+    log.failing_read_count = 1
+    assert check(write_file({}))[0] == EXIT_STATUSES["faults"]
+    assert log.failing_read_count == 1
+
+
+def test_check_compares_no_settings(run, pecera_path):
+    arguments = ["check", pecera_path, "--settings", "--log", "127.0.0.1:1"]
+    assert run(*arguments)[0] == EXIT_STATUSES["usage"]
+
+
 def test_publish_with_no_log_at_the_address(run_json, pecera_path):
     arguments = ["--log", "127.0.0.1:9", "--base", "0", "--timeout-s", "0.1"]
     status, data = run_json("publish", pecera_path, *arguments)
