--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -95,6 +95,7 @@
             of both and the target's own address. Lets a caller insert a proxy.
         gateway_module: Module that runs a gateway.
         first_era: First era of the store; None for that of the stand-in.
+        bounds: Bounds in the settings of the gateways; None for the defaults.
     """
 
     def __init__(
@@ -105,8 +106,10 @@
         route: Callable[[str, str, str], str] = lambda source, target, address: address,
         gateway_module: str = "skylarktrail",
         first_era: int | None = None,
+        bounds: dict[str, float] | None = None,
     ) -> None:
         self._output_dir = directory
+        self._bounds = bounds or {}
         self._gateway_module = gateway_module
         self._ports = Ports()
         self._route = route
@@ -235,6 +238,7 @@
         key: int | None = None,
         keep_alive: bool = True,
         path: str = "/x",
+        api_key: str = "",
     ) -> GatewayResponse:
         """Sends a request of a client through a gateway.
 
@@ -244,6 +248,7 @@
             key: Key of a keyed request; random by default.
             keep_alive: Whether the connection may be reused.
             path: Path after the route's prefix.
+            api_key: Key of a customer; empty for none.
         """
         request_id = f"{self.random.getrandbits(64):016x}"
         headers = {
@@ -254,6 +259,8 @@
         if kind.is_keyed:
             key_number = self.random.randrange(KEY_COUNT) if key is None else key
             headers["Shard-Key"] = str(key_number)
+        if api_key:
+            headers["Authorization"] = f"Bearer {api_key}"
         if not keep_alive:
             headers["Connection"] = "close"
         method = "GET" if kind.is_idempotent else "POST"
@@ -356,6 +363,7 @@
             "forward_address": self._ports.address(),
             "store": {"address": self._route(name, "store", self.store_address)},
             "first_start": True,
+            "bounds": self._bounds,
         }
         self.gateway_settings[name] = settings
         path = self.settings_path(name)
--- a/src/skylarktrail/gateway/forwarding.py
+++ b/src/skylarktrail/gateway/forwarding.py
@@ -47,6 +47,8 @@
         caller_codes.CONFIG_UNCONFIRMED,
     )
 )
+# Fields of another daemon's refusal that go to the caller, in lower case.
+KEPT_FIELDS = frozenset(("www-authenticate",))
 Reply = Response | Problem
 
 
@@ -301,6 +303,7 @@
         fields.NOT_RUN if outcome == fields.NOT_RUN else fields.UNKNOWN,
         retry_after_ms=retry_after_ms if _is_number(retry_after_ms) else None,
         has_fractional_retry_after=True,
+        added_headers=tuple(item for item in headers.items() if item[0] in KEPT_FIELDS),
     )
 
 
--- a/standins/platform/instance.py
+++ b/standins/platform/instance.py
@@ -118,6 +118,12 @@
     return remainders
 
 
+def _describe_customer(request: Request) -> str:
+    """Returns what a request says of its customer; empty if it says nothing."""
+    customer, api_key = request.header("Tenant"), request.header("Authorization")
+    return (f" for {customer}" if customer else "") + (" with a key" if api_key else "")
+
+
 class Instance:
     """One instance, which runs requests and counts them by request id."""
 
@@ -251,7 +257,8 @@
             ("Request-Id", name),
             ("Response-Signature", f"{self._name}.1"),
         )
-        response = self._make_response(200, f"{name} by {self._name}".encode(), headers)
+        body = f"{name} by {self._name}{_describe_customer(request)}".encode()
+        response = self._make_response(200, body, headers)
         return response._replace(is_truncated=self._consume_lost_response())
 
     def _consume_lost_response(self) -> bool:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -189,6 +189,15 @@
     assert find_lines(data, "tenant") == []
 
 
+def test_unknown_key_is_passed_on_with_the_scheme(make_setup):
+    refusal = make_problem_response(caller_codes.API_KEY_UNKNOWN)
+    refusal = refusal.replace(b"\r\n", b"\r\nWWW-Authenticate: Bearer\r\n", 1)
+    setup = make_setup(refusal)
+    reply = setup.forward(setup.make_job())
+    assert reply.code is caller_codes.API_KEY_UNKNOWN
+    assert reply.added_headers == (("www-authenticate", "Bearer"),)
+
+
 def test_fields_are_passed_on_if_there_are_no_customers(make_setup):
     setup = make_setup(ANSWER)
     job = setup.make_job()
