--- a/standins/platform/instance.py
+++ b/standins/platform/instance.py
@@ -143,6 +143,7 @@
             lost_share=0.0,
             rate_limit_per_s=0.0,
             grant_delay_ms=0.0,
+            response_bytes=0,
         )
         self._loss_accumulator = 0.0
         route = self.application.route
@@ -251,7 +252,9 @@
             ("Request-Id", name),
             ("Response-Signature", f"{self._name}.1"),
         )
-        response = self._make_response(200, f"{name} by {self._name}".encode(), headers)
+        body = f"{name} by {self._name}".encode()
+        body = body.ljust(self.controls["response_bytes"])
+        response = self._make_response(200, body, headers)
         return response._replace(is_truncated=self._consume_lost_response())
 
     def _consume_lost_response(self) -> bool:
