feat: one budget for what callers make a daemon hold

Cause: bodies that stop short of their end, and responses that callers do not read, were bound one by one only; each body was held three times on its way to an instance.

--- a/src/skylarktrail/config/gateway_settings.py
+++ b/src/skylarktrail/config/gateway_settings.py
@@ -48,6 +48,22 @@
     lease_max_ms: float = 10_000.0
 
 
+class ClientSettings(NamedTuple):
+    """Bounds on what callers bind in the process.
+
+    Attributes:
+        held_bytes: Memory that all callers together make the process hold; 0 to
+            derive it from the memory of the process.
+        stall_ms: How long a caller may neither send nor read inside a request or
+            response.
+        linger_ms: How long a refused caller may go on sending.
+    """
+
+    held_bytes: int = 0
+    stall_ms: int = 15_000
+    linger_ms: int = 2000
+
+
 class GatewaySettings(NamedTuple):
     """Everything that a gateway daemon knows before it reads the store.
 
@@ -69,6 +85,7 @@
         leases: Durations of leases.
         first_start: Whether the whole site starts for the first time.
         memory_mb: Memory that the process may use, megabytes.
+        clients: Bounds on what callers bind.
     """
 
     daemon: str
@@ -86,6 +103,7 @@
     leases: LeaseTimings = LeaseTimings()
     first_start: bool = False
     memory_mb: float = DEFAULT_MEMORY_MB
+    clients: ClientSettings = ClientSettings()
 
 
 def is_gateway(document: Any) -> bool:
@@ -106,6 +124,7 @@
     if "processors" in document:
         fields["processors"] = math.prod(document["processors"])
     fields["store"] = StoreSettings(**document["store"])
+    fields["clients"] = ClientSettings(**document.get("clients", {}))
     fields["bounds"] = bounds = SiteBounds(**document.get("bounds", {}))
     leases = _make_leases(document.get("leases", {}), bounds)
     fields["leases"] = leases
--- a/src/skylarktrail/config/settings.py
+++ b/src/skylarktrail/config/settings.py
@@ -101,6 +101,10 @@
         idempotency_entries: Largest number of recorded outcomes.
         idempotency_answer_bytes: Largest response that is recorded with its outcome.
         label_values: Largest number of distinct values of one metric label.
+        caller_bytes: Memory that all callers together make the process hold; 0 to
+            derive it from the memory of a process.
+        stall_ms: How long a caller may neither send nor read inside a request or
+            response.
     """
 
     body_bytes: int = 1 << 20
@@ -110,6 +114,8 @@
     idempotency_entries: int = 20_000
     idempotency_answer_bytes: int = 64 << 10
     label_values: int = 64
+    caller_bytes: int = 0
+    stall_ms: int = 15_000
 
 
 class Settings(NamedTuple):
--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -6,11 +6,9 @@
 from typing import Any, Callable, Iterable, Protocol
 
 from absl import logging
-from waitress.parser import ParsingError
 from waitress.server import BaseWSGIServer, create_server
 from waitress.task import ErrorTask, WSGITask
 from waitress.utilities import (
-    BadRequest,
     Error,
     InternalServerError,
     RequestEntityTooLarge,
@@ -18,22 +16,28 @@
     ServerNotImplemented,
 )
 
+from ..caller_budget import make_caller_budget
+from ..config.gateway_settings import ClientSettings
 from ..config.settings import LimitSettings
 from ..errors import caller as codes
 from ..errors.code import Code
+from ..receive_budget import DEFAULT_MEMORY_MB
 from . import fields
+from .bounded_channel import BoundedChannel
+from .caller_guard import CallerGuard
+from .caller_parser import BodiesFull, FramingError
 from .clock import now_ms
+from .connection_watch import CHECK_INTERVAL_S, watch_connections
 from .metric_names import OTHER_LABEL
 from .problem import Problem
 from .response import Response
 from .routes import CallerRequest
 from .thread_pool import GrowingDispatcher
-from .timed_parser import RequestTooSlow, TimedChannel, TimedParser
+from .timed_parser import RequestTooSlow
 
 REASON_PHRASES = {200: "OK", 201: "Created", 202: "Accepted", 204: "No Content"}
-CONTENT_LENGTH = "CONTENT_LENGTH"
-TRANSFER_ENCODING = "TRANSFER_ENCODING"
-MEMORY_BUFFER_BYTES = 64 << 20
+MEMORY_BUFFER_BYTES = 1 << 40  # Above each body: VMs have no disks for temporary files.
+BODIES_FULL_RETRY_MS = 1000.0
 Reply = Response | Problem
 
 
@@ -51,17 +55,15 @@
         """Counts one refused request."""
 
 
-class FramingError(BadRequest):
-    """The end of a request cannot be determined reliably."""
-
-
 PARSER_ERROR_CODES: dict[type[Error], Code] = {
     FramingError: codes.FRAMING_BAD,
     RequestEntityTooLarge: codes.BODY_TOO_LARGE,
     RequestHeaderFieldsTooLarge: codes.FIELDS_TOO_LARGE,
     ServerNotImplemented: codes.FRAMING_BAD,
     RequestTooSlow: codes.REQUEST_TOO_SLOW,
+    BodiesFull: codes.BODIES_FULL,
 }
+RETRY_AFTER_MS = {codes.BODIES_FULL: BODIES_FULL_RETRY_MS}
 
 
 def to_problem(error: Error) -> Problem:
@@ -73,46 +75,7 @@
     if isinstance(error, InternalServerError):
         return Problem(codes.FAILED_INSIDE, fields.UNKNOWN)
     code = PARSER_ERROR_CODES.get(type(error), codes.REQUEST_MALFORMED)
-    return Problem(code, fields.NOT_RUN, str(error.body))
-
-
-class CallerParser(TimedParser):
-    """Refuses requests whose framing other HTTP parsers may read differently.
-
-    Such requests allow request smuggling.
-    """
-
-    def received(self, data: bytes) -> int:
-        """Parses bytes of the request; returns how many of them belong to it."""
-        is_in_body = self.body_rcv is not None
-        consumed = super().received(data)
-        is_generic_error = type(self.error) is BadRequest
-        if is_generic_error and (is_in_body or self._has_bad_framing()):
-            self.error = FramingError(self.error.body)
-        return consumed
-
-    def parse_header(self, header_plus: bytes) -> None:
-        """Parses the request line and the header fields.
-
-        Raises:
-            ParsingError: They are malformed, or give the length of the body twice.
-        """
-        try:
-            super().parse_header(header_plus)
-        except ValueError as error:
-            raise ParsingError("Bad URI") from error
-        if not self.request_uri.isprintable():  # No target may have control characters.
-            raise ParsingError("Bad URI")
-        if TRANSFER_ENCODING in self.headers:
-            raise ParsingError("Transfer-Encoding needs HTTP/1.1")
-        if self.chunked and CONTENT_LENGTH in self.headers:
-            raise ParsingError("Content-Length and Transfer-Encoding")
-
-    def _has_bad_framing(self) -> bool:
-        """Returns whether the header fields that frame the body are invalid."""
-        length = self.headers.get(CONTENT_LENGTH, "0")
-        is_length = length.isascii() and length.isdigit()
-        return self.chunked or TRANSFER_ENCODING in self.headers or not is_length
+    return Problem(code, fields.NOT_RUN, str(error.body), RETRY_AFTER_MS.get(code))
 
 
 class ProblemError:
@@ -132,6 +95,7 @@
 
     def execute(self) -> None:
         """Sends the problem details and counts the refusal."""
+        self.channel.mark_refused()
         problem = to_problem(self.request.error)
         self.request.error = ProblemError(problem)
         self.channel.app.count_refusal(problem.code)
@@ -158,22 +122,24 @@
             super().finish()
 
 
-class ProblemChannel(TimedChannel):
+class ProblemChannel(BoundedChannel):
     """A caller's connection whose parser errors are sent as problem details.
 
     Args:
         app: Counts the refusals.
+        guard: Bounds of all connections.
         args: Positional arguments of the library's channel.
         kwargs: Keyword arguments of the library's channel.
     """
 
-    parser_class = CallerParser
     task_class = CallerTask
     error_task_class = ProblemErrorTask
 
-    def __init__(self, app: CallerApp, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, app: CallerApp, guard: CallerGuard, *args: Any, **kwargs: Any
+    ) -> None:
         self.app = app
-        super().__init__(*args, **kwargs)
+        super().__init__(guard, *args, **kwargs)
 
 
 class CallerApp:
@@ -248,7 +214,7 @@
         path,
         query,
         headers,
-        environ["wsgi.input"].read(),
+        environ["wsgi.input"].getvalue(),  # Unlike read(), it makes no copy.
         received_ms,
         environ.get("waitress.client_disconnected", _never_disconnects),
     )
@@ -265,6 +231,7 @@
     threads: int,
     limits: LimitSettings,
     lookahead_requests: int = 0,
+    guard: CallerGuard | None = None,
 ) -> BaseWSGIServer:
     """Binds the callers' address.
 
@@ -278,10 +245,13 @@
         lookahead_requests: Requests that are read ahead on a connection. Only with
             one or more does waitress detect that a caller disconnects while its
             request is handled.
+        guard: Bounds that the connections share, also with those of other servers;
+            None for bounds of their own.
 
     Returns:
         The server, which is bound but does not run yet.
     """
+    guard = guard or make_guard(limits)
     server = create_server(
         app,
         listen=address,
@@ -293,7 +263,16 @@
         connection_limit=limits.connections,
         clear_untrusted_proxy_headers=True,
         channel_request_lookahead=lookahead_requests,
+        cleanup_interval=CHECK_INTERVAL_S,
         asyncore_use_poll=True,  # select() fails for descriptors from 1024 on.
     )
-    server.channel_class = partial(ProblemChannel, app)
+    server.channel_class = partial(ProblemChannel, app, guard)
+    watch_connections(server, guard.budget)
     return server
+
+
+def make_guard(limits: LimitSettings) -> CallerGuard:
+    """Returns the bounds of a server's connections from its limits."""
+    bounds = ClientSettings(limits.caller_bytes, limits.stall_ms)
+    budget = make_caller_budget(DEFAULT_MEMORY_MB, limits.caller_bytes)
+    return CallerGuard(budget, bounds, lambda: limits.body_bytes)
--- a/src/skylarktrail/daemon/timed_parser.py
+++ b/src/skylarktrail/daemon/timed_parser.py
@@ -1,7 +1,8 @@
 """Bounds the time in which a caller may send a request.
 
 waitress closes a connection that is silent for two minutes. A caller that sends a byte
-now and then would hold it, and what it has sent, for good.
+now and then would hold it, and what it has sent, for good. Callers that are silent are
+ended by `connection_watch.py`.
 """
 
 from __future__ import annotations
@@ -39,13 +40,14 @@
         """Parses bytes of the request; returns how many of them belong to it."""
         consumed = super().received(data)
         self._size_bytes += consumed
-        if not self.completed and self._is_late():
+        if not self.completed and self.is_late():
             self.error = RequestTooSlow("The request was not complete in time.")
             self.completed = True
             return len(data)
         return consumed
 
-    def _is_late(self) -> bool:
+    def is_late(self) -> bool:
+        """Returns whether the request should be complete by now."""
         allowed_s = REQUEST_TIMEOUT_S + self._size_bytes / MIN_BYTES_PER_S
         return time.monotonic() > self._begun_s + allowed_s
 
@@ -58,14 +60,15 @@
 
     def received(self, data: bytes) -> bool:
         """Handles bytes of requests; closes the connection after many blank lines."""
-        is_blank = not self._has_begun_request() and not data.strip(b"\r\n")
+        is_blank = not self.has_begun_request() and not data.strip(b"\r\n")
         self._blank_bytes = self._blank_bytes + len(data) if is_blank else 0
         if self._blank_bytes > MAX_BLANK_BYTES:
             self.will_close = True
             return False
         return super().received(data)
 
-    def _has_begun_request(self) -> bool:
+    def has_begun_request(self) -> bool:
+        """Returns whether a request is being received."""
         request = self.request
         if request is None:
             return False
--- a/src/skylarktrail/errors/caller.py
+++ b/src/skylarktrail/errors/caller.py
@@ -122,3 +122,10 @@
     "Send it faster; it has not run.",
     status=408,
 )
+BODIES_FULL = declare(
+    4020,
+    "BODIES_FULL",
+    "Bodies and unread responses of callers take all the memory there is for them.",
+    "Try again after the time given; it has not run.",
+    status=503,
+)
--- /dev/null
+++ b/src/skylarktrail/gateway/client_bounds.py
@@ -0,0 +1,66 @@
+"""Bounds, log lines and metrics of the connections of callers and other daemons."""
+
+from __future__ import annotations
+
+from ..caller_budget import make_caller_budget
+from ..config.gateway_settings import GatewaySettings
+from ..core.gateway.model import CallerLimits
+from ..daemon.caller_guard import CallerGuard, EndedConnection
+from .event_log import EventLog
+from .metrics import GatewayMetrics
+from .site_state import SiteState
+
+
+class ClientBounds:
+    """Makes the bounds that the request servers of one daemon share.
+
+    Args:
+        settings: Settings of the daemon.
+        site: State of the site, with the limits of the configuration in force.
+        log: Receives a line for each connection that is ended.
+        metrics: Counts them, and shows what callers hold.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        site: SiteState,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._bounds = settings.clients
+        self._site = site
+        self._log = log
+        self._metrics = metrics
+        self._budget = make_caller_budget(settings.memory_mb, self._bounds.held_bytes)
+        metrics.add_gauge(
+            "caller_bytes",
+            "Bytes of requests and unread answers that are held for callers.",
+            lambda: self._budget.used_bytes,
+        )
+
+    def caller_guard(self) -> CallerGuard:
+        """Returns the bounds of callers' connections."""
+        return self._make_guard(lambda: self._limits().body_bytes)
+
+    def forward_guard(self) -> CallerGuard:
+        """Returns the bounds of other daemons' connections.
+
+        Their configuration may be newer and allow larger bodies.
+        """
+        default_bytes = CallerLimits().body_bytes
+        return self._make_guard(lambda: max(default_bytes, self._limits().body_bytes))
+
+    def _make_guard(self, read_body_limit) -> CallerGuard:
+        return CallerGuard(
+            self._budget, self._bounds, read_body_limit, self._record_end
+        )
+
+    def _limits(self) -> CallerLimits:
+        table = self._site.route_table
+        return table.config.limits if table is not None else CallerLimits()
+
+    def _record_end(self, ended: EndedConnection) -> None:
+        self._metrics.count("caller_ends", ended.reason)
+        held_bytes = self._budget.used_bytes
+        self._log.write("caller_ended", **ended._asdict(), all_held_bytes=held_bytes)
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import select
 import socket
 import struct
@@ -17,6 +18,7 @@
 from .clock import now_ms
 
 RECEIVE_BYTES = 1 << 16
+JOINED_BODY_BYTES = 1 << 14  # A shorter body is sent with the head, in one packet.
 CONNECT_TIMEOUT_MS = 400.0
 # Responses to earlier requests that are skipped before the exchange fails.
 MAX_STRAY_RESPONSES = 3
@@ -244,8 +246,9 @@
         except (h11.LocalProtocolError, ValueError) as error:  # It cannot be sent.
             return Err(Fault(codes.INSTANCE_UNREACHED, self.address, repr(error)))
         try:
-            _set_timeout(sock, get_end_ms())
-            sock.sendall(data)
+            for item in data:
+                _set_timeout(sock, get_end_ms())
+                sock.sendall(item)
             result = self._read_response(sock, parser, request, get_end_ms)
             return result.inspect(lambda response: self._remember(request, response))
         except TimeoutError:
@@ -315,7 +318,7 @@
     ) -> RawResponse | None:
         status = 0
         fields: Fields = []
-        body: list[bytes] = []  # Pieces, as a growing buffer would be copied often.
+        body = io.BytesIO()  # Its value is not copied, unlike pieces that are joined.
         size_bytes = 0
         informational_count = 0
         is_open = True
@@ -340,23 +343,29 @@
                     raise h11.RemoteProtocolError("the response does not end")
                 if not memory.try_extend(len(event.data)):
                     raise h11.RemoteProtocolError("responses take too much memory")
-                body.append(bytes(event.data))
+                body.write(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 is_complete = parser.their_state is h11.DONE
                 is_clean = is_complete and not parser.trailing_data[0]
                 is_reusable = is_clean and is_open
-                return RawResponse(status, fields, b"".join(body), is_reusable)
+                return RawResponse(status, fields, body.getvalue(), is_reusable)
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
 
-def _encode_request(parser: h11.Connection, request: OutgoingRequest) -> bytes:
+def _encode_request(parser: h11.Connection, request: OutgoingRequest) -> list[bytes]:
+    """Returns the bytes of a request in pieces; a long body is not copied."""
     fields = [(name, value.encode("latin-1")) for name, value in request.fields]
-    head = h11.Request(method=request.method, target=request.target, headers=fields)
-    data = parser.send(head) or b""
+    events = [h11.Request(method=request.method, target=request.target, headers=fields)]
     if request.body:
-        data += parser.send(h11.Data(data=request.body)) or b""
-    return data + (parser.send(h11.EndOfMessage()) or b"")
+        events.append(h11.Data(data=request.body))
+    events.append(h11.EndOfMessage())
+    pieces: list[bytes] = []
+    for event in events:
+        pieces += parser.send_with_data_passthrough(event) or []
+    if len(request.body) <= JOINED_BODY_BYTES:
+        return [b"".join(pieces)]
+    return [item for item in pieces if item]
 
 
 def _receive(sock: socket.socket, get_end_ms: Callable[[], float]) -> bytes:
--- a/src/skylarktrail/gateway/metrics.py
+++ b/src/skylarktrail/gateway/metrics.py
@@ -24,6 +24,11 @@
         ("zone", "outcome"),
     ),
     "forwarded_bytes": ("Bytes of forwarded bodies and their answers.", ("zone",)),
+    "caller_ends": (
+        "Callers' requests and connections ended by the daemon: budget (no memory), "
+        "stalled (nothing sent), unread (answer not read).",
+        ("reason",),
+    ),
     "moved_ranges": ("Key ranges given to another owner.", ("service",)),
 }
 
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -31,6 +31,7 @@
 from ..receive_budget import make_receive_budget
 from .adapters import ADAPTERS
 from .candidacy import CandidacyRenewer
+from .client_bounds import ClientBounds
 from .clock import now_ms
 from .connection_pool import ConnectionPool
 from .disconnect_monitor import DisconnectMonitor
@@ -67,7 +68,6 @@
 READY_THREADS = 2
 # File descriptors for the store, the instances and the libraries.
 RESERVED_DESCRIPTORS = 400
-MAX_BODY_BYTES = 64 << 20
 # How long a draining daemon still accepts requests. Health checks, sent each second,
 # fail meanwhile; requests that came later would be cut off.
 UNREADY_NOTICE_MS = 2900.0
@@ -251,9 +251,15 @@
     def _bind(self) -> None:
         settings = self._settings
         connections = max(64, settings.descriptors - RESERVED_DESCRIPTORS)
-        limits = LimitSettings(body_bytes=MAX_BODY_BYTES, connections=connections)
+        limits = LimitSettings(connections=connections)
+        clients = ClientBounds(settings, self._site, self._log, self._metrics)
         caller_server = make_caller_server(
-            self._app, settings.caller_address, settings.threads, limits, 1
+            self._app,
+            settings.caller_address,
+            settings.threads,
+            limits,
+            1,
+            clients.caller_guard(),
         )
         health_app = HealthApp(self.is_ready, self._metrics)
         addresses = [settings.ready_address, settings.metrics_address]
@@ -266,6 +272,7 @@
                     settings.threads,
                     limits,
                     1,
+                    clients.forward_guard(),
                 )
             )
         self._servers = self._request_servers + [
--- a/src/skylarktrail/receive_budget.py
+++ b/src/skylarktrail/receive_budget.py
@@ -53,13 +53,17 @@
             more_bytes: What it needs besides.
         """
         with self._lock:
-            share_bytes = self._limit_bytes / max(1, self._count)
             is_within = self._used_bytes + more_bytes <= self._limit_bytes
-            if not is_within and held_bytes + more_bytes > share_bytes:
+            if not is_within and not self._may_exceed(held_bytes, more_bytes):
                 return False
             self._used_bytes += more_bytes
             return True
 
+    def _may_exceed(self, held_bytes: int, more_bytes: int) -> bool:
+        """Returns whether one that needs so much may get it beyond the limit."""
+        share_bytes = self._limit_bytes / max(1, self._count)
+        return held_bytes + more_bytes <= share_bytes
+
     def release(self, released_bytes: int) -> None:
         """Gives memory back."""
         with self._lock:
@@ -77,6 +81,11 @@
         self._budget = budget
         self._held_bytes = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Returns the memory that it holds."""
+        return self._held_bytes
+
     def __enter__(self) -> Reservation:
         self._budget.add(1)
         return self
@@ -88,10 +97,18 @@
         traceback: TracebackType | None,
     ) -> None:
         self._budget.release(self._held_bytes)
+        self._held_bytes = 0
         self._budget.add(-1)
 
     def try_extend(self, more_bytes: int) -> bool:
-        """Acquires memory for more of the response; returns whether it may have it."""
+        """Acquires memory for more of the response; returns whether it may have it.
+
+        Less than nothing gives memory back.
+        """
+        if more_bytes <= 0:
+            self._budget.release(-more_bytes)
+            self._held_bytes += more_bytes
+            return True
         is_acquired = self._budget.try_acquire(self._held_bytes, more_bytes)
         if is_acquired:
             self._held_bytes += more_bytes
