--- a/src/skylarktrail/daemon/bounded_channel.py
+++ b/src/skylarktrail/daemon/bounded_channel.py
@@ -29,6 +29,8 @@
 
 SEND_BYTES = 1 << 18
 DISCARD_BYTES = 1 << 18
+# A few hundred chunks; a whole read of 8 KiB of them takes some 4 ms.
+SMALL_CHUNKS_READ_BYTES = 1 << 10
 SHARED_WRITE_BYTES = 1 << 16  # Longer data are written without a copy.
 FREE_WRITE_BYTES = 4 << 10  # Shorter data, such as refusals, are always written.
 
@@ -81,6 +83,17 @@
             self._make_room()
         return is_handled
 
+    def recv(self, buffer_size: int) -> bytes:
+        """Reads bytes of the caller.
+
+        Less is read at once from a caller that sends small chunks, so that others get
+        their turn.
+        """
+        request = self.request
+        if request is not None and request.has_small_chunks:
+            buffer_size = SMALL_CHUNKS_READ_BYTES
+        return super().recv(buffer_size)
+
     def mark_refused(self) -> None:
         """Drops what the caller sends from now on."""
         self._is_refused = True
--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -24,10 +24,10 @@
 from ..receive_budget import DEFAULT_MEMORY_MB
 from . import fields
 from .bounded_channel import BoundedChannel
-from .caller_guard import CallerGuard
+from .caller_guard import CallerGuard, EndObserver
 from .caller_parser import BodiesFull, FramingError
 from .clock import now_ms
-from .connection_watch import CHECK_INTERVAL_S, watch_connections
+from .connection_watch import CHECK_INTERVAL_S, accept_many, watch_connections
 from .metric_names import OTHER_LABEL
 from .problem import Problem
 from .response import Response
@@ -268,11 +268,14 @@
     )
     server.channel_class = partial(ProblemChannel, app, guard)
     watch_connections(server, guard.budget)
+    accept_many(server)
     return server
 
 
-def make_guard(limits: LimitSettings) -> CallerGuard:
+def make_guard(
+    limits: LimitSettings, observe_end: EndObserver = lambda ended: None
+) -> CallerGuard:
     """Returns the bounds of a server's connections from its limits."""
     bounds = ClientSettings(limits.caller_bytes, limits.stall_ms)
     budget = make_caller_budget(DEFAULT_MEMORY_MB, limits.caller_bytes)
-    return CallerGuard(budget, bounds, lambda: limits.body_bytes)
+    return CallerGuard(budget, bounds, lambda: limits.body_bytes, observe_end)
--- a/src/skylarktrail/daemon/caller_parser.py
+++ b/src/skylarktrail/daemon/caller_parser.py
@@ -10,6 +10,7 @@
 
 CONTENT_LENGTH = "CONTENT_LENGTH"
 TRANSFER_ENCODING = "TRANSFER_ENCODING"
+MIN_FRAMING_BYTES = 8 << 10
 REQUEST_BYTES = 4 << 10  # Of a request without fields and body, with its objects.
 
 
@@ -55,6 +56,15 @@
             size_bytes += self.body_rcv.framing_bytes
         return size_bytes
 
+    @property
+    def has_small_chunks(self) -> bool:
+        """Returns whether framing takes a large part of the body, and much time."""
+        if not self.chunked or self.body_rcv is None:
+            return False
+        framing_bytes = self._size_bytes - self.header_bytes_received
+        framing_bytes -= len(self.body_rcv)
+        return framing_bytes > MIN_FRAMING_BYTES + len(self.body_rcv) // 4
+
     def refuse(self, error: Error) -> None:
         """Ends the request with an error; what was received of it is dropped."""
         self.error = error
--- a/src/skylarktrail/daemon/metrics.py
+++ b/src/skylarktrail/daemon/metrics.py
@@ -40,6 +40,11 @@
         ("kind", "direction"),
     ),
     "grants": CounterSpec("Grants sent to servers, by outcome.", ("outcome",)),
+    "caller_ends": CounterSpec(
+        "Callers' requests and connections ended by the daemon: budget (no memory), "
+        "stalled (nothing sent), unread (answer not read).",
+        ("reason",),
+    ),
     "state_changes": CounterSpec("Changes of state.", ("event",)),
 }
 
@@ -175,6 +180,12 @@
             name: Gauge(f"{METRIC_PREFIX}_{name}", doc, registry=self._registry)
             for name, (doc, _) in GAUGES.items()
         }
+        self._read_gauges: dict[str, tuple[Gauge, Callable[[], float]]] = {}
+
+    def add_gauge(self, name: str, doc: str, read: Callable[[], float]) -> None:
+        """Adds a gauge that is read at each scrape and not from the status."""
+        gauge = Gauge(f"{METRIC_PREFIX}_{name}", doc, registry=self._registry)
+        self._read_gauges[name] = (gauge, read)
 
     def register_labels(self, tenants: Iterable[str], services: Iterable[str]) -> None:
         """Adds tenants and services that get their own series."""
@@ -241,6 +252,11 @@
         with self._lock:
             self._increment("grants", (outcome,))
 
+    def count_caller_end(self, reason: str) -> None:
+        """Counts one request or connection of a caller that was ended."""
+        with self._lock:
+            self._increment("caller_ends", (reason,))
+
     def count_state_change(self, event: str) -> None:
         """Counts one change of state."""
         with self._lock:
@@ -270,6 +286,8 @@
         """Returns all metrics as text, and the header fields of the HTTP response."""
         for name, (_, read) in GAUGES.items():
             self._gauges[name].set({}, read(status))
+        for own_gauge, read_value in self._read_gauges.values():
+            own_gauge.set({}, read_value())
         with self._lock:
             self._copy_counts()
             return render(self._registry, [])
--- a/src/skylarktrail/daemon/service.py
+++ b/src/skylarktrail/daemon/service.py
@@ -6,6 +6,7 @@
 import time
 
 import pykka
+from absl import logging
 from result import Err, Ok, Result
 from uuid6 import uuid7
 from waitress.server import BaseWSGIServer
@@ -28,7 +29,8 @@
     make_report_client,
     make_vm_list_client,
 )
-from .caller_app import CallerApp, make_caller_server
+from .caller_app import CallerApp, make_caller_server, make_guard
+from .caller_guard import EndedConnection
 from .clock import now_ms
 from .controller import Controller, ControllerActors
 from .dispatch import Dispatcher
@@ -58,6 +60,7 @@
 IDLE_CONNECTIONS = 8
 UNREADY_GRACE_MS = 500
 DRAIN_POLL_MS = 20
+ENDED_LOG_INTERVAL_S = 1  # The metrics count those without a line.
 
 
 def make_timings(settings: TimingSettings) -> Timings:
@@ -247,11 +250,18 @@
         status_source = StatusCollector(
             self._controller, self._dispatcher, self._readiness, self._metrics
         )
+        guard = make_guard(settings.limits, self._record_ended_caller)
+        self._metrics.add_gauge(
+            "caller_bytes",
+            "Bytes of requests and unread answers that are held for callers.",
+            lambda: guard.budget.used_bytes,
+        )
         caller_server = make_caller_server(
             CallerApp(self._router, self._metrics),
             settings.caller_address,
             settings.threads,
             settings.limits,
+            guard=guard,
         )
         self._request_servers.append(caller_server)
         self._servers.append(caller_server)
@@ -263,3 +273,9 @@
         self._servers.append(operators)
         for server in self._servers:
             threading.Thread(target=server.run, daemon=True).start()
+
+    def _record_ended_caller(self, ended: EndedConnection) -> None:
+        self._metrics.count_caller_end(ended.reason)
+        logging.log_every_n_seconds(
+            logging.WARNING, "ended a caller: %s", ENDED_LOG_INTERVAL_S, ended
+        )
