--- /dev/null
+++ b/src/skylarktrail/daemon/connection_watch.py
@@ -0,0 +1,80 @@
+"""Ends the connections of callers that stall, within the thread of their server."""
+
+from __future__ import annotations
+
+import select
+from typing import TYPE_CHECKING
+
+from waitress.server import BaseWSGIServer
+
+from ..caller_budget import CallerBudget
+
+if TYPE_CHECKING:
+    from .bounded_channel import BoundedChannel
+
+CHECK_INTERVAL_S = 1
+MAX_ACCEPTED = 64  # Connections in one pass over all of them; the library accepts one.
+# A caller within the limits may be silent as long, for instance after a lost packet.
+MIN_STALL_S = 1.0
+
+
+def watch_connections(server: BaseWSGIServer, budget: CallerBudget) -> None:
+    """Lets a server check its connections every `CHECK_INTERVAL_S`."""
+    close_idle = server.maintenance
+
+    def maintain(now_s: float) -> None:
+        for channel in _channels(server):
+            channel.check_time()
+        end_stalled(server, budget, 0)
+        close_idle(now_s)
+
+    server.maintenance = maintain
+
+
+def accept_many(server: BaseWSGIServer) -> None:
+    """Lets a server accept several connections in one pass over all of them.
+
+    A pass takes longer the more connections there are, so that a crowd of them would
+    keep others waiting in the kernel's queue.
+    """
+    accept_one = server.handle_accept
+
+    def accept() -> None:
+        count = 0
+        while count < MAX_ACCEPTED and _has_waiting(server):
+            accept_one()
+            count += 1
+
+    server.handle_accept = accept
+
+
+def _has_waiting(server: BaseWSGIServer) -> bool:
+    """Returns whether a connection waits and may be accepted."""
+    if len(server._map) >= server.adj.connection_limit:
+        return False
+    poller = select.poll()
+    poller.register(server.socket, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def end_stalled(server: BaseWSGIServer, budget: CallerBudget, more_bytes: int) -> None:
+    """Ends callers that have stalled, the longest first, until more memory fits.
+
+    Args:
+        server: Server of the connections; its thread is the current one.
+        budget: Memory of all callers.
+        more_bytes: What is needed.
+    """
+    if not budget.missing_bytes(more_bytes):
+        return
+    stalled = [
+        c for c in _channels(server) if c.held_bytes and c.silent_s >= MIN_STALL_S
+    ]
+    for channel in sorted(stalled, key=lambda item: -item.silent_s):
+        if not budget.missing_bytes(more_bytes):
+            return
+        channel.end_if_stalled(MIN_STALL_S, "budget")
+
+
+def _channels(server: BaseWSGIServer) -> list[BoundedChannel]:
+    return list(server.active_channels.values())
--- a/src/skylarktrail/errors/caller.py
+++ b/src/skylarktrail/errors/caller.py
@@ -143,3 +143,10 @@
     "Send it again after the time given; it has not run.",
     status=429,
 )
+BODIES_FULL = declare(
+    4020,
+    "BODIES_FULL",
+    "Bodies and unread responses of callers take all the memory there is for them.",
+    "Try again after the time given; it has not run.",
+    status=503,
+)
