--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -94,12 +94,15 @@
     metrics.count_message("heartbeat", "sent")
     metrics.count_grant("accepted")
     metrics.count_state_change("ready")
+    metrics.count_caller_end("stalled")
+    metrics.add_gauge("caller_bytes", "Bytes held for callers.", lambda: 12.0)
     metrics.count_refusal("catalogo", caller.KEY_MISSING)
     rendered = samples(metrics, status)
     names = {re.match("skylarktrail_([a-z_]+)", name)[1] for name in rendered}
     expected = {f"{name}_total" for name in module.COUNTERS} | set(GAUGES)
     assert expected <= names
     assert rendered["skylarktrail_revision"] == "7"
+    assert rendered["skylarktrail_caller_bytes"] == "12.0"
 
 
 def test_repeated_scrape_returns_the_same_counts(metrics, status):
