refactor: the scheduler's decisions become modules of their own

Expected times, the choice between instances by cost, access (drains, cold rates, permits), room at an instance and timeliness are modules of their own. They share fleet, view and services in SchedulerState. Ticket.priority has the value of the route's priority. No decision changes.

--- /dev/null
+++ b/src/skylarktrail/core/gateway/instance_room.py
@@ -0,0 +1,46 @@
+"""Decides whether an instance can accept one more request now.
+
+Instances hang when their queue is full. The requests that a daemon sends stay within
+the slots and a short queue, by load reports and by a limit on its own requests.
+"""
+
+from __future__ import annotations
+
+from .instance import Instance
+from .scheduler_view import SchedulerState
+from .ticket import Ticket
+
+QUEUE_LENGTH_RATIO = 1.0  # Queue length at an instance, relative to its slots.
+QUEUE_PRIORITY_RATIO = 1.0  # Each priority step below the highest shortens the queue.
+# Requests that all daemons together may send to an instance, whatever it reports.
+SITE_IN_FLIGHT_COUNT = 24.0
+
+
+class InstanceRoom:
+    """Decides which instances have room for a request.
+
+    Args:
+        state: State of the daemon and the site.
+    """
+
+    def __init__(self, state: SchedulerState) -> None:
+        self._state = state
+
+    def has_room(self, ticket: Ticket, instance: Instance, now_ms: float) -> bool:
+        """Returns whether an instance can accept a ticket now.
+
+        Requests of lower priority may only use a part of the queue, and those that are
+        late none of it, but all slots.
+        """
+        slots = max(1, instance.entry.slots)
+        sending_count = (
+            len(self._state.view.daemons) - self._state.view.cut_daemon_count
+        )
+        own_limit = max(1.0, SITE_IN_FLIGHT_COUNT / max(1, sending_count))
+        if instance.in_flight >= own_limit:
+            return False
+        if ticket.is_late:
+            return instance.occupancy(now_ms) + 1 <= slots
+        priority = max(0, ticket.priority)
+        queue = QUEUE_LENGTH_RATIO / (1 + QUEUE_PRIORITY_RATIO * priority)
+        return instance.occupancy(now_ms) < slots * (1 + queue)
--- a/src/skylarktrail/core/gateway/ticket.py
+++ b/src/skylarktrail/core/gateway/ticket.py
@@ -64,6 +64,11 @@
         """Returns whether the ticket was placed or refused."""
         return self.instance is not None or bool(self.refusal_reason)
 
+    @property
+    def priority(self) -> int:
+        """Returns the priority of the request; 0 is the most urgent."""
+        return self.route.priority
+
     def sort_key(self) -> tuple[int, bool, float]:
         """Returns the key that orders waiting tickets."""
-        return self.route.priority, self.is_late, self.end_ms
+        return self.priority, self.is_late, self.end_ms
--- a/tests/core/gateway/test_bounds.py
+++ b/tests/core/gateway/test_bounds.py
@@ -7,8 +7,8 @@
 
 from skylarktrail.core.gateway.budget import RetryBudget, TokenBucket
 from skylarktrail.core.gateway.cold import cold_rate_per_s
+from skylarktrail.core.gateway.instance_access import COLD_BURST_COUNT
 from skylarktrail.core.gateway.retry_after import retry_after_ms
-from skylarktrail.core.gateway.scheduler import COLD_BURST_COUNT
 
 DAEMONS = frozenset(f"d{number}" for number in range(67))
 COLD_PER_S = 11.0
