feat: less urgent requests leave room for urgent ones of the same service

In a burst of plan reads (priority 2, 886 ms of work), all slots and queues of a service were full, and confirmations (priority 0, 151 ms) waited for longer than their callers do.

- core/gateway/slot_reserve.py: while more urgent requests arrive (and 30 s after), a request whose target leaves it time takes neither a place in an instance's queue nor one of the slots kept free.

--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -74,6 +74,7 @@
         self._reported_waiting = 0
         self._admitted_part = 1.0
         self._admitted_updated_ms = -math.inf
+        self._full_ms = -math.inf
 
     def update_entry(self, entry: InstanceEntry, now_ms: float) -> None:
         """Applies a newer entry of the same incarnation."""
@@ -133,12 +134,20 @@
         Load reports in responses are rare if each daemon sends it few requests, and
         missing if it is too overloaded to respond.
         """
+        is_full = in_flight >= max(1, self.entry.slots)
+        self._full_ms = now_ms if is_full else -math.inf
         if now_ms - self._reported_ms < OWN_REPORT_TTL_MS:
             return
         self._others_in_flight = max(0.0, float(in_flight - self.in_flight))
         self._others_updated_ms = now_ms
         self._uses_broadcast_total = True
 
+    def is_full(self, now_ms: float) -> bool:
+        """Returns whether no slot was free by the last broadcast or load report."""
+        if now_ms - self._full_ms <= BROADCAST_DECAY_MS:
+            return True
+        return self.occupancy(now_ms) >= max(1, self.entry.slots)
+
     def record_admitted_part(self, part: float, now_ms: float) -> None:
         """Records the fraction of its requests that is admitted."""
         self._admitted_part = part
@@ -154,6 +163,7 @@
 
         The free slot only matters if the last estimate was a broadcast total.
         """
+        self._full_ms = -math.inf
         if self._uses_broadcast_total:
             free_slots = max(1, self.entry.slots) - 1 - self.in_flight
             self._others_in_flight = min(
--- a/src/skylarktrail/core/gateway/instance_room.py
+++ b/src/skylarktrail/core/gateway/instance_room.py
@@ -1,13 +1,15 @@
 """Decides whether an instance can accept one more request now.
 
 Instances hang when their queue is full. The requests that a daemon sends stay within
-the slots and a short queue, by load reports and by a limit on its own requests.
+the slots and a short queue, by load reports and by a limit on its own requests. A less
+urgent request that can wait leaves slots free for others.
 """
 
 from __future__ import annotations
 
 from .instance import Instance
 from .scheduler_view import SchedulerState
+from .slot_reserve import SlotReserve
 from .ticket import Ticket
 
 QUEUE_LENGTH_RATIO = 1.0  # Queue length at an instance, relative to its slots.
@@ -21,21 +23,38 @@
 
     Args:
         state: State of the daemon and the site.
+        reserve: Slots kept free for urgent requests.
     """
 
-    def __init__(self, state: SchedulerState) -> None:
+    def __init__(self, state: SchedulerState, reserve: SlotReserve) -> None:
         self._state = state
+        self._reserve = reserve
 
-    def has_room(self, ticket: Ticket, instance: Instance, now_ms: float) -> bool:
-        """Returns whether an instance can accept a ticket now.
+    def with_room(
+        self, ticket: Ticket, instances: list[Instance], now_ms: float
+    ) -> list[Instance]:
+        """Returns the instances that can accept a ticket now."""
+        with_room = [i for i in instances if self._has_room(ticket, i, now_ms)]
+        if not with_room or not self._reserve.yields(ticket, now_ms):
+            return with_room
+        if not self._reserve.is_patient(ticket, now_ms):
+            return with_room
+        count_free = self._reserve.free_slots(ticket, now_ms)
+        return [
+            i
+            for i in with_room
+            if i.occupancy(now_ms) + 1 <= i.entry.slots - count_free(i)
+        ]
+
+    def _has_room(self, ticket: Ticket, instance: Instance, now_ms: float) -> bool:
+        """Returns whether an instance can accept a ticket, urgent ones aside.
 
         Requests of lower priority may only use a part of the queue, and those that are
         late none of it, but all slots.
         """
         slots = max(1, instance.entry.slots)
-        sending_count = (
-            len(self._state.view.daemons) - self._state.view.cut_daemon_count
-        )
+        sending_count = len(self._state.view.daemons)
+        sending_count -= self._state.view.cut_daemon_count
         own_limit = max(1.0, SITE_IN_FLIGHT_COUNT / max(1, sending_count))
         if instance.in_flight >= own_limit:
             return False
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -24,6 +24,7 @@
 from collections import Counter
 from typing import Callable
 
+from .demand import DemandMeter, KindOfRequest
 from .expected_times import ExpectedTimes
 from .fleet import Fleet
 from .instance import Instance
@@ -34,6 +35,7 @@
 from .permits import PermitRequest
 from .retry_after import retry_after_ms
 from .scheduler_view import SchedulerState, SchedulerView
+from .slot_reserve import SlotReserve
 from .ticket import Ticket
 from .timeliness import Timeliness
 
@@ -62,7 +64,9 @@
         self._times = ExpectedTimes()
         self._access = InstanceAccess(self._state)
         self._cost = InstanceCost(self._state, self._times, random_fraction)
-        self._room = InstanceRoom(self._state)
+        self._demand = DemandMeter()
+        self._reserve = SlotReserve(self._state, self._times, self._demand)
+        self._room = InstanceRoom(self._state, self._reserve)
         self._timeliness = Timeliness(self._state, self._times)
 
     @property
@@ -87,6 +91,12 @@
         """Places a ticket, refuses it or adds it to the queue."""
         ticket.submitted_ms = now_ms
         self._timeliness.update_lateness(ticket, now_ms)
+        self._demand.service(ticket.service, now_ms).record(
+            KindOfRequest(ticket.priority, ticket.is_late),
+            self._times.work_ms(ticket),
+            now_ms,
+        )
+        self._reserve.record_arrival(ticket, now_ms)
         ticket.admitted_part = self._admitted_part(ticket, now_ms)
         if ticket.admitted_part < 1 and self._random_fraction() >= ticket.admitted_part:
             ticket.refusal_reason = "shed"
@@ -186,6 +196,11 @@
             ticket.refusal_reason = "draining"
             return
         ticket.permit_instance = ""
+        wait_ms = self._reserve.wait_ms(ticket, ahead_count, now_ms)
+        if wait_ms > 0:
+            expected_ms = wait_ms + self._times.work_ms(ticket)
+            self._timeliness.check_in_time(ticket, expected_ms, now_ms)
+            return
         candidates = list(self._access.usable_instances(ticket, now_ms))
         if not candidates:
             self._decide_without_instance(ticket, now_ms)
@@ -194,8 +209,7 @@
         if not usable:
             self._decide_without_permit(ticket, candidates, now_ms)
             return
-        available = [i for i in usable if self._room.has_room(ticket, i, now_ms)]
-        free = [] if ahead_count else available
+        free = [] if ahead_count else self._room.with_room(ticket, usable, now_ms)
         if free:
             best = min(free, key=lambda i: self._cost.cost_ms(ticket, i, now_ms))
             if len(usable) < len(candidates):
@@ -279,3 +293,4 @@
         ticket.placed_ms = now_ms
         instance.begin(now_ms)
         self._access.record_placement(instance, now_ms)
+        self._reserve.record_placement(ticket, now_ms)
