--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -41,6 +41,7 @@
         rate_limit: Latest known rate limit.
         permits: Permits of this daemon while its rate is limited.
         permit_issuer: Issues the permits of all daemons if this one is the granter.
+        sampled_ms: When its speed was last seen, or a trial of it began.
     """
 
     def __init__(self, entry: InstanceEntry, now_ms: float) -> None:
@@ -69,8 +70,11 @@
         self._new_response_count = 0
         self._new_work_ratio_sum = 0.0
         self._new_failure_count = 0
+        self.sampled_ms = -math.inf
+        self._reported_waiting = 0
         self._admitted_part = 1.0
         self._admitted_updated_ms = -math.inf
+        self._full_ms = -math.inf
 
     def update_entry(self, entry: InstanceEntry, now_ms: float) -> None:
         """Applies a newer entry of the same incarnation."""
@@ -117,20 +121,33 @@
         self._others_updated_ms = now_ms
         self._uses_broadcast_total = False
         self._slowdown_ratio = report.slowdown_ratio
+        self._reported_waiting = report.waiting
         self._reported_ms = now_ms
 
+    def reported_waiting(self, since_ms: float) -> int | None:
+        """Returns the length of its queue by the last report since a time, if any."""
+        return self._reported_waiting if self._reported_ms >= since_ms else None
+
     def record_in_flight_total(self, in_flight: int, now_ms: float) -> None:
         """Records the number of requests of all daemons in flight to it.
 
         Load reports in responses are rare if each daemon sends it few requests, and
         missing if it is too overloaded to respond.
         """
+        is_full = in_flight >= max(1, self.entry.slots)
+        self._full_ms = now_ms if is_full else -math.inf
         if now_ms - self._reported_ms < OWN_REPORT_TTL_MS:
             return
         self._others_in_flight = max(0.0, float(in_flight - self.in_flight))
         self._others_updated_ms = now_ms
         self._uses_broadcast_total = True
 
+    def is_full(self, now_ms: float) -> bool:
+        """Returns whether no slot was free by the last broadcast or load report."""
+        if now_ms - self._full_ms <= BROADCAST_DECAY_MS:
+            return True
+        return self.occupancy(now_ms) >= max(1, self.entry.slots)
+
     def record_admitted_part(self, part: float, now_ms: float) -> None:
         """Records the fraction of its requests that is admitted."""
         self._admitted_part = part
@@ -146,6 +163,7 @@
 
         The free slot only matters if the last estimate was a broadcast total.
         """
+        self._full_ms = -math.inf
         if self._uses_broadcast_total:
             free_slots = max(1, self.entry.slots) - 1 - self.in_flight
             self._others_in_flight = min(
@@ -153,17 +171,18 @@
             )
         self._admitted_part = 1.0
 
-    def record_success(self, work_ratio: float) -> None:
+    def record_success(self, work_ratio: float, min_weight: float = 0.0) -> None:
         """Records a usable response.
 
         Args:
             work_ratio: Its time without the wait for a slot, relative to the mean of
                 its route.
+            min_weight: Least weight of the response in the usual work time.
         """
         low, high = WORK_RATIO_LIMITS
         bounded_ratio = min(high, max(low, work_ratio))
         self._smoothing_count += 1
-        weight = max(WORK_SMOOTHING_RATIO, 1 / self._smoothing_count)
+        weight = max(WORK_SMOOTHING_RATIO, 1 / self._smoothing_count, min_weight)
         self._usual_work_ratio += weight * (bounded_ratio - self._usual_work_ratio)
         self._recent_work_ratio += RECENT_SMOOTHING_RATIO * (
             bounded_ratio - self._recent_work_ratio
@@ -240,12 +259,16 @@
 
     def occupancy(self, now_ms: float) -> float:
         """Estimates the number of requests of all daemons at the instance."""
+        if not self._others_in_flight:
+            return self.in_flight
         age_ms = now_ms - self._others_updated_ms
         decay_ms = BROADCAST_DECAY_MS if self._uses_broadcast_total else OTHERS_DECAY_MS
         return self.in_flight + self._others_in_flight * math.exp(-age_ms / decay_ms)
 
     def slowdown_ratio(self, now_ms: float) -> float:
         """Estimates its present work time, relative to its usual one."""
+        if self._slowdown_ratio == 1:
+            return 1.0
         age_ms = now_ms - self._reported_ms
         return 1 + (self._slowdown_ratio - 1) * math.exp(-age_ms / SLOWDOWN_DECAY_MS)
 
