--- a/src/skylarktrail/core/gateway/instance_room.py
+++ b/src/skylarktrail/core/gateway/instance_room.py
@@ -50,13 +50,16 @@
         return max(1.0, SITE_IN_FLIGHT_COUNT / max(1, sending_count))
 
     def _has_room(self, ticket: Ticket, instance: Instance, now_ms: float) -> bool:
-        """Returns whether an instance can accept a ticket, urgent ones aside.
+        """Returns whether an instance can accept a ticket that leaves no slots free.
 
-        Requests of lower priority may only use a part of the queue, and those that are
-        late none of it, but all slots.
+        Requests of lower priority may only use a part of the queue. Those that are
+        late use none of it, but all slots. So do those to whose service more urgent
+        requests arrive, as a queue of long requests would hold these up; for owners of
+        keys, admission by priority keeps the queue short.
         """
         slots = max(1, instance.entry.slots)
-        if ticket.is_late:
+        is_keyed = ticket.key_hash is not None
+        if ticket.is_late or not is_keyed and self._reserve.yields(ticket, now_ms):
             return instance.occupancy(now_ms) + 1 <= slots
         priority = max(0, ticket.priority)
         queue = QUEUE_LENGTH_RATIO / (1 + QUEUE_PRIORITY_RATIO * priority)
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -67,7 +67,7 @@
         self._cost = InstanceCost(self._state, self._times, random_fraction)
         demand = DemandMeter()
         self._admission = PriorityAdmission(self._times, demand)
-        self._reserve = SlotReserve(self._state, self._times, demand)
+        self._reserve = SlotReserve(self._state, self._access, self._times, demand)
         self._room = InstanceRoom(self._state, self._reserve)
         self._timeliness = Timeliness(self._state, self._times)
 
--- a/src/skylarktrail/core/gateway/slot_reserve.py
+++ b/src/skylarktrail/core/gateway/slot_reserve.py
@@ -21,6 +21,7 @@
 from .demand import DemandMeter
 from .expected_times import ExpectedTimes
 from .instance import Instance
+from .instance_access import InstanceAccess
 from .scheduler_view import SchedulerState
 from .share_pace import SharePace
 from .ticket import Ticket
@@ -45,14 +46,20 @@
 
     Args:
         state: State of the daemon and the site.
+        access: Tells which instances are in service.
         times: Expected work times.
         meter: Recent demand of the services.
     """
 
     def __init__(
-        self, state: SchedulerState, times: ExpectedTimes, meter: DemandMeter
+        self,
+        state: SchedulerState,
+        access: InstanceAccess,
+        times: ExpectedTimes,
+        meter: DemandMeter,
     ) -> None:
         self._state = state
+        self._access = access
         self._times = times
         self._meter = meter
         self._arrivals_ms: dict[str, dict[int, float]] = {}
@@ -108,7 +115,7 @@
         return pace
 
     def _step_pace(self, pace: SharePace, ticket: Ticket, now_ms: float) -> None:
-        instances = self._state.fleet.find_by_service(ticket.service)
+        instances = self._find_serving(ticket, now_ms)
         free_count = sum(not i.is_full(now_ms) for i in instances)
         urgent_slots = self._urgent_slots(ticket, now_ms)
         needed_count = self._needed_slots(urgent_slots)
@@ -144,6 +151,18 @@
 
         return count_free
 
+    def _find_serving(self, ticket: Ticket, now_ms: float) -> list[Instance]:
+        """Returns the instances of a service that get requests.
+
+        Those of an evacuated zone are idle, but their slots are free for nobody.
+        """
+        return [
+            instance
+            for instance in self._state.fleet.find_by_service(ticket.service)
+            if not self._access.is_out_of_service(instance, False, now_ms)
+            and not instance.is_suspended(now_ms)
+        ]
+
     def _urgent_slots(self, ticket: Ticket, now_ms: float) -> float:
         """Estimates how many slots more urgent requests occupy at the site."""
         demand = self._meter.service(ticket.service, now_ms)
