refactor: messages of limits, quotas and confirmations in modules of their own

Change: the messages of instances' rate limits, of customers' quotas and of the configuration's confirmation move to `limit_messages.py`, `quota_messages.py` and `config_messages.py`, the shared checks of values to `value_checks.py`. `gateway_messages.py` imports the three modules, so that whoever imports it has all kinds registered, as before. Plain daemons still do not import it.

--- a/src/skylarktrail/gateway/config_confirmer.py
+++ b/src/skylarktrail/gateway/config_confirmer.py
@@ -17,7 +17,7 @@
     Freshness,
 )
 from ..errors.code import Fault
-from ..peer.gateway_messages import GatewayConfigAsk, GatewayConfigConfirmed
+from ..peer.config_messages import GatewayConfigAsk, GatewayConfigConfirmed
 from ..peer.hub import Responder
 from ..peer.messages import Message
 from .clock import now_ms
--- a/src/skylarktrail/gateway/quota_keeper.py
+++ b/src/skylarktrail/gateway/quota_keeper.py
@@ -10,12 +10,12 @@
 from ..core.gateway.quota_gate import QuotaGate, QuotaTicket, Refusal
 from ..core.gateway.quotas import QuotaGrant, QuotaLedger, QuotaUsage
 from ..errors import peer as peer_codes
-from ..peer.gateway_messages import (
+from ..peer.hub import Responder
+from ..peer.quota_messages import (
     GatewayQuotaReply,
     GatewayQuotaReport,
     GatewayQuotaStates,
 )
-from ..peer.hub import Responder
 from .clock import now_ms
 from .event_log import EventLog
 from .messenger import Messenger
--- a/src/skylarktrail/gateway/rate_limiter.py
+++ b/src/skylarktrail/gateway/rate_limiter.py
@@ -6,13 +6,13 @@
 
 from ..core.gateway.instance import Instance
 from ..core.gateway.permits import IssuedPermits, PermitRequest, RateLimit
-from ..peer.gateway_messages import (
+from ..peer.hub import Responder
+from ..peer.limit_messages import (
     GatewayPermitRequest,
     GatewayPermits,
     GatewayRateLimits,
     RateLimitReport,
 )
-from ..peer.hub import Responder
 from .clock import now_ms
 from .event_log import EventLog
 from .messenger import Messenger
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -1,4 +1,7 @@
-"""Messages between gateways, in the same registry as those between daemons."""
+"""Messages between gateways, in the same registry as those between daemons.
+
+Importing this module registers the messages of all gateway modules.
+"""
 
 from __future__ import annotations
 
@@ -6,33 +9,14 @@
 
 from ..core.gateway.checks import MAX_EXACT_NUMBER, is_count
 from ..core.gateway.harmful_requests import BlockedRequest
-from ..core.gateway.model import HASH_COUNT, InstanceEntry
+from ..core.gateway.model import InstanceEntry
 from ..core.gateway.open_grants import OpenGrantReport
-from ..core.gateway.positions import OFFSET_BITS
-from ..core.gateway.quotas import QuotaGrant, QuotaUsage
 from ..core.gateway.ranges import OwnedRange
+from . import config_messages  # noqa: F401  Importing registers its messages.
+from . import limit_messages  # noqa: F401
+from . import quota_messages  # noqa: F401
 from .messages import message
-
-MAX_AMOUNT = 1 << 31  # Requests in one report.
-MAX_POSITION_BITS = 63  # CBOR has larger numbers, which nothing else can hold.
-MAX_PERMITS = 1 << 16  # Permits in one message; a reply is kept permit by permit.
-
-
-def _is_amount(value: int) -> bool:
-    return 0 <= value <= MAX_AMOUNT
-
-
-def _is_hash(value: int) -> bool:
-    return 0 <= value < HASH_COUNT
-
-
-def _is_range(first: int, last: int) -> bool:
-    return 0 <= first <= last < HASH_COUNT
-
-
-def _is_offset(value: int) -> bool:
-    """Returns whether a value is an offset; negative ones mean that none is known."""
-    return -(1 << OFFSET_BITS) < value < 1 << OFFSET_BITS
+from .value_checks import is_amount, is_hash, is_offset, is_range
 
 
 class KeyRequestCount(NamedTuple):
@@ -67,7 +51,7 @@
 
 
 def _is_sample(sample: ResponseSample) -> bool:
-    are_amounts = _is_amount(sample.answers) and _is_amount(sample.failures)
+    are_amounts = is_amount(sample.answers) and is_amount(sample.failures)
     return are_amounts and 0 <= sample.work_ratio_sum <= MAX_EXACT_NUMBER
 
 
@@ -106,10 +90,10 @@
     def has_usable_values(self) -> bool:
         """Whether all values are within their ranges."""
         return (
-            all(_is_hash(i.key_hash) and _is_amount(i[2]) for i in self.key_counts)
+            all(is_hash(i.key_hash) and is_amount(i[2]) for i in self.key_counts)
             and all(_is_sample(item) for item in self.response_samples)
-            and all(_is_amount(item.count) for item in self.in_flight)
-            and _is_offset(self.listing)
+            and all(is_amount(item.count) for item in self.in_flight)
+            and is_offset(self.listing)
         )
 
 
@@ -130,8 +114,8 @@
     @property
     def has_usable_values(self) -> bool:
         """Whether all values are within their ranges."""
-        return _is_offset(self.position) and all(
-            _is_range(item.first, item.last) for item in self.changed
+        return is_offset(self.position) and all(
+            is_range(item.first, item.last) for item in self.changed
         )
 
 
@@ -166,7 +150,7 @@
     @property
     def has_usable_values(self) -> bool:
         """Whether all values are within their ranges."""
-        return _is_offset(self.base) and _is_offset(self.position)
+        return is_offset(self.base) and is_offset(self.position)
 
 
 @message("gateway_term_ask")
@@ -248,7 +232,7 @@
     @property
     def has_usable_values(self) -> bool:
         """Whether all values are within their ranges."""
-        return all(_is_range(item.first, item.last) for item in self.grants)
+        return all(is_range(item.first, item.last) for item in self.grants)
 
 
 @message("gateway_listing")
@@ -276,7 +260,7 @@
     @property
     def has_usable_values(self) -> bool:
         """Whether all values are within their ranges."""
-        return all(map(_is_offset, self[:4]))
+        return all(map(is_offset, self[:4]))
 
 
 class OverloadedInstance(NamedTuple):
@@ -309,95 +293,12 @@
     def has_usable_values(self) -> bool:
         """Whether all values are within their ranges."""
         return all(
-            _is_amount(item.in_flight_count)
+            is_amount(item.in_flight_count)
             and 0 <= item.admitted_part <= MAX_EXACT_NUMBER
             for item in self.instances
         )
 
 
-class RateLimitReport(NamedTuple):
-    """Rate limit that one incarnation of an instance named.
-
-    Attributes:
-        instance: Identifier of the instance.
-        start_ms: Wall-clock time of the start of its incarnation.
-        is_limited: Whether it named a rate.
-        per_s: Requests per second that it accepts from all daemons together; 0 if it
-            named no rate.
-        age_ms: Time since its answer was received.
-    """
-
-    instance: str
-    start_ms: int
-    is_limited: bool
-    per_s: float
-    age_ms: float
-
-
-def _is_limit(report: RateLimitReport) -> bool:
-    """Returns whether a report is usable; a limit that was never seen has no age."""
-    return 0 <= report.per_s <= MAX_EXACT_NUMBER and report.age_ms >= 0
-
-
-@message("gateway_rate_limits")
-class GatewayRateLimits(NamedTuple):
-    """Rate limits that the sender knows.
-
-    Attributes:
-        limits: The limits, in any order.
-    """
-
-    limits: tuple[RateLimitReport, ...]
-
-    @property
-    def has_usable_values(self) -> bool:
-        """Whether all values are within their ranges."""
-        return all(map(_is_limit, self.limits))
-
-
-@message("gateway_permit_ask")
-class GatewayPermitRequest(NamedTuple):
-    """A daemon asks the granter for permits, each for one request to an instance.
-
-    Attributes:
-        limit: Rate limit of the instance as known to the sender.
-        per_s: Requests per second that the instance accepts; lower than its limit while
-            it is cold.
-        count: Number of permits.
-    """
-
-    limit: RateLimitReport
-    per_s: float
-    count: int
-
-    @property
-    def has_usable_values(self) -> bool:
-        """Whether all values are within their ranges."""
-        is_rate = 0 <= self.per_s <= MAX_EXACT_NUMBER
-        return _is_limit(self.limit) and is_rate and 0 <= self.count <= MAX_PERMITS
-
-
-@message("gateway_permits")
-class GatewayPermits(NamedTuple):
-    """Reply to a `GatewayPermitRequest`.
-
-    Attributes:
-        limit: Rate limit of the instance as known to the granter.
-        count: Number of permits issued.
-        wait_ms: Time until the next permit can be issued; 0 if all were issued.
-    """
-
-    limit: RateLimitReport
-    count: int
-    wait_ms: float
-
-    @property
-    def has_usable_values(self) -> bool:
-        """Whether all values are within their ranges."""
-        is_time = 0 <= self.wait_ms <= MAX_EXACT_NUMBER
-        return _is_limit(self.limit) and is_time and 0 <= self.count <= MAX_PERMITS
-
-
 @message("gateway_reachability")
 class GatewayReachability(NamedTuple):
     """A daemon tells whether it is cut off from the instances.
@@ -465,84 +366,3 @@
     def has_usable_values(self) -> bool:
         """Whether all values are within their ranges."""
         return is_count(self.era)
-
-
-@message("gateway_config_ask")
-class GatewayConfigAsk(NamedTuple):
-    """A daemon asks whether its configuration is the newest.
-
-    The reply is a `GatewayConfigConfirmed`.
-    """
-
-
-@message("gateway_config_confirmed")
-class GatewayConfigConfirmed(NamedTuple):
-    """Tells what the end of the operators' log was at a moment.
-
-    Attributes:
-        position: Position of the end, with the era as in `core.gateway.positions`.
-        age_ms: Time since the moment.
-    """
-
-    position: int
-    age_ms: float
-
-    @property
-    def has_usable_values(self) -> bool:
-        """Whether all values are within their ranges."""
-        is_age = 0 <= self.age_ms <= MAX_EXACT_NUMBER
-        return is_age and 0 <= self.position < 1 << MAX_POSITION_BITS
-
-
-def _is_usage(usage: QuotaUsage) -> bool:
-    return all(map(_is_amount, (usage.used, usage.returned, usage.wanted)))
-
-
-def _is_grant(grant: QuotaGrant) -> bool:
-    is_time = 0 <= grant.wait_ms <= MAX_EXACT_NUMBER
-    return is_time and 0 <= grant.granted <= MAX_PERMITS
-
-
-@message("gateway_quota_report")
-class GatewayQuotaReport(NamedTuple):
-    """A daemon reports the usage of customers, and asks the granter for credit.
-
-    Attributes:
-        usages: Customers with news since the last report.
-    """
-
-    usages: tuple[QuotaUsage, ...]
-
-    @property
-    def has_usable_values(self) -> bool:
-        """Whether all values are within their ranges."""
-        return all(map(_is_usage, self.usages))
-
-
-@message("gateway_quota_reply")
-class GatewayQuotaReply(NamedTuple):
-    """Reply to a `GatewayQuotaReport`.
-
-    Attributes:
-        grants: Reply about each customer of the report.
-        metered: Names of other customers that are metered.
-    """
-
-    grants: tuple[QuotaGrant, ...]
-    metered: tuple[str, ...]
-
-    @property
-    def has_usable_values(self) -> bool:
-        """Whether all values are within their ranges."""
-        return all(map(_is_grant, self.grants))
-
-
-@message("gateway_quota_states")
-class GatewayQuotaStates(NamedTuple):
-    """Metered customers, broadcast by the granter; no other customer is metered.
-
-    Attributes:
-        metered: Their names.
-    """
-
-    metered: tuple[str, ...]
--- a/tests/gateway/test_config_confirmer.py
+++ b/tests/gateway/test_config_confirmer.py
@@ -26,7 +26,7 @@
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import OperatorUpdate, SharedUpdate
-from skylarktrail.peer.gateway_messages import GatewayConfigAsk, GatewayConfigConfirmed
+from skylarktrail.peer.config_messages import GatewayConfigAsk, GatewayConfigConfirmed
 
 REVOKE_MS = 5000.0
 CUSTOMERS = CustomerDirectory([(Customer("c"), ["k-1"])])
--- a/tests/gateway/test_quota_keeper.py
+++ b/tests/gateway/test_quota_keeper.py
@@ -28,7 +28,7 @@
 from skylarktrail.gateway.quota_keeper import REPLY_TIMEOUT_MS, QuotaKeeper
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import OperatorUpdate, SharedUpdate
-from skylarktrail.peer.gateway_messages import GatewayQuotaReport, GatewayQuotaStates
+from skylarktrail.peer.quota_messages import GatewayQuotaReport, GatewayQuotaStates
 
 CUSTOMER = Customer("c1", None, 20.0, 20.0)
 CONFIG = SiteConfig(1, (), {}, customers=CustomerDirectory([(CUSTOMER, ())]))
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -11,7 +11,12 @@
 from skylarktrail.core.gateway.model import InstanceEntry
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.errors import peer as codes
-from skylarktrail.peer import gateway_messages, messages
+from skylarktrail.peer import (
+    config_messages,
+    gateway_messages,
+    limit_messages,
+    messages,
+)
 from skylarktrail.peer.codec import MAX_MESSAGE_BYTES, VERSION, decode, encode
 
 SETTINGS = settings(derandomize=True, database=None, deadline=None)
@@ -58,14 +63,14 @@
     gateway_messages.GatewayOverload(
         (gateway_messages.OverloadedInstance("i-1", 9, 0.5),)
     ),
-    gateway_messages.GatewayRateLimits(
-        (gateway_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5),)
+    limit_messages.GatewayRateLimits(
+        (limit_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5),)
     ),
-    gateway_messages.GatewayPermitRequest(
-        gateway_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5), 3.3, 2
+    limit_messages.GatewayPermitRequest(
+        limit_messages.RateLimitReport("i-1", 1 << 41, True, 3.3, 12.5), 3.3, 2
     ),
-    gateway_messages.GatewayPermits(
-        gateway_messages.RateLimitReport("i-1", 1 << 41, False, 0.0, 1.5), 1, 0.0
+    limit_messages.GatewayPermits(
+        limit_messages.RateLimitReport("i-1", 1 << 41, False, 0.0, 1.5), 1, 0.0
     ),
     gateway_messages.GatewayReachability(True),
     gateway_messages.GatewayTermEndRequest(5),
@@ -78,8 +83,8 @@
     ),
     gateway_messages.GatewayAnsweredRequests(("0c1f",)),
     gateway_messages.GatewayStoreEra(2),
-    gateway_messages.GatewayConfigAsk(),
-    gateway_messages.GatewayConfigConfirmed(7, 12.5),
+    config_messages.GatewayConfigAsk(),
+    config_messages.GatewayConfigConfirmed(7, 12.5),
     gateway_messages.GatewayOpenGrants(
         "p1", (gateway_messages.OpenGrantReport("stock", "i-1", 0, 99),)
     ),
--- a/tests/peer/test_odd_frames.py
+++ b/tests/peer/test_odd_frames.py
@@ -15,7 +15,9 @@
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.core.gateway.speeds import Speeds
 from skylarktrail.errors import peer as codes
+from skylarktrail.peer import config_messages
 from skylarktrail.peer import gateway_messages as messages
+from skylarktrail.peer import limit_messages
 from skylarktrail.peer.codec import VERSION, decode, encode
 
 from .conftest import set_roster, wait_until
@@ -23,7 +25,7 @@
 
 SETTINGS = settings(derandomize=True, database=None, deadline=None, max_examples=500)
 HUGE = 10**400
-LIMIT = messages.RateLimitReport("i-1", 5, True, 3.3, 12.5)
+LIMIT = limit_messages.RateLimitReport("i-1", 5, True, 3.3, 12.5)
 
 
 def make_load(counts=(), samples=(), in_flight=(), listing=-1):
@@ -57,15 +59,15 @@
     messages.GatewayOverload((messages.OverloadedInstance("i", -1, 0.5),)),
     messages.GatewayOverload((messages.OverloadedInstance("i", 1, math.nan),)),
     messages.GatewayOverload((messages.OverloadedInstance("i", 1, -1.0),)),
-    messages.GatewayRateLimits((LIMIT._replace(per_s=math.nan),)),
-    messages.GatewayRateLimits((LIMIT._replace(per_s=math.inf),)),
-    messages.GatewayRateLimits((LIMIT._replace(per_s=-1.0),)),
-    messages.GatewayRateLimits((LIMIT._replace(age_ms=math.nan),)),
-    messages.GatewayPermitRequest(LIMIT, math.nan, 1),
-    messages.GatewayPermitRequest(LIMIT, math.inf, 1),
-    messages.GatewayPermitRequest(LIMIT, 1.0, HUGE),
-    messages.GatewayPermits(LIMIT, 1 << 30, 0.0),
-    messages.GatewayPermits(LIMIT, 1, math.nan),
+    limit_messages.GatewayRateLimits((LIMIT._replace(per_s=math.nan),)),
+    limit_messages.GatewayRateLimits((LIMIT._replace(per_s=math.inf),)),
+    limit_messages.GatewayRateLimits((LIMIT._replace(per_s=-1.0),)),
+    limit_messages.GatewayRateLimits((LIMIT._replace(age_ms=math.nan),)),
+    limit_messages.GatewayPermitRequest(LIMIT, math.nan, 1),
+    limit_messages.GatewayPermitRequest(LIMIT, math.inf, 1),
+    limit_messages.GatewayPermitRequest(LIMIT, 1.0, HUGE),
+    limit_messages.GatewayPermits(LIMIT, 1 << 30, 0.0),
+    limit_messages.GatewayPermits(LIMIT, 1, math.nan),
     messages.GatewayTermEndRequest(-1),
     messages.GatewayTermEndRequest(HUGE),
     messages.GatewayTermEnded(HUGE),
@@ -76,10 +78,10 @@
     messages.GatewayBlockedRequests((BlockedRequest("f", math.nan),)),
     messages.GatewayStoreEra(-1),
     messages.GatewayStoreEra(HUGE),
-    messages.GatewayConfigConfirmed(-1, 0.0),
-    messages.GatewayConfigConfirmed(HUGE, 0.0),
-    messages.GatewayConfigConfirmed(1, -1.0),
-    messages.GatewayConfigConfirmed(1, float("inf")),
+    config_messages.GatewayConfigConfirmed(-1, 0.0),
+    config_messages.GatewayConfigConfirmed(HUGE, 0.0),
+    config_messages.GatewayConfigConfirmed(1, -1.0),
+    config_messages.GatewayConfigConfirmed(1, float("inf")),
 ]
 
 
@@ -91,7 +93,9 @@
 
 def test_a_limit_that_was_never_seen_is_usable():
     """Its age is infinite in a request for permits."""
-    message = messages.GatewayPermitRequest(LIMIT._replace(age_ms=math.inf), 3.3, 2)
+    message = limit_messages.GatewayPermitRequest(
+        LIMIT._replace(age_ms=math.inf), 3.3, 2
+    )
     assert decode(encode(message).unwrap()).unwrap().message == message
 
 
