refactor: gauges, HTTP servers and eligibility out of the gateway service

Change: the daemon's gauges move to `gauges.py`, the binding and the threads of its HTTP servers to `http_servers.py`, and the decision whether it stands for the granter role to `granter_eligibility.py`. Names and texts of metrics, the order in which addresses are bound and the names of workers are the same.

Test: `tests/processes/test_gateway.py` and `tests/gateway`, 867 passed.

--- /dev/null
+++ b/src/skylarktrail/gateway/gauges.py
@@ -0,0 +1,70 @@
+"""Gauges of the gateway daemon as a whole."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+from ..receive_budget import ReceiveBudget
+from .config_confirmer import ConfigConfirmer
+from .connection_pool import ConnectionPool
+from .event_log import EventLog
+from .metrics import GatewayMetrics
+from .router import GatewayRouter
+from .site_state import SiteState
+
+
+def add_gauges(
+    metrics: GatewayMetrics,
+    is_ready: Callable[[], bool],
+    router: GatewayRouter,
+    site: SiteState,
+    connections: ConnectionPool,
+    receive_budget: ReceiveBudget,
+    confirmer: ConfigConfirmer,
+    log: EventLog,
+) -> None:
+    """Adds the gauges; each reads its component at each scrape.
+
+    Args:
+        metrics: Receives the gauges.
+        is_ready: Returns whether the daemon accepts callers' requests.
+        router: Routes the requests.
+        site: State of the site, with the waiting requests.
+        connections: Pool of connections to instances.
+        receive_budget: Bounds the responses that are not complete yet.
+        confirmer: Confirms the configuration.
+        log: The event log.
+    """
+    add = metrics.add_gauge
+    add(
+        "receiving_bytes",
+        "Bytes of responses that are not complete yet.",
+        lambda: receive_budget.used_bytes,
+    )
+    add("ready", "1 while callers are to be sent here.", is_ready)
+    add(
+        "open_requests",
+        "Requests without an answer yet.",
+        lambda: router.open_requests,
+    )
+    add(
+        "waiting_requests",
+        "Requests that wait for an instance.",
+        lambda: site.scheduler.waiting_count(),
+    )
+    add(
+        "log_lines_dropped",
+        "Log lines left out to bound their volume.",
+        lambda: log.dropped,
+    )
+    add(
+        "config_confirmation_age_ms",
+        "Time since the configuration was confirmed as the newest; 0 if keys are "
+        "not revoked in bounded time.",
+        confirmer.age_ms,
+    )
+    add(
+        "connections_opened",
+        "Connections opened to instances.",
+        lambda: connections.opened_count,
+    )
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -3,23 +3,18 @@
 from __future__ import annotations
 
 import time
-from functools import partial
 from typing import Sequence
 
 from result import Err, Ok, Result
 from uuid6 import uuid7
-from waitress.server import BaseWSGIServer
 
 from ..config.gateway_settings import GatewaySettings, SiteBounds
-from ..config.settings import LimitSettings
 from ..core.gateway.forward_targets import ForwardTarget
 from ..core.gateway.lease_call_gate import LeaseCallGate
 from ..core.gateway.ranges import OwnedRange
 from ..core.gateway.shared_state import Member
-from ..daemon.caller_app import CallerApp, make_caller_server
-from ..daemon.plain_server import make_plain_server
+from ..daemon.caller_app import CallerApp
 from ..daemon.ticker import Ticker
-from ..daemon.unfinished import has_unfinished_requests
 from ..errors import caller as codes
 from ..errors.code import Fault
 from ..peer.gateway_messages import (
@@ -38,7 +33,9 @@
 from .disconnect_monitor import DisconnectMonitor
 from .event_log import EventLog
 from .forwarding import Forwarder
+from .gauges import add_gauges
 from .granter_actor import GranterActor
+from .granter_eligibility import MIN_GRANTER_PROCESSORS, GranterEligibility
 from .granter_messages import (
     CandidacyUpdate,
     LoadReceived,
@@ -48,6 +45,7 @@
     SharedRecordsReceived,
 )
 from .health_app import HealthApp
+from .http_servers import HttpServers
 from .instance_watcher import InstanceWatcher
 from .load_reporter import LoadReporter
 from .messenger import Messenger
@@ -67,17 +65,10 @@
 from .worker import Worker
 
 TICK_MS = 100.0
-READY_THREADS = 2
-# File descriptors for the store, the instances and the libraries.
-RESERVED_DESCRIPTORS = 400
 # How long a draining daemon still accepts requests. Health checks, sent each second,
 # fail meanwhile; requests that came later would be cut off.
 UNREADY_NOTICE_MS = 2900.0
 DRAIN_POLL_S = 0.03
-# A granter of 100 ranges uses a tenth of a processor.
-MIN_GRANTER_PROCESSORS = 0.7
-# A few candidacy lifetimes, so that larger VMs may replace a lost granter first.
-SMALL_VM_WAIT_MS = 4000.0
 FLUSH_S = 0.1  # Lets the server write its buffered responses.
 KILL_MARGIN_MS = 400.0  # Part of the grace period left to write the last responses.
 
@@ -155,11 +146,6 @@
             self._metrics,
             receive_budget,
         )
-        self._metrics.add_gauge(
-            "receiving_bytes",
-            "Bytes of responses that are not complete yet.",
-            lambda: receive_budget.used_bytes,
-        )
         self._router = GatewayRouter(
             self._site,
             header_codec,
@@ -186,11 +172,20 @@
         self._app = CallerApp(self._router, self._metrics)
         self._forward_app = CallerApp(ForwardedHandler(self._router), self._metrics)
         self._is_draining = False
-        self._granter_seen_ms = now_ms()
-        self._request_servers: list[BaseWSGIServer] = []
-        self._servers: list[BaseWSGIServer] = []
+        self._eligibility = GranterEligibility(
+            self._site, self._messenger, self._reach_monitor, settings.processors
+        )
         self._workers: list[Worker] = []
-        self._add_gauges()
+        add_gauges(
+            self._metrics,
+            self.is_ready,
+            self._router,
+            self._site,
+            self._connections,
+            receive_budget,
+            self._confirmer,
+            self._log,
+        )
 
     def start(self) -> Result[None, Fault]:
         """Binds the addresses and starts all threads.
@@ -208,8 +203,7 @@
             return Err(listening.unwrap_err())
         self._start_workers()
         self._disconnect_monitor.start()
-        for server in self._servers:
-            Worker("http-server", partial(_serve, server), self._log).start()
+        self._servers.start(self._log)
         self._log.state("started", process=self._process, zone=self._settings.zone)
         return Ok(None)
 
@@ -246,9 +240,7 @@
 
     def _has_unfinished_requests(self) -> bool:
         """Returns whether a request that a caller began to send is not answered."""
-        return self._router.open_requests > 0 or any(
-            has_unfinished_requests(server) for server in self._request_servers
-        )
+        return self._router.open_requests > 0 or self._servers.has_unfinished_requests()
 
     def is_ready(self) -> bool:
         """Returns whether the daemon accepts callers' requests."""
@@ -264,37 +256,11 @@
         self._log.stop()
 
     def _bind(self) -> None:
-        settings = self._settings
-        connections = max(64, settings.descriptors - RESERVED_DESCRIPTORS)
-        limits = LimitSettings(connections=connections)
-        clients = ClientBounds(settings, self._site, self._log, self._metrics)
-        caller_server = make_caller_server(
-            self._app,
-            settings.caller_address,
-            settings.threads,
-            limits,
-            1,
-            clients.caller_guard(),
-        )
+        clients = ClientBounds(self._settings, self._site, self._log, self._metrics)
         health_app = HealthApp(self.is_ready, self._metrics)
-        addresses = [settings.ready_address, settings.metrics_address]
-        self._request_servers = [caller_server]
-        if settings.forward_address:
-            self._request_servers.append(
-                make_caller_server(
-                    self._forward_app,
-                    settings.forward_address,
-                    settings.threads,
-                    limits,
-                    1,
-                    clients.forward_guard(),
-                )
-            )
-        self._servers = self._request_servers + [
-            make_plain_server(health_app, item, READY_THREADS)
-            for item in addresses
-            if item
-        ]
+        self._servers = HttpServers(
+            self._settings, self._app, self._forward_app, health_app, clients
+        )
 
     def _start_workers(self) -> None:
         site, log = self._site, self._log
@@ -350,7 +316,7 @@
         self._candidacy = CandidacyRenewer(
             self._make_store(),
             site,
-            self._is_eligible_granter,
+            self._eligibility.is_eligible,
             self._make_call_monitor("candidacy"),
             lambda is_candidate: tell(CandidacyUpdate(is_candidate)),
         )
@@ -428,70 +394,12 @@
         self._overload_broadcaster.record_report(daemon, report)
         self._granter.tell(LoadReceived(report))
 
-    def _is_eligible_granter(self) -> bool:
-        """Returns whether this daemon renews its candidacy for the granter role.
-
-        It does not while a granter is alive. Lease renewals use part of a processor,
-        so small VMs become candidates only if there is no granter for a while.
-        """
-        if self._messenger.is_granter_alive() or self._is_cut_alone():
-            self._granter_seen_ms = now_ms()
-            return False
-        if self._settings.processors >= MIN_GRANTER_PROCESSORS:
-            return True
-        return now_ms() - self._granter_seen_ms > SMALL_VM_WAIT_MS
-
-    def _is_cut_alone(self) -> bool:
-        """Returns whether this daemon is cut off and another one is not."""
-        others = set(self._site.shared.members) - {self._settings.daemon}
-        return self._site.is_cut and bool(others - self._reach_monitor.cut_daemons())
-
     def _make_store(self) -> SiteStore:
         return self._adapter.make_store(self._settings.store.address)
 
     def _make_call_monitor(self, name: str) -> StoreCallMonitor:
         return StoreCallMonitor(name, self._log, self._metrics)
 
-    def _add_gauges(self) -> None:
-        add = self._metrics.add_gauge
-        add(
-            "ready",
-            "1 while callers are to be sent here.",
-            lambda: self.is_ready(),
-        )
-        add(
-            "open_requests",
-            "Requests without an answer yet.",
-            lambda: self._router.open_requests,
-        )
-        add(
-            "waiting_requests",
-            "Requests that wait for an instance.",
-            lambda: self._site.scheduler.waiting_count(),
-        )
-        add(
-            "log_lines_dropped",
-            "Log lines left out to bound their volume.",
-            lambda: self._log.dropped,
-        )
-        add(
-            "config_confirmation_age_ms",
-            "Time since the configuration was confirmed as the newest; 0 if keys are "
-            "not revoked in bounded time.",
-            self._confirmer.age_ms,
-        )
-        add(
-            "connections_opened",
-            "Connections opened to instances.",
-            lambda: self._connections.opened_count,
-        )
-
-
-def _serve(server: BaseWSGIServer) -> float:
-    """Serves requests; returns only if the server is closed."""
-    server.run()
-    return 0.0
-
 
 def _sleep_until(end_ms: float) -> None:
     time.sleep(max(0.0, end_ms - now_ms()) / 1000)
