--- a/src/skylarktrail/core/gateway/leased_range.py
+++ b/src/skylarktrail/core/gateway/leased_range.py
@@ -7,6 +7,11 @@
 
 from .ranges import OwnedRange
 
+MAX_LISTING_AGE_MS = 3000.0  # A listing is replaced by a newer one within this time.
+# Answers of another process at its address that prove that an unlisted owner has ended.
+# Fencing grants and releases have connections of their own, so no answer is a copy.
+PROOF_ANSWER_COUNT = 2
+
 
 class LeasedRange:
     """A range of hashes, its owner and what the granter knows of the owner's lease.
@@ -89,6 +94,15 @@
         """Returns when all leases that any granter may have granted have expired."""
         return max(self.lease_end_ms, self.inherited_lease_end_ms)
 
+    @property
+    def has_owner_ended(self) -> bool:
+        """Returns whether the process of an unlisted owner has ended for certain.
+
+        Another instance that is listed at its address proves nothing: its entry may be
+        older than the process that is there, which may be the owner's again.
+        """
+        return self.replaced_answers >= PROOF_ANSWER_COUNT
+
     def transfer_to_target(self, address: str) -> None:
         """Makes the target the owner, once no other instance can hold a lease.
 
@@ -125,6 +139,22 @@
         self.set_target("", 0)
         self.is_target_recorded = False
 
+    def observe_start(self, start_ms: int, now_ms: float) -> None:
+        """Compares the listed start of the owner with the process that is known of it.
+
+        An earlier start means that the listing is older than the records, or, if that
+        lasts, that the clock by which the instance states its start was set back. Its
+        leases then run out, as calls may reach either process.
+        """
+        if start_ms > self.process_start_ms:
+            self.observe_incarnation(start_ms, now_ms)
+        if start_ms >= self.process_start_ms:
+            self.outdated_since_ms = math.inf
+            return
+        self.outdated_since_ms = min(self.outdated_since_ms, now_ms)
+        if now_ms >= self.outdated_since_ms + MAX_LISTING_AGE_MS:
+            self.is_releasing = True
+
     def observe_incarnation(self, start_ms: int, now_ms: float) -> None:
         """Takes the range from a new incarnation of its owner.
 
