--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from skylarktrail.core.gateway.model import InstanceEntry
+from skylarktrail.core.gateway.quotas import QuotaGrant, QuotaUsage
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.errors import peer as codes
 from skylarktrail.peer import (
@@ -16,6 +17,7 @@
     gateway_messages,
     limit_messages,
     messages,
+    quota_messages,
 )
 from skylarktrail.peer.codec import MAX_MESSAGE_BYTES, VERSION, decode, encode
 
@@ -85,6 +87,9 @@
     gateway_messages.GatewayStoreEra(2),
     config_messages.GatewayConfigAsk(),
     config_messages.GatewayConfigConfirmed(7, 12.5),
+    quota_messages.GatewayQuotaReport((QuotaUsage("acme", 3, 1, 2),)),
+    quota_messages.GatewayQuotaReply((QuotaGrant("acme", True, 2, 12.5),), ("other",)),
+    quota_messages.GatewayQuotaStates(("acme",)),
     gateway_messages.GatewayOpenGrants(
         "p1", (gateway_messages.OpenGrantReport("stock", "i-1", 0, 99),)
     ),
--- a/tests/peer/test_odd_frames.py
+++ b/tests/peer/test_odd_frames.py
@@ -12,12 +12,13 @@
 from skylarktrail.core.gateway.harmful_requests import BlockedRequest
 from skylarktrail.core.gateway.model import InstanceEntry
 from skylarktrail.core.gateway.open_grants import OpenGrantReport
+from skylarktrail.core.gateway.quotas import QuotaGrant, QuotaUsage
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.core.gateway.speeds import Speeds
 from skylarktrail.errors import peer as codes
 from skylarktrail.peer import config_messages
 from skylarktrail.peer import gateway_messages as messages
-from skylarktrail.peer import limit_messages
+from skylarktrail.peer import limit_messages, quota_messages
 from skylarktrail.peer.codec import VERSION, decode, encode
 
 from .conftest import set_roster, wait_until
@@ -82,6 +83,12 @@
     config_messages.GatewayConfigConfirmed(HUGE, 0.0),
     config_messages.GatewayConfigConfirmed(1, -1.0),
     config_messages.GatewayConfigConfirmed(1, float("inf")),
+    quota_messages.GatewayQuotaReport((QuotaUsage("acme", -1, 0, 0),)),
+    quota_messages.GatewayQuotaReport((QuotaUsage("acme", 0, HUGE, 0),)),
+    quota_messages.GatewayQuotaReport((QuotaUsage("acme", 0, 0, -1),)),
+    quota_messages.GatewayQuotaReply((QuotaGrant("acme", True, -1, 0.0),), ()),
+    quota_messages.GatewayQuotaReply((QuotaGrant("acme", True, 1, -1.0),), ()),
+    quota_messages.GatewayQuotaReply((QuotaGrant("acme", True, 1, float("inf")),), ()),
 ]
 
 
