feat: services without keys are shed by priority

In a burst of long reads at 1.7 times the capacity of a service without keys, what daemons know of its instances is old, so they send to full ones, and urgent requests time out there.

The granter relates the requests in flight at the instances in service to their slots and broadcasts an admitted fraction by service in a message of a new kind.

--- a/src/skylarktrail/core/gateway/admission.py
+++ b/src/skylarktrail/core/gateway/admission.py
@@ -1,9 +1,11 @@
-"""Decides which requests for an overloaded owner of keys are admitted, by priority.
+"""Decides which requests for an overloaded owner or service are admitted.
 
-The granter tells which fraction of the requests for an owner the daemons admit (see
-`shedding`). Drawn by lot, an urgent request would be refused as often as any other, and
-one of long work as often as several short ones. Here the fraction applies to the work
-that all requests to the service need. It is given to the kinds of requests in order:
+The granter tells which fraction of the requests for an owner of keys, or for a service
+without keys, the daemons admit (see `shedding`); in the latter case, this applies only
+beside more urgent requests. Drawn by lot, an urgent request would be refused as often
+as any other, and one of long work as often as several short ones. Here the fraction
+applies to the work that all requests to the service need. It is given to the kinds of
+requests in order:
 
 1. By priority, the most urgent first.
 2. By what a response can still bring: those that can meet their target before those
@@ -53,7 +55,7 @@
 
         Args:
             ticket: The request, which is part of the demand already.
-            owner_part: Admitted fraction of all requests for its owner.
+            owner_part: Admitted fraction of all requests for its owner or service.
             now_ms: The current time.
         """
         if owner_part >= 1:
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -36,6 +36,7 @@
 from .permits import PermitRequest
 from .retry_after import retry_after_ms
 from .scheduler_view import SchedulerState, SchedulerView
+from .service_load import ServiceShedding
 from .slot_reserve import SlotReserve
 from .ticket import Ticket
 from .timeliness import Timeliness
@@ -52,12 +53,16 @@
         fleet: All instances.
         view: State of the daemon; replaced when it changes.
         random_fraction: Returns random numbers in [0, 1).
+
+    Attributes:
+        service_shedding: Admitted fractions of the services without keys.
     """
 
     def __init__(
         self, fleet: Fleet, view: SchedulerView, random_fraction: Callable[[], float]
     ) -> None:
         self.fleet = fleet
+        self.service_shedding = ServiceShedding()
         self._state = SchedulerState(fleet, view)
         self._random_fraction = random_fraction
         self._waiting: list[Ticket] = []
@@ -105,9 +110,12 @@
             self._waiting.sort(key=Ticket.sort_key)
 
     def _admitted_part(self, ticket: Ticket, now_ms: float) -> float:
-        """Returns the admitted fraction of the requests like a ticket for its key."""
+        """Returns the admitted fraction of the requests like a ticket."""
         if ticket.key_hash is None:
-            return 1.0
+            if not self._reserve.yields(ticket, now_ms):
+                return 1.0
+            service_part = self.service_shedding.admitted_part(ticket.service, now_ms)
+            return self._admission.admitted_part(ticket, service_part, now_ms)
         owner = self.fleet.find(self.view.find_owner(ticket.service, ticket.key_hash))
         owner_part = owner.admitted_part(now_ms) if owner else 1.0
         return self._admission.admitted_part(ticket, owner_part, now_ms)
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -26,6 +26,7 @@
     GatewayOwners,
     GatewayRecords,
     GatewayRoleOffer,
+    GatewayServiceShedding,
     GatewayStoreEra,
     GatewayTermEnded,
     GatewayTermEndRequest,
@@ -301,6 +302,9 @@
         elif isinstance(message, GatewayOverload):
             if self._is_granter_daemon(daemon):
                 self._site.apply_overloads(message.instances, now_ms())
+        elif isinstance(message, GatewayServiceShedding):
+            if self._is_granter_daemon(daemon):
+                self._site.apply_service_shedding(message.services, now_ms())
 
     def _to_position(self, daemon: str, offset: int) -> int:
         """Returns the position of an offset that a daemon has sent.
--- a/src/skylarktrail/gateway/overload_broadcaster.py
+++ b/src/skylarktrail/gateway/overload_broadcaster.py
@@ -1,17 +1,24 @@
-"""Broadcasts overloaded instances, computed by the granter from load reports."""
+"""Broadcasts overloaded instances and services, found from load reports."""
 
 from __future__ import annotations
 
 import threading
-from typing import Callable
+from typing import Callable, Mapping
 
 from ..core.gateway.in_flight_reports import (
     REPORT_TTL_MS,
     InFlightReports,
     find_overloaded,
 )
+from ..core.gateway.service_load import SERVICE_LIMITS
 from ..core.gateway.shedding import LoadShedder
-from ..peer.gateway_messages import GatewayLoad, GatewayOverload, OverloadedInstance
+from ..peer.gateway_messages import (
+    GatewayLoad,
+    GatewayOverload,
+    GatewayServiceShedding,
+    OverloadedInstance,
+    ShedService,
+)
 from .clock import now_ms
 from .site_state import SiteState
 
@@ -33,15 +40,17 @@
         self,
         site: SiteState,
         is_granter: Callable[[], bool],
-        broadcast: Callable[[GatewayOverload], None],
+        broadcast: Callable[[GatewayOverload | GatewayServiceShedding], None],
     ) -> None:
         self._site = site
         self._is_granter = is_granter
         self._broadcast = broadcast
         self._in_flight_reports = InFlightReports()
         self._load_shedder = LoadShedder()
+        self._service_shedder = LoadShedder(SERVICE_LIMITS)
         self._lock = threading.Lock()
         self._was_overloaded = False
+        self._shed_services: dict[str, float] = {}
         self._eligible_ms: dict[str, float] = {}
 
     def record_report(self, daemon: str, report: GatewayLoad) -> None:
@@ -68,19 +77,30 @@
         """Broadcasts as granter, or does nothing; returns the pause in milliseconds."""
         if not self._is_granter():
             self._was_overloaded = False
+            self._shed_services = {}
             return BROADCAST_INTERVAL_MS
-        message = self._make_message()
+        with self._lock:
+            totals = self._in_flight_reports.totals(now_ms())
+        message = self._make_message(totals)
         if message.instances or self._was_overloaded:
             self._site.apply_overloads(message.instances, now_ms())
             self._broadcast(message)
         self._was_overloaded = bool(message.instances)
+        self._broadcast_services(totals)
         return BROADCAST_INTERVAL_MS
 
-    def _make_message(self) -> GatewayOverload:
+    def _broadcast_services(self, totals: Mapping[str, int]) -> None:
+        """Broadcasts the services admitted in part, and once that there are none."""
+        parts = self._service_shedder.update(*self._site.service_loads(totals))
+        if parts or self._shed_services:
+            services = tuple(ShedService(*item) for item in sorted(parts.items()))
+            self._site.apply_service_shedding(services, now_ms())
+            self._broadcast(GatewayServiceShedding(services))
+        self._shed_services = parts
+
+    def _make_message(self, totals: Mapping[str, int]) -> GatewayOverload:
         slots = self._site.slots()
-        with self._lock:
-            totals = self._in_flight_reports.totals(now_ms())
-            parts = self._load_shedder.update(totals, slots)
+        parts = self._load_shedder.update(totals, slots)
         return GatewayOverload(
             tuple(
                 OverloadedInstance(name, totals[name], parts.get(name, 1.0))
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -5,7 +5,7 @@
 import math
 import random
 import threading
-from typing import Callable, Iterable, NamedTuple
+from typing import Callable, Iterable, Mapping, NamedTuple
 
 from ..config.gateway_settings import SiteBounds
 from ..core.gateway.budget import RetryBudget
@@ -21,6 +21,7 @@
 from ..core.gateway.ranges import OwnedRange, OwnerTable, apply_changed_ranges
 from ..core.gateway.routes import RouteTable, Splitter
 from ..core.gateway.scheduler import Scheduler, SchedulerView
+from ..core.gateway.service_load import ServiceLoads, sum_up_services
 from ..core.gateway.shared_state import SharedState
 from ..core.gateway.ticket import Ticket
 from ..peer.gateway_messages import (
@@ -29,6 +30,7 @@
     KeyRequestCount,
     OverloadedInstance,
     ResponseSample,
+    ShedService,
 )
 from .site_store import Listing, OperatorUpdate, SharedUpdate
 
@@ -286,6 +288,24 @@
                 instance.record_in_flight_total(item.in_flight_count, now_ms)
                 instance.record_admitted_part(min(1.0, item.admitted_part), now_ms)
 
+    def apply_service_shedding(
+        self, services: Iterable[ShedService], now_ms: float
+    ) -> None:
+        """Applies the granter's broadcast of services that are admitted in part."""
+        parts = {name: min(1.0, part) for name, part in services}
+        with self.lock:
+            self.scheduler.service_shedding.record(parts, now_ms)
+
+    def service_loads(self, in_flight: Mapping[str, int]) -> ServiceLoads:
+        """Returns the load of the services by the in-flight requests at instances."""
+        with self.lock:
+            return sum_up_services(
+                self.fleet.instances.values(),
+                self.scheduler.services,
+                self.zones_out,
+                in_flight,
+            )
+
     def slots(self) -> dict[str, int]:
         """Returns the number of slots of each instance."""
         with self.lock:
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -315,6 +315,36 @@
         )
 
 
+class ShedService(NamedTuple):
+    """Admitted fraction of one service in a `GatewayServiceShedding`.
+
+    Attributes:
+        service: Name of the service.
+        admitted_part: Part of the requests to it that daemons admit, from 0 to 1.
+    """
+
+    service: str
+    admitted_part: float
+
+
+@message("gateway_service_shedding")
+class GatewayServiceShedding(NamedTuple):
+    """Services without keys whose requests are admitted in part, from the granter.
+
+    Attributes:
+        services: These services; daemons admit all requests to the others.
+    """
+
+    services: tuple[ShedService, ...]
+
+    @property
+    def has_usable_values(self) -> bool:
+        """Whether all values are within their ranges."""
+        return all(
+            0 <= item.admitted_part <= MAX_EXACT_NUMBER for item in self.services
+        )
+
+
 class RateLimitReport(NamedTuple):
     """Rate limit that one incarnation of an instance named.
 
--- a/tests/core/gateway/overload_model.py
+++ b/tests/core/gateway/overload_model.py
@@ -16,6 +16,7 @@
 from skylarktrail.core.gateway.in_flight_reports import InFlightReports, find_overloaded
 from skylarktrail.core.gateway.model import LoadReport, Route, ServiceSpec
 from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView
+from skylarktrail.core.gateway.service_load import SERVICE_LIMITS
 from skylarktrail.core.gateway.shedding import LoadShedder
 from skylarktrail.core.gateway.ticket import Ticket
 from skylarktrail.gateway.load_reporter import LOAD_REPORT_INTERVAL_MS
@@ -112,6 +113,8 @@
         ]
         self.reports = InFlightReports()
         self.shedder = LoadShedder()
+        self.service_shedder = LoadShedder(SERVICE_LIMITS)
+        self.is_shedding_service = not site.is_keyed
         self.now_ms = 0.0
         self.counted_from_ms = 0.0
         self.events: list = []
@@ -241,7 +244,14 @@
         totals = self.reports.totals(self.now_ms)
         parts = self.shedder.update(totals, slots)
         listed = set(find_overloaded(totals, slots)) | set(parts)
+        service_parts = {}
+        if self.is_shedding_service:
+            total = sum(totals.values())
+            service_parts = self.service_shedder.update(
+                {"stock": total}, {"stock": sum(slots.values())}
+            )
         for daemon in self.daemons:
+            daemon.scheduler.service_shedding.record(service_parts, self.now_ms)
             for name, instance in daemon.fleet.instances.items():
                 if name in listed:
                     instance.record_in_flight_total(totals[name], self.now_ms)
--- a/tests/core/gateway/test_mixed_overload.py
+++ b/tests/core/gateway/test_mixed_overload.py
@@ -7,6 +7,7 @@
 from .overload_model import Kind, OverloadReplay, Site
 
 LEDGER = Site(82, 32, 4)
+BALANCED = Site(82, 49, 3)  # Of 73 instances, those of one zone are out of service.
 KEYED = Site(40, 12, 4, is_keyed=True)
 SEEDS = (1, 2)
 
@@ -75,6 +76,34 @@
     assert beside > alone - 0.1
 
 
+@pytest.fixture
+def replay_long_burst(kinds, make_entry):
+    """Returns a function that replays 15 s of reads at 1.7 times the capacity."""
+
+    def replay(is_shedding):
+        simulation = OverloadReplay(BALANCED, make_entry, seed=1)
+        simulation.is_shedding_service = is_shedding
+        simulation.counted_from_ms = 4000.0
+        simulation.send_requests(kinds["confirmation"], 45.0, 0.0, 20_000.0)
+        simulation.send_requests(kinds["read"], 70.0, 0.0, 4000.0)
+        simulation.send_requests(kinds["read"], 274.0, 4000.0, 19_000.0)
+        simulation.run(28_000.0)
+        return simulation
+
+    return replay
+
+
+def test_a_service_sheds_reads_before_confirmations_time_out(replay_long_burst, kinds):
+    """Guards against full instances that daemons take for idle ones."""
+    confirmation = kinds["confirmation"].route
+    before, after = replay_long_burst(False), replay_long_burst(True)
+    timed_out = after.part(confirmation, "timed out")
+    assert timed_out < 0.7 * before.part(confirmation, "timed out")
+    in_time = after.part(confirmation, "in time")
+    assert in_time > before.part(confirmation, "in time") + 0.04
+    assert after.part(confirmation, "refused") == 0
+
+
 @pytest.fixture
 def replay_keyed(kinds, make_entry):
     """Returns a function that replays two kinds of requests at owners of keys.
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -55,6 +55,9 @@
         (InstanceEntry("i-1", "s", "10.0.0.1:80", "z", 3, False, 1.5, 1 << 41, 4),),
         ("i-2",),
     ),
+    gateway_messages.GatewayServiceShedding(
+        (gateway_messages.ShedService("ledger", 0.5),)
+    ),
     gateway_messages.GatewayOverload(
         (gateway_messages.OverloadedInstance("i-1", 9, 0.5),)
     ),
--- a/tests/peer/test_odd_frames.py
+++ b/tests/peer/test_odd_frames.py
@@ -54,6 +54,8 @@
     messages.GatewayRecords("shared", 1 << 40, 9, ()),
     messages.GatewayRecords("shared", 7, HUGE, ()),
     messages.GatewayListing(-1, 1 << 40, 8, 7, (), ()),
+    messages.GatewayServiceShedding((messages.ShedService("s", math.nan),)),
+    messages.GatewayServiceShedding((messages.ShedService("s", -0.1),)),
     messages.GatewayOverload((messages.OverloadedInstance("i", -1, 0.5),)),
     messages.GatewayOverload((messages.OverloadedInstance("i", 1, math.nan),)),
     messages.GatewayOverload((messages.OverloadedInstance("i", 1, -1.0),)),
