feat: operators see which services are shed, and what waits for it

A refusal named its reason and the admitted fraction, but nothing showed when a service was shed and why.

The granter logs where shedding of a service begins and ends, with its load and slots. Gauges show the admitted fraction by service and the waiting requests that leave room. The test of the broadcaster reads both lines and the gauge; the gauge patient_requests has no test of its own.

--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -181,6 +181,10 @@
         """Returns the number of waiting tickets."""
         return len(self._waiting)
 
+    def patient_count(self, now_ms: float) -> int:
+        """Returns how many waiting tickets leave slots free for more urgent ones."""
+        return sum(self._reserve.is_patient(t, now_ms) for t in self._waiting)
+
     def _queue_key(self, ticket: Ticket) -> tuple[str, str]:
         if ticket.key_hash is None:
             return ticket.service, ""
--- a/src/skylarktrail/gateway/metrics.py
+++ b/src/skylarktrail/gateway/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from typing import Callable
+from typing import Callable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -57,12 +57,22 @@
         )
         self._routes: set[str] = set()
         self._gauges: dict[str, tuple[Gauge, Callable[[], float]]] = {}
+        self._labelled_gauges: list[
+            tuple[Gauge, str, Callable[[], Mapping[str, float]]]
+        ] = []
 
     def add_gauge(self, name: str, doc: str, read: Callable[[], float]) -> None:
         """Adds a gauge that is read at each scrape."""
         gauge = Gauge(f"{METRIC_PREFIX}_{name}", doc, registry=self._registry)
         self._gauges[name] = (gauge, read)
 
+    def add_labelled_gauge(
+        self, name: str, doc: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Adds a gauge that is read at each scrape, by the values of a label."""
+        gauge = Gauge(f"{METRIC_PREFIX}_{name}", doc, registry=self._registry)
+        self._labelled_gauges.append((gauge, label, read))
+
     def count(self, name: str, *labels: str, amount: int = 1) -> None:
         """Adds to a counter."""
         with self._lock:
@@ -88,6 +98,9 @@
         """Returns all metrics as text, with the header fields of the HTTP response."""
         for gauge, read in self._gauges.values():
             gauge.set({}, read())
+        for gauge, label, read_all in self._labelled_gauges:
+            for value, amount in read_all().items():
+                gauge.set({label: value}, amount)
         with self._lock:
             for name, counts in self._counts.items():
                 names = COUNTERS[name][1]
--- a/src/skylarktrail/gateway/overload_broadcaster.py
+++ b/src/skylarktrail/gateway/overload_broadcaster.py
@@ -10,7 +10,7 @@
     InFlightReports,
     find_overloaded,
 )
-from ..core.gateway.service_load import SERVICE_LIMITS
+from ..core.gateway.service_load import SERVICE_LIMITS, ServiceLoads
 from ..core.gateway.shedding import LoadShedder
 from ..peer.gateway_messages import (
     GatewayLoad,
@@ -20,6 +20,7 @@
     ShedService,
 )
 from .clock import now_ms
+from .event_log import EventLog
 from .site_state import SiteState
 
 # Queues fill and empty within half a second. With older figures the daemons would
@@ -34,6 +35,7 @@
         site: State of the site.
         is_granter: Returns whether this daemon is the granter.
         broadcast: Sends a message to all other daemons.
+        log: Log of this daemon.
     """
 
     def __init__(
@@ -41,10 +43,12 @@
         site: SiteState,
         is_granter: Callable[[], bool],
         broadcast: Callable[[GatewayOverload | GatewayServiceShedding], None],
+        log: EventLog,
     ) -> None:
         self._site = site
         self._is_granter = is_granter
         self._broadcast = broadcast
+        self._log = log
         self._in_flight_reports = InFlightReports()
         self._load_shedder = LoadShedder()
         self._service_shedder = LoadShedder(SERVICE_LIMITS)
@@ -91,13 +95,27 @@
 
     def _broadcast_services(self, totals: Mapping[str, int]) -> None:
         """Broadcasts the services admitted in part, and once that there are none."""
-        parts = self._service_shedder.update(*self._site.service_loads(totals))
+        loads = self._site.service_loads(totals)
+        parts = self._service_shedder.update(*loads)
+        self._log_changes(parts, loads)
         if parts or self._shed_services:
             services = tuple(ShedService(*item) for item in sorted(parts.items()))
             self._site.apply_service_shedding(services, now_ms())
             self._broadcast(GatewayServiceShedding(services))
         self._shed_services = parts
 
+    def _log_changes(self, parts: Mapping[str, float], loads: ServiceLoads) -> None:
+        """Logs the services whose shedding begins or ends."""
+        for service in sorted(set(parts) ^ set(self._shed_services)):
+            change = "began" if service in parts else "ended"
+            self._log.state(
+                f"service_shedding_{change}",
+                service=service,
+                admitted_part=parts.get(service, 1.0),
+                in_flight=loads.totals.get(service, 0),
+                slots=loads.slots.get(service, 0),
+            )
+
     def _make_message(self, totals: Mapping[str, int]) -> GatewayOverload:
         slots = self._site.slots()
         parts = self._load_shedder.update(totals, slots)
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -175,7 +175,7 @@
             self._confirmer,
         )
         self._overload_broadcaster = OverloadBroadcaster(
-            self._site, self._messenger.is_granter, self._messenger.broadcast
+            self._site, self._messenger.is_granter, self._messenger.broadcast, self._log
         )
         self._role_transfer = RoleTransfer(
             self._site,
@@ -469,6 +469,17 @@
             "Requests that wait for an instance.",
             lambda: self._site.scheduler.waiting_count(),
         )
+        add(
+            "patient_requests",
+            "Waiting requests that leave slots free for more urgent ones.",
+            lambda: self._site.patient_count(now_ms()),
+        )
+        self._metrics.add_labelled_gauge(
+            "admitted_part",
+            "Admitted part of the requests to a service without keys.",
+            "service",
+            lambda: self._site.admitted_parts(now_ms()),
+        )
         add(
             "log_lines_dropped",
             "Log lines left out to bound their volume.",
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -296,6 +296,21 @@
         with self.lock:
             self.scheduler.service_shedding.record(parts, now_ms)
 
+    def admitted_parts(self, now_ms: float) -> dict[str, float]:
+        """Returns the admitted fraction of each service without keys."""
+        with self.lock:
+            shedding = self.scheduler.service_shedding
+            return {
+                name: shedding.admitted_part(name, now_ms)
+                for name, spec in self.scheduler.services.items()
+                if not spec.is_keyed
+            }
+
+    def patient_count(self, now_ms: float) -> int:
+        """Returns how many waiting requests leave slots free for urgent ones."""
+        with self.lock:
+            return self.scheduler.patient_count(now_ms)
+
     def service_loads(self, in_flight: Mapping[str, int]) -> ServiceLoads:
         """Returns the load of the services by the in-flight requests at instances."""
         with self.lock:
--- a/tests/gateway/test_overload_broadcaster.py
+++ b/tests/gateway/test_overload_broadcaster.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import io
+import json
+
 import pytest
 
 from skylarktrail.config.gateway_settings import SiteBounds
 from skylarktrail.core.gateway.model import InstanceEntry, ServiceSpec
 from skylarktrail.gateway import overload_broadcaster
+from skylarktrail.gateway.event_log import EventLog
+from skylarktrail.gateway.metrics import GatewayMetrics
 from skylarktrail.gateway.overload_broadcaster import OverloadBroadcaster
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.peer.gateway_messages import (
@@ -31,7 +36,13 @@
     site, sent = SiteState("d1", "east", SiteBounds()), []
     site.fleet.merge([ENTRY], 0.0)
     site.scheduler.services = {"stock": ServiceSpec("stock")}
-    broadcaster = OverloadBroadcaster(site, lambda: True, sent.append)
+    stream = io.StringIO()
+    log, metrics = EventLog("d1", stream), GatewayMetrics()
+    log.start()
+    metrics.add_labelled_gauge(
+        "admitted_part", "", "service", lambda: site.admitted_parts(clock["ms"])
+    )
+    broadcaster = OverloadBroadcaster(site, lambda: True, sent.append, log)
 
     def step(count):
         in_flight = (InFlightCount("i-1", count),)
@@ -45,5 +56,9 @@
     assert step(4) == [(("stock", pytest.approx(0.675)),)]
     part = site.scheduler.service_shedding.admitted_part("stock", clock["ms"])
     assert part == pytest.approx(0.675)
+    assert b'admitted_part{service="stock"} 0.67' in metrics.render()[0]
     steps = [step(0) for _ in range(7)]
     assert steps[-3:] == [[()], [], []]
+    log.stop()
+    events = [json.loads(line)["event"] for line in stream.getvalue().splitlines()]
+    assert events == ["service_shedding_began", "service_shedding_ended"]
