--- a/src/skylarktrail/gateway/gauges.py
+++ b/src/skylarktrail/gateway/gauges.py
@@ -5,6 +5,7 @@
 from typing import Callable
 
 from ..receive_budget import ReceiveBudget
+from .clock import now_ms
 from .config_confirmer import ConfigConfirmer
 from .connection_pool import ConnectionPool
 from .event_log import EventLog
@@ -52,6 +53,17 @@
         "Requests that wait for an instance.",
         lambda: site.scheduler.waiting_count(),
     )
+    add(
+        "patient_requests",
+        "Waiting requests that leave slots free for more urgent ones.",
+        lambda: site.patient_count(now_ms()),
+    )
+    metrics.add_labelled_gauge(
+        "admitted_part",
+        "Admitted part of the requests to a service without keys.",
+        "service",
+        lambda: site.admitted_parts(now_ms()),
+    )
     add(
         "log_lines_dropped",
         "Log lines left out to bound their volume.",
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -161,7 +161,7 @@
             self._confirmer,
         )
         self._overload_broadcaster = OverloadBroadcaster(
-            self._site, self._messenger.is_granter, self._messenger.broadcast
+            self._site, self._messenger.is_granter, self._messenger.broadcast, self._log
         )
         self._role_transfer = RoleTransfer(
             self._site,
