refactor: usual terms for deferrable requests and their pacer

`SharePace`, `yields`, `is_patient` and `step` said little to a reader who did not know the module. They are `AdaptivePacer`, `has_more_urgent`, `is_deferrable` and `adjust` now; the module is `adaptive_pacer`. The gauge `patient_requests` keeps its name, as it leaves the process.

--- a/src/skylarktrail/core/gateway/share_pace.py
+++ b/src/skylarktrail/core/gateway/adaptive_pacer.py
@@ -9,22 +9,27 @@
 
 from __future__ import annotations
 
-STEP_MS = 350.0  # As often as the granter broadcasts which instances are full.
+ADJUST_INTERVAL_MS = (
+    350.0  # As often as the granter broadcasts which instances are full.
+)
 DECREASE_RATIO = 0.85  # Per step with too few instances that have a free slot.
 INCREASE_RATIO = 1.1  # Per step with clearly enough of them.
 # With this many times the instances needed, the share increases. Between the two it
 # stays, as the figures are up to two steps old.
 ENOUGH_RATIO = 1.5
-SHARE_RATIO_LIMITS = (0.1, 3.0)  # At the upper limit there is no need to pace any more.
+SHARE_RATIO_LIMITS = (
+    0.1,
+    3.0,
+)  # At the upper limit there is no need to limit any more.
 BURST_MS = 1000.0  # Time at the share for which unused work may be saved up.
 
 
-class SharePace:
-    """Work that a daemon may start per time in one service; unlimited at first."""
+class AdaptivePacer:
+    """Limits the work that a daemon starts per time in one service; off at first."""
 
     def __init__(self) -> None:
         self._ratio: float | None = None
-        self._stepped_ms = 0.0
+        self._adjusted_ms = 0.0
         self._slots = 0.0
         self._work_ms = 0.0
         self._filled_ms = 0.0
@@ -34,14 +39,14 @@
         """Returns whether requests have to wait for a part of the share."""
         return self._ratio is not None
 
-    def is_step_due(self, now_ms: float) -> bool:
+    def is_adjustment_due(self, now_ms: float) -> bool:
         """Returns whether the share is to be adjusted."""
-        return now_ms - self._stepped_ms >= STEP_MS
+        return now_ms - self._adjusted_ms >= ADJUST_INTERVAL_MS
 
-    def step(
+    def adjust(
         self, free_count: int, needed_count: int, share_slots: float, now_ms: float
     ) -> None:
-        """Adjusts the share by one step.
+        """Raises or lowers the share by one step.
 
         Args:
             free_count: Instances that are not known to be full.
@@ -50,7 +55,7 @@
             now_ms: The current time.
         """
         self._fill(now_ms)
-        self._stepped_ms = now_ms
+        self._adjusted_ms = now_ms
         self._adjust_ratio(free_count, needed_count)
         self._slots = share_slots * (self._ratio or 0.0)
 
--- a/src/skylarktrail/core/gateway/instance_room.py
+++ b/src/skylarktrail/core/gateway/instance_room.py
@@ -36,7 +36,7 @@
         """Returns the instances that can accept a ticket now."""
         own_limit = self._own_limit()
         idle = [i for i in instances if i.in_flight < own_limit]
-        if not self._reserve.is_patient(ticket, now_ms):
+        if not self._reserve.is_deferrable(ticket, now_ms):
             return [i for i in idle if self._has_room(ticket, i, now_ms)]
         count_free = self._reserve.free_slots(ticket, now_ms)
         return [
@@ -59,7 +59,11 @@
         """
         slots = max(1, instance.entry.slots)
         is_keyed = ticket.key_hash is not None
-        if ticket.is_late or not is_keyed and self._reserve.yields(ticket, now_ms):
+        if (
+            ticket.is_late
+            or not is_keyed
+            and self._reserve.has_more_urgent(ticket, now_ms)
+        ):
             return instance.occupancy(now_ms) + 1 <= slots
         priority = max(0, ticket.priority)
         queue = QUEUE_LENGTH_RATIO / (1 + QUEUE_PRIORITY_RATIO * priority)
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -112,7 +112,7 @@
     def _admitted_part(self, ticket: Ticket, now_ms: float) -> float:
         """Returns the admitted fraction of the requests like a ticket."""
         if ticket.key_hash is None:
-            if not self._reserve.yields(ticket, now_ms):
+            if not self._reserve.has_more_urgent(ticket, now_ms):
                 return 1.0
             service_part = self.service_shedding.admitted_part(ticket.service, now_ms)
             return self._admission.admitted_part(ticket, service_part, now_ms)
@@ -181,9 +181,9 @@
         """Returns the number of waiting tickets."""
         return len(self._waiting)
 
-    def patient_count(self, now_ms: float) -> int:
+    def deferrable_count(self, now_ms: float) -> int:
         """Returns how many waiting tickets leave slots free for more urgent ones."""
-        return sum(self._reserve.is_patient(t, now_ms) for t in self._waiting)
+        return sum(self._reserve.is_deferrable(t, now_ms) for t in self._waiting)
 
     def _queue_key(self, ticket: Ticket) -> tuple[str, str]:
         if ticket.key_hash is None:
--- a/src/skylarktrail/core/gateway/slot_reserve.py
+++ b/src/skylarktrail/core/gateway/slot_reserve.py
@@ -18,12 +18,12 @@
 
 import xxhash
 
+from .adaptive_pacer import AdaptivePacer
 from .demand import DemandMeter
 from .expected_times import ExpectedTimes
 from .instance import Instance
 from .instance_access import InstanceAccess
 from .scheduler_view import SchedulerState
-from .share_pace import SharePace
 from .ticket import Ticket
 
 # Slots are kept free for this long after a more urgent request. A daemon gets one only
@@ -36,9 +36,9 @@
 # What daemons know of them is half a second old; by then some of them are full.
 MIN_NOT_FULL_RATIO = 0.125
 MAX_FREE_RATIO = 0.5  # Of the slots of an instance.
-# A request waits no longer than until its target is this many times its work away. Work
-# times vary, and a slot has to become free.
-PATIENT_WORK_RATIO = 2.5
+# A request is deferrable while the time left to its target exceeds this many times its
+# expected work. The rest allows for work that varies and for the wait for a slot.
+DEFERRABLE_WORK_RATIO = 2.5
 
 
 class SlotReserve:
@@ -63,7 +63,7 @@
         self._times = times
         self._meter = meter
         self._arrivals_ms: dict[str, dict[int, float]] = {}
-        self._paces: dict[tuple[str, int], SharePace] = {}
+        self._pacers: dict[tuple[str, int], AdaptivePacer] = {}
         self._ranks: dict[str, tuple[list[Instance], dict[str, int]]] = {}
 
     def record_arrival(self, ticket: Ticket, now_ms: float) -> None:
@@ -71,8 +71,8 @@
         known = self._arrivals_ms.setdefault(ticket.service, {})
         known[ticket.priority] = now_ms
 
-    def yields(self, ticket: Ticket, now_ms: float) -> bool:
-        """Returns whether more urgent requests to the same service arrive."""
+    def has_more_urgent(self, ticket: Ticket, now_ms: float) -> bool:
+        """Returns whether more urgent requests to the same service arrived lately."""
         oldest_ms = now_ms - URGENT_TTL_MS
         arrivals_ms = self._arrivals_ms.get(ticket.service, {})
         return any(
@@ -81,13 +81,13 @@
             if priority < ticket.priority
         )
 
-    def is_patient(self, ticket: Ticket, now_ms: float) -> bool:
-        """Returns whether a request leaves slots free, as it has time."""
-        if not self.yields(ticket, now_ms):
+    def is_deferrable(self, ticket: Ticket, now_ms: float) -> bool:
+        """Returns whether a request can wait and so leaves slots free for others."""
+        if not self.has_more_urgent(ticket, now_ms):
             return False
         end_ms = ticket.end_ms if ticket.is_late else ticket.target_end_ms
         work_ms = self._times.work_ms(ticket)
-        return now_ms + PATIENT_WORK_RATIO * work_ms < end_ms
+        return now_ms + DEFERRABLE_WORK_RATIO * work_ms < end_ms
 
     def wait_ms(self, ticket: Ticket, ahead_count: int, now_ms: float) -> float:
         """Returns how long a request waits for its part of this daemon's share.
@@ -97,24 +97,28 @@
             ahead_count: Requests that wait before it.
             now_ms: The current time.
         """
-        if not self.yields(ticket, now_ms):
+        if not self.has_more_urgent(ticket, now_ms):
             return 0.0
         ahead_work_ms = ahead_count * self._times.work_ms(ticket)
-        return self._get_pace(ticket, now_ms).wait_ms(ahead_work_ms, now_ms)
+        return self._get_pacer(ticket, now_ms).wait_ms(ahead_work_ms, now_ms)
 
     def record_placement(self, ticket: Ticket, now_ms: float) -> None:
         """Records a request that starts, as part of this daemon's share."""
-        if self.yields(ticket, now_ms):
+        if self.has_more_urgent(ticket, now_ms):
             work_ms = self._times.work_ms(ticket)
-            self._get_pace(ticket, now_ms).record_start(work_ms)
+            self._get_pacer(ticket, now_ms).record_start(work_ms)
 
-    def _get_pace(self, ticket: Ticket, now_ms: float) -> SharePace:
-        pace = self._paces.setdefault((ticket.service, ticket.priority), SharePace())
-        if ticket.key_hash is None and pace.is_step_due(now_ms):
-            self._step_pace(pace, ticket, now_ms)
-        return pace
+    def _get_pacer(self, ticket: Ticket, now_ms: float) -> AdaptivePacer:
+        pacer = self._pacers.setdefault(
+            (ticket.service, ticket.priority), AdaptivePacer()
+        )
+        if ticket.key_hash is None and pacer.is_adjustment_due(now_ms):
+            self._adjust_pacer(pacer, ticket, now_ms)
+        return pacer
 
-    def _step_pace(self, pace: SharePace, ticket: Ticket, now_ms: float) -> None:
+    def _adjust_pacer(
+        self, pacer: AdaptivePacer, ticket: Ticket, now_ms: float
+    ) -> None:
         instances = self._find_serving(ticket, now_ms)
         free_count = sum(not i.is_full(now_ms) for i in instances)
         urgent_slots = self._urgent_slots(ticket, now_ms)
@@ -124,7 +128,7 @@
         slots = sum(max(1, i.entry.slots) for i in instances)
         left_slots = max(1.0, slots - urgent_slots - needed_count)
         share_slots = left_slots / self._sending_count()
-        pace.step(free_count, needed_count, share_slots, now_ms)
+        pacer.adjust(free_count, needed_count, share_slots, now_ms)
 
     @staticmethod
     def _needed_slots(urgent_slots: float) -> int:
@@ -135,7 +139,7 @@
         return max(1, len(view.daemons) - view.cut_daemon_count)
 
     def free_slots(self, ticket: Ticket, now_ms: float) -> Callable[[Instance], int]:
-        """Returns a function for the slots that a patient request leaves free."""
+        """Returns a function for the slots that a deferrable request leaves free."""
         instances = self._state.fleet.find_by_service(ticket.service)
         instance_count = max(1, len(instances))
         urgent_slots = self._urgent_slots(ticket, now_ms)
--- a/src/skylarktrail/gateway/gauges.py
+++ b/src/skylarktrail/gateway/gauges.py
@@ -56,7 +56,7 @@
     add(
         "patient_requests",
         "Waiting requests that leave slots free for more urgent ones.",
-        lambda: site.patient_count(now_ms()),
+        lambda: site.deferrable_count(now_ms()),
     )
     metrics.add_labelled_gauge(
         "admitted_part",
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -306,10 +306,10 @@
                 if not spec.is_keyed
             }
 
-    def patient_count(self, now_ms: float) -> int:
+    def deferrable_count(self, now_ms: float) -> int:
         """Returns how many waiting requests leave slots free for urgent ones."""
         with self.lock:
-            return self.scheduler.patient_count(now_ms)
+            return self.scheduler.deferrable_count(now_ms)
 
     def service_loads(self, in_flight: Mapping[str, int]) -> ServiceLoads:
         """Returns the load of the services by the in-flight requests at instances."""
--- a/tests/core/gateway/test_slot_reserve.py
+++ b/tests/core/gateway/test_slot_reserve.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from skylarktrail.core.gateway.adaptive_pacer import ADJUST_INTERVAL_MS, AdaptivePacer
 from skylarktrail.core.gateway.fleet import Fleet
 from skylarktrail.core.gateway.model import ServiceSpec
 from skylarktrail.core.gateway.scheduler import Scheduler, SchedulerView
-from skylarktrail.core.gateway.share_pace import STEP_MS, SharePace
 from skylarktrail.core.gateway.slot_reserve import URGENT_TTL_MS
 from skylarktrail.core.gateway.ticket import Ticket
 
@@ -120,28 +120,28 @@
 
 def test_full_instances_lower_the_share_and_free_ones_end_the_limit():
     """Guards against a limit that stays when the reason for it has gone."""
-    pace = SharePace()
-    pace.step(10, 4, 2.0, 0.0)
-    assert not pace.is_limited
-    pace.step(3, 4, 2.0, STEP_MS)
+    pacer = AdaptivePacer()
+    pacer.adjust(10, 4, 2.0, 0.0)
+    assert not pacer.is_limited
+    pacer.adjust(3, 4, 2.0, ADJUST_INTERVAL_MS)
     waits_ms = []
     for number in range(2, 6):
-        pace.step(3, 4, 2.0, number * STEP_MS)
-        waits_ms.append(pace.wait_ms(5000.0, number * STEP_MS))
+        pacer.adjust(3, 4, 2.0, number * ADJUST_INTERVAL_MS)
+        waits_ms.append(pacer.wait_ms(5000.0, number * ADJUST_INTERVAL_MS))
     assert waits_ms[-1] > waits_ms[0] > NO_WAIT_MS
     for number in range(6, 40):
-        pace.step(10, 4, 2.0, number * STEP_MS)
-    assert pace.wait_ms(5000.0, 40 * STEP_MS) == NO_WAIT_MS
+        pacer.adjust(10, 4, 2.0, number * ADJUST_INTERVAL_MS)
+    assert pacer.wait_ms(5000.0, 40 * ADJUST_INTERVAL_MS) == NO_WAIT_MS
 
 
 def test_the_share_stays_while_the_number_of_free_instances_is_about_right():
     """Guards against a share that rises and falls with each broadcast."""
-    pace = SharePace()
-    pace.step(3, 4, 2.0, 0.0)
-    pace.step(4, 4, 2.0, STEP_MS)
-    wait_ms = pace.wait_ms(5000.0, STEP_MS)
-    pace.step(5, 4, 2.0, STEP_MS)
-    assert pace.wait_ms(5000.0, STEP_MS) == wait_ms
+    pacer = AdaptivePacer()
+    pacer.adjust(3, 4, 2.0, 0.0)
+    pacer.adjust(4, 4, 2.0, ADJUST_INTERVAL_MS)
+    wait_ms = pacer.wait_ms(5000.0, ADJUST_INTERVAL_MS)
+    pacer.adjust(5, 4, 2.0, ADJUST_INTERVAL_MS)
+    assert pacer.wait_ms(5000.0, ADJUST_INTERVAL_MS) == wait_ms
 
 
 def test_broadcasts_count_for_a_time_when_the_granter_is_lost(make_scheduler, submit):
@@ -152,8 +152,8 @@
     scheduler.release(submit(scheduler, 0))
     assert count_placed(scheduler, submit, 2, now_ms=1.0) == 0
     for step in range(1, 24):
-        last = submit(scheduler, 2, now_ms=step * STEP_MS)
-        scheduler.poll(step * STEP_MS)
+        last = submit(scheduler, 2, now_ms=step * ADJUST_INTERVAL_MS)
+        scheduler.poll(step * ADJUST_INTERVAL_MS)
         scheduler.release(last)
         scheduler.cancel(last)
     assert last.instance is not None
