refactor: count the daemons that can send requests in one place

`instance_room` and `slot_reserve` computed the same number. It is a property of `SchedulerView` now. Two constants of `adaptive_pacer` stand on one line again. No behaviour changes; the unit tests of the slot reserve and the scheduler pass.

--- a/src/skylarktrail/core/gateway/adaptive_pacer.py
+++ b/src/skylarktrail/core/gateway/adaptive_pacer.py
@@ -9,18 +9,14 @@
 
 from __future__ import annotations
 
-ADJUST_INTERVAL_MS = (
-    350.0  # As often as the granter broadcasts which instances are full.
-)
+# As often as the granter broadcasts which instances are full.
+ADJUST_INTERVAL_MS = 350.0
 DECREASE_RATIO = 0.85  # Per step with too few instances that have a free slot.
 INCREASE_RATIO = 1.1  # Per step with clearly enough of them.
 # With this many times the instances needed, the share increases. Between the two it
 # stays, as the figures are up to two steps old.
 ENOUGH_RATIO = 1.5
-SHARE_RATIO_LIMITS = (
-    0.1,
-    3.0,
-)  # At the upper limit there is no need to limit any more.
+SHARE_RATIO_LIMITS = (0.1, 3.0)  # At the upper limit, pacing ends.
 BURST_MS = 1000.0  # Time at the share for which unused work may be saved up.
 
 
--- a/src/skylarktrail/core/gateway/instance_room.py
+++ b/src/skylarktrail/core/gateway/instance_room.py
@@ -45,9 +45,8 @@
 
     def _own_limit(self) -> float:
         """Returns how many requests this daemon may have in flight at an instance."""
-        view = self._state.view
-        sending_count = len(view.daemons) - view.cut_daemon_count
-        return max(1.0, SITE_IN_FLIGHT_COUNT / max(1, sending_count))
+        daemon_count = self._state.view.sending_daemon_count
+        return max(1.0, SITE_IN_FLIGHT_COUNT / daemon_count)
 
     def _has_room(self, ticket: Ticket, instance: Instance, now_ms: float) -> bool:
         """Returns whether an instance can accept a ticket that leaves no slots free.
--- a/src/skylarktrail/core/gateway/scheduler_view.py
+++ b/src/skylarktrail/core/gateway/scheduler_view.py
@@ -47,6 +47,11 @@
     missing_owner_ms: Callable[[str, int], float] = _has_no_missing_owner
     stop_ms: float = math.inf
 
+    @property
+    def sending_daemon_count(self) -> int:
+        """Returns the number of daemons that can send requests; 1 at least."""
+        return max(1, len(self.daemons) - self.cut_daemon_count)
+
 
 class SchedulerState:
     """State that all parts of the scheduler share.
--- a/src/skylarktrail/core/gateway/slot_reserve.py
+++ b/src/skylarktrail/core/gateway/slot_reserve.py
@@ -127,17 +127,13 @@
         needed_count = min(needed_count, max(1, len(instances) // 2))
         slots = sum(max(1, i.entry.slots) for i in instances)
         left_slots = max(1.0, slots - urgent_slots - needed_count)
-        share_slots = left_slots / self._sending_count()
+        share_slots = left_slots / self._state.view.sending_daemon_count
         pacer.adjust(free_count, needed_count, share_slots, now_ms)
 
     @staticmethod
     def _needed_slots(urgent_slots: float) -> int:
         return max(1, math.ceil(FREE_DEVIATION_RATIO * math.sqrt(urgent_slots)))
 
-    def _sending_count(self) -> int:
-        view = self._state.view
-        return max(1, len(view.daemons) - view.cut_daemon_count)
-
     def free_slots(self, ticket: Ticket, now_ms: float) -> Callable[[Instance], int]:
         """Returns a function for the slots that a deferrable request leaves free."""
         instances = self._state.fleet.find_by_service(ticket.service)
@@ -171,7 +167,7 @@
         """Estimates how many slots more urgent requests occupy at the site."""
         demand = self._meter.service(ticket.service, now_ms)
         urgent = demand.more_urgent(ticket.priority, now_ms)
-        return demand.busy_slots(urgent, now_ms) * self._sending_count()
+        return demand.busy_slots(urgent, now_ms) * self._state.view.sending_daemon_count
 
     def _get_ranks(self, service: str, instances: list[Instance]) -> dict[str, int]:
         """Returns the places of the instances in an order that all daemons agree on."""
