refactor: usual terms in the modules of quotas

`QuotaKeeper` and `QuotaGate` did not say which of them admits requests and which sends messages, and `promise_ms` hid that it reserves a time for a retry. The docstring of the enforcer names its load. Messages, metrics and log events keep their names. No behaviour changes; the unit tests of quotas, the enforcer and quota routing pass.

--- a/src/skylarktrail/core/gateway/quota_gate.py
+++ b/src/skylarktrail/core/gateway/quota_admission.py
@@ -113,7 +113,7 @@
             wanted if is_wanted else 0,
         )
 
-    def has_news(self) -> bool:
+    def needs_report(self) -> bool:
         return any(self.make_report()[1:])
 
 
@@ -131,7 +131,7 @@
     sent_ms: float
 
 
-class QuotaGate:
+class QuotaAdmission:
     """Usage and credit of all customers at one daemon.
 
     Attributes:
@@ -173,7 +173,7 @@
         """Returns whether a report has to be sent before the next regular one.
 
         Args:
-            customer: The only customer with news; None to consider all.
+            customer: The only customer whose usage changed; None to consider all.
         """
         if self._sent is not None or self.uses_own_share:
             return False
@@ -182,7 +182,7 @@
         return any(map(self._is_urgent, self._usages.values()))
 
     def pop_report(self, now_ms: float) -> list[QuotaUsage] | None:
-        """Returns a report of all news, also an empty one while on its own share.
+        """Returns the next report, which may be empty while the own share is used.
 
         Returns:
             The report, or None if there is none or an earlier one has no reply yet.
@@ -191,12 +191,12 @@
             return None
         for usage in self._usages.values():
             usage.refresh(now_ms)
-        news = [item for item in self._usages.values() if item.has_news()]
-        if not news and not self.uses_own_share:
+        reported = [item for item in self._usages.values() if item.needs_report()]
+        if not reported and not self.uses_own_share:
             return None
-        usages = [item.make_report() for item in news]
-        waiting = frozenset(item.customer.name for item in news if item.waiting)
-        for item in news:
+        usages = [item.make_report() for item in reported]
+        waiting = frozenset(item.customer.name for item in reported if item.waiting)
+        for item in reported:
             item.unconfirmed, item.unreported, item.returned = item.unreported, 0, 0
         self._sent = _SentReport(usages, waiting, now_ms)
         return usages
@@ -222,7 +222,7 @@
         self.set_metered([*names, *metered], now_ms)
 
     def record_failure(self, may_have_arrived: bool, now_ms: float) -> None:
-        """Records that a report got no reply; its news go into the next one.
+        """Records that a report got no reply; its usage goes into the next one.
 
         Args:
             may_have_arrived: Whether the granter may have handled it. What it returned
--- a/src/skylarktrail/core/gateway/quotas.py
+++ b/src/skylarktrail/core/gateway/quotas.py
@@ -7,7 +7,7 @@
 credit from the granter for each of its requests. What was used before the daemons knew
 is deducted as well, and nothing is granted until the deficit has been refilled.
 
-The daemon's side is in `quota_gate`.
+The daemon's side is in `quota_admission`.
 """
 
 from __future__ import annotations
@@ -92,7 +92,7 @@
         tokens = min(burst * START_RATIO, excess)
         self.bucket = TokenBucket(rate_per_s, burst, now_ms, tokens)
         self.is_metered = False
-        self._promised_ms = -math.inf
+        self._next_retry_ms = -math.inf
 
     def update(self, now_ms: float) -> bool:
         """Updates whether the customer is metered; returns whether that changed."""
@@ -111,12 +111,12 @@
         self.bucket.consume(granted, now_ms)
         return granted
 
-    def promise_ms(self, now_ms: float) -> float:
-        """Returns after which time to ask again, different for each daemon."""
+    def reserve_retry_ms(self, now_ms: float) -> float:
+        """Returns the delay until a retry, and reserves that time for one daemon."""
         first_ms = now_ms + self.bucket.wait_ms(now_ms)
-        promised_ms = min(max(first_ms, self._promised_ms), first_ms + MAX_SPREAD_MS)
-        self._promised_ms = promised_ms + 1000 / self.bucket.rate_per_s
-        return promised_ms - now_ms
+        retry_ms = min(max(first_ms, self._next_retry_ms), first_ms + MAX_SPREAD_MS)
+        self._next_retry_ms = retry_ms + 1000 / self.bucket.rate_per_s
+        return retry_ms - now_ms
 
 
 class QuotaLedger:
@@ -172,7 +172,7 @@
             return QuotaGrant(usage.customer, False, 0, 0.0)
         granted = account.grant(usage.wanted, now_ms)
         is_refused = usage.wanted > 0 and granted == 0
-        wait_ms = account.promise_ms(now_ms) if is_refused else 0.0
+        wait_ms = account.reserve_retry_ms(now_ms) if is_refused else 0.0
         return QuotaGrant(usage.customer, True, granted, wait_ms)
 
 
--- a/src/skylarktrail/gateway/job.py
+++ b/src/skylarktrail/gateway/job.py
@@ -8,7 +8,7 @@
 from ..core.gateway.customers import Customer
 from ..core.gateway.fingerprints import make_fingerprint
 from ..core.gateway.model import Route
-from ..core.gateway.quota_gate import Refusal
+from ..core.gateway.quota_admission import Refusal
 from ..core.gateway.ticket import Ticket
 from ..daemon.response import Response
 from ..daemon.routes import CallerRequest
--- a/src/skylarktrail/gateway/quota_keeper.py
+++ b/src/skylarktrail/gateway/quota_enforcer.py
@@ -1,4 +1,8 @@
-"""Keeps customers within their quotas, together with the other daemons."""
+"""Reports usage of quotas to the granter, and refuses requests beyond them.
+
+The load is a metered customer, whose requests wait up to 200 ms for credit. A daemon
+has at most one report on its way, which covers all customers.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +11,7 @@
 
 from ..core.gateway.customers import Customer
 from ..core.gateway.model import SiteConfig
-from ..core.gateway.quota_gate import QuotaGate, QuotaTicket, Refusal
+from ..core.gateway.quota_admission import QuotaAdmission, QuotaTicket, Refusal
 from ..core.gateway.quotas import QuotaGrant, QuotaLedger, QuotaUsage
 from ..errors import peer as peer_codes
 from ..peer.hub import Responder
@@ -37,7 +41,7 @@
 )
 
 
-class QuotaKeeper:
+class QuotaEnforcer:
     """Decides whether requests are within the quotas of their customers.
 
     All methods are thread-safe.
@@ -61,7 +65,7 @@
         self._log = log
         self._metrics = metrics
         self._lock = threading.RLock()
-        self._gate = QuotaGate()
+        self._admission = QuotaAdmission()
         self._ledger = QuotaLedger()
         self._ledger_term: int | None = None
         self._config: SiteConfig | None = None
@@ -87,15 +91,15 @@
         decided = threading.Event()
         with self._lock:
             self._update(now_ms())
-            self._gate.submit(ticket, now_ms())
+            self._admission.submit(ticket, now_ms())
             ticket.on_decided = decided.set
-            is_report_due = self._gate.is_report_due(customer)
+            is_report_due = self._admission.is_report_due(customer)
         if is_report_due:
             self._send_report()
         if not ticket.decision:
             decided.wait(max(0.0, min(REPLY_TIMEOUT_MS, end_ms - now_ms())) / 1000)
             with self._lock:
-                self._gate.time_out(ticket, now_ms())
+                self._admission.time_out(ticket, now_ms())
         self._metrics.count("quota_requests", customer.name, ticket.decision)
         return ticket.refusal
 
@@ -104,7 +108,7 @@
         if customer is None or customer.rate_per_s <= 0:
             return
         with self._lock:
-            self._gate.give_back(customer)
+            self._admission.give_back(customer)
 
     def run_once(self) -> float:
         """Sends a report if there is news; returns the pause in milliseconds."""
@@ -117,12 +121,12 @@
 
     def _update(self, at_ms: float) -> None:
         """Applies a new configuration, and who the granter is."""
-        self._gate.daemon_count = max(1, len(self._site.shared.members))
+        self._admission.daemon_count = max(1, len(self._site.shared.members))
         table = self._site.route_table
         config = table.config if table is not None else None
         if config is not None and config is not self._config:
             self._config = config
-            self._gate.set_customers(config.customers.customers)
+            self._admission.set_customers(config.customers.customers)
             self._ledger.set_customers(config.customers.customers, at_ms)
         term = self._site.shared.granter.term
         if not self._messenger.is_granter():
@@ -138,7 +142,7 @@
     def _send_report(self) -> None:
         """Sends the news to the granter; as granter, records them."""
         with self._lock:
-            usages = self._gate.pop_report(now_ms())
+            usages = self._admission.pop_report(now_ms())
         if usages is None:
             return
         if self._messenger.is_granter():
@@ -153,9 +157,9 @@
         while usages is not None:
             with self._lock:
                 grants = self._record(usages, self._site.daemon)
-                self._gate.record_reply(grants, self._ledger.metered(), now_ms())
-                is_due = self._gate.is_report_due()
-                usages = self._gate.pop_report(now_ms()) if is_due else None
+                self._admission.record_reply(grants, self._ledger.metered(), now_ms())
+                is_due = self._admission.is_report_due()
+                usages = self._admission.pop_report(now_ms()) if is_due else None
 
     def _handle_reply(self, future: Future) -> None:
         outcome = future.result()
@@ -167,16 +171,16 @@
                     outcome.unwrap_err().code in UNSENT_FAULTS
                 )
                 self._log_own_share(True)
-                self._gate.record_failure(not is_unsent, now_ms())
-            is_report_due = self._gate.is_report_due()
+                self._admission.record_failure(not is_unsent, now_ms())
+            is_report_due = self._admission.is_report_due()
         if is_report_due:
             self._send_report()
 
     def _record_reply(self, reply: GatewayQuotaReply) -> None:
-        before = self._gate.metered()
+        before = self._admission.metered()
         self._log_own_share(False)
-        self._gate.record_reply(reply.grants, reply.metered, now_ms())
-        self._log_told(before)
+        self._admission.record_reply(reply.grants, reply.metered, now_ms())
+        self._log_metered_changes(before)
 
     def _handle_report(
         self, daemon: str, message: GatewayQuotaReport, reply: Responder
@@ -202,10 +206,10 @@
         if daemon != self._site.shared.granter.daemon:
             return
         with self._lock:
-            before = self._gate.metered()
-            self._gate.set_metered(message.metered, now_ms())
-            self._log_told(before)
-            is_report_due = self._gate.is_report_due()
+            before = self._admission.metered()
+            self._admission.set_metered(message.metered, now_ms())
+            self._log_metered_changes(before)
+            is_report_due = self._admission.is_report_due()
         if is_report_due:
             self._send_report()
 
@@ -228,7 +232,7 @@
                 reported_by=reported_by,
             )
         if changes:
-            self._gate.set_metered(self._ledger.metered(), now_ms())
+            self._admission.set_metered(self._ledger.metered(), now_ms())
         if any(change.is_metered for change in changes):
             self._broadcast_states()
 
@@ -239,18 +243,18 @@
         self._had_metered = bool(metered)
 
     def _use_own_share(self) -> None:
-        if not self._gate.uses_own_share:
+        if not self._admission.uses_own_share:
             self._log_own_share(True)
-            self._gate.use_own_share(now_ms())
+            self._admission.use_own_share(now_ms())
 
     def _log_own_share(self, is_used: bool) -> None:
-        """Logs a change; called before the gate records it."""
-        if self._gate.uses_own_share != is_used:
+        """Logs a change; called before the admission records it."""
+        if self._admission.uses_own_share != is_used:
             self._log.state("quota_own_share", is_used=is_used)
 
-    def _log_told(self, before: tuple[str, ...]) -> None:
-        """Logs which customers the granter began or ended to meter."""
-        after = self._gate.metered()
+    def _log_metered_changes(self, before: tuple[str, ...]) -> None:
+        """Logs which customers became metered or no longer are."""
+        after = self._admission.metered()
         for name in sorted(set(before) ^ set(after)):
             event = "customer_metered" if name in after else "customer_not_metered"
             granter = self._site.shared.granter.daemon
@@ -260,10 +264,10 @@
         self._metrics.add_gauge(
             "metered_customers",
             "Customers whose requests need credit of the granter.",
-            lambda: len(self._gate.metered()),
+            lambda: len(self._admission.metered()),
         )
         self._metrics.add_gauge(
             "quota_own_share",
             "1 while the granter does not reply, so that quotas are kept by a share.",
-            lambda: float(self._gate.uses_own_share),
+            lambda: float(self._admission.uses_own_share),
         )
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -29,7 +29,7 @@
 from .job_maker import JobMaker
 from .metrics import GatewayMetrics
 from .outgoing import make_outgoing_request
-from .quota_keeper import QuotaKeeper
+from .quota_enforcer import QuotaEnforcer
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
 from .refusals import make_key_refusal, make_refusal, refusal_code
@@ -55,7 +55,7 @@
         forwarder: Forwards requests to other daemons.
         reach_monitor: Decides whether this daemon reaches the instances.
         rate_limiter: Keeps the requests to an instance within the rate that it names.
-        quota_keeper: Keeps the requests of customers within their quotas.
+        quota_enforcer: Keeps the requests of customers within their quotas.
         request_guard: Blocks requests that end the instances that run them.
         disconnect_monitor: Aborts requests whose callers disconnect.
         log: Receives a line for each request.
@@ -75,7 +75,7 @@
         forwarder: Forwarder,
         reach_monitor: ReachMonitor,
         rate_limiter: RateLimiter,
-        quota_keeper: QuotaKeeper,
+        quota_enforcer: QuotaEnforcer,
         request_guard: RequestGuard,
         disconnect_monitor: DisconnectMonitor,
         log: EventLog,
@@ -88,7 +88,7 @@
         self._forwarder = forwarder
         self._reach_monitor = reach_monitor
         self._rate_limiter = rate_limiter
-        self._quota_keeper = quota_keeper
+        self._quota_enforcer = quota_enforcer
         self._request_guard = request_guard
         self._disconnect_monitor = disconnect_monitor
         self._metrics = metrics
@@ -188,14 +188,14 @@
         """
         if job.is_forwarded:
             return self._refuse_blocked(job) or self._serve(job)
-        refusal = self._quota_keeper.acquire(job.customer, job.end_ms)
+        refusal = self._quota_enforcer.acquire(job.customer, job.end_ms)
         if refusal is not None:
             job.quota_refusal = refusal
             return make_refusal(caller_codes.QUOTA_EXCEEDED, refusal.wait_ms)
         self._job_maker.count(job)
         reply = self._refuse_blocked(job) or self._serve(job)
         if isinstance(reply, Problem) and reply.outcome == fields.NOT_RUN:
-            self._quota_keeper.give_back(job.customer)
+            self._quota_enforcer.give_back(job.customer)
         return reply
 
     def _config_age_ms(self) -> float:
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -52,7 +52,7 @@
 from .metrics import GatewayMetrics
 from .operator_watcher import OperatorWatcher
 from .overload_broadcaster import OverloadBroadcaster
-from .quota_keeper import QuotaKeeper
+from .quota_enforcer import QuotaEnforcer
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
 from .request_guard import RequestGuard
@@ -127,7 +127,7 @@
             lambda: self._operators.trigger_read(),
             lambda: self._operators.applied_position(),
         )
-        self._quota_keeper = QuotaKeeper(
+        self._quota_enforcer = QuotaEnforcer(
             self._site, self._messenger, self._log, self._metrics
         )
         self._request_guard = RequestGuard(self._messenger, self._log)
@@ -153,7 +153,7 @@
             forwarder,
             self._reach_monitor,
             self._rate_limiter,
-            self._quota_keeper,
+            self._quota_enforcer,
             self._request_guard,
             self._disconnect_monitor,
             self._log,
@@ -329,7 +329,7 @@
             "load-teller": self._overload_broadcaster.run_once,
             "rate-limits": self._rate_limiter.run_once,
             "config-confirmer": self._confirmer.run_once,
-            "quotas": self._quota_keeper.run_once,
+            "quotas": self._quota_enforcer.run_once,
             "request-guard": self._request_guard.run_once,
             "reachability": self._reach_monitor.run_once,
         }
--- a/tests/core/gateway/quota_site.py
+++ b/tests/core/gateway/quota_site.py
@@ -8,7 +8,7 @@
 from collections import Counter
 
 from skylarktrail.core.gateway.customers import Customer
-from skylarktrail.core.gateway.quota_gate import QuotaGate, QuotaTicket
+from skylarktrail.core.gateway.quota_admission import QuotaAdmission, QuotaTicket
 from skylarktrail.core.gateway.quotas import QuotaLedger
 
 WINDOW_MS = 5000.0
@@ -58,7 +58,7 @@
         self.customers = {item.name: item for item in customers}
         self.ledger = QuotaLedger()
         self.ledger.set_customers(customers, 0.0)
-        self.gates = [QuotaGate() for _ in range(daemon_count)]
+        self.gates = [QuotaAdmission() for _ in range(daemon_count)]
         self.is_granter_lost = False
         self.cut: set[int] = set()
         self.admitted_ms: dict[str, list[float]] = {n: [] for n in self.customers}
--- a/tests/core/gateway/test_quotas.py
+++ b/tests/core/gateway/test_quotas.py
@@ -6,7 +6,11 @@
 
 from skylarktrail.core.gateway.budget import TokenBucket
 from skylarktrail.core.gateway.own_share import OWN_SHARE_RATIO
-from skylarktrail.core.gateway.quota_gate import CREDIT_TTL_MS, QuotaGate, QuotaTicket
+from skylarktrail.core.gateway.quota_admission import (
+    CREDIT_TTL_MS,
+    QuotaAdmission,
+    QuotaTicket,
+)
 from skylarktrail.core.gateway.quotas import QuotaGrant, QuotaLedger, QuotaUsage
 
 from .quota_site import (
@@ -40,7 +44,7 @@
 
 @pytest.fixture
 def gate():
-    gate = QuotaGate()
+    gate = QuotaAdmission()
     gate.daemon_count = DAEMON_COUNT
     return gate
 
--- a/tests/gateway/test_quota_keeper.py
+++ b/tests/gateway/test_quota_enforcer.py
@@ -25,7 +25,7 @@
 from skylarktrail.gateway.clock import now_ms
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.metrics import GatewayMetrics
-from skylarktrail.gateway.quota_keeper import REPLY_TIMEOUT_MS, QuotaKeeper
+from skylarktrail.gateway.quota_enforcer import REPLY_TIMEOUT_MS, QuotaEnforcer
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import OperatorUpdate, SharedUpdate
 from skylarktrail.peer.quota_messages import GatewayQuotaReport, GatewayQuotaStates
@@ -65,7 +65,7 @@
             request_granter=self._request_granter,
             broadcast=self._broadcast,
         )
-        self.keeper = QuotaKeeper(self.site, messenger, self.log, self.metrics)
+        self.enforcer = QuotaEnforcer(self.site, messenger, self.log, self.metrics)
 
     def receive(self, sender, message, reply):
         self.received.append(message)
@@ -80,7 +80,7 @@
     def use(self, count):
         """Sends requests; returns the refusals."""
         ends_ms = now_ms() + 1000
-        results = [self.keeper.acquire(CUSTOMER, ends_ms) for _ in range(count)]
+        results = [self.enforcer.acquire(CUSTOMER, ends_ms) for _ in range(count)]
         return [item for item in results if item is not None]
 
     def _broadcast(self, message):
@@ -108,7 +108,7 @@
     for name in ("d1", "d2"):
         daemons[name] = Daemon(name, daemons)
     for daemon in daemons.values():
-        daemon.keeper.run_once()
+        daemon.enforcer.run_once()
     return daemons
 
 
@@ -148,15 +148,15 @@
     network["d2"].is_known_alive = False
     network["d2"].use(1)
     network["d2"].is_known_alive = True
-    network["d2"].keeper.run_once()
+    network["d2"].enforcer.run_once()
     assert not network["d2"].use(2)
 
 
 def test_customers_without_a_quota_are_not_counted(network):
     unlimited = CUSTOMER._replace(rate_per_s=0.0)
-    assert network["d2"].keeper.acquire(unlimited, now_ms() + 1000) is None
-    assert network["d2"].keeper.acquire(None, now_ms() + 1000) is None
-    network["d2"].keeper.run_once()
+    assert network["d2"].enforcer.acquire(unlimited, now_ms() + 1000) is None
+    assert network["d2"].enforcer.acquire(None, now_ms() + 1000) is None
+    network["d2"].enforcer.run_once()
     assert not network["d1"].received
 
 
@@ -168,9 +168,9 @@
 
 def test_a_refusal_as_not_run_is_reported_as_returned(network):
     network["d2"].use(1)
-    network["d2"].keeper.run_once()
-    network["d2"].keeper.give_back(CUSTOMER)
-    network["d2"].keeper.run_once()
+    network["d2"].enforcer.run_once()
+    network["d2"].enforcer.give_back(CUSTOMER)
+    network["d2"].enforcer.run_once()
     reports = [m for m in network["d1"].received if isinstance(m, GatewayQuotaReport)]
     assert [(r.usages[0].used, r.usages[0].returned) for r in reports] == [
         (1, 0),
--- a/tests/gateway/test_quota_routing.py
+++ b/tests/gateway/test_quota_routing.py
@@ -15,7 +15,7 @@
     SiteConfig,
     WeightedService,
 )
-from skylarktrail.core.gateway.quota_gate import Refusal
+from skylarktrail.core.gateway.quota_admission import Refusal
 from skylarktrail.daemon import fields
 from skylarktrail.daemon.routes import CallerRequest
 from skylarktrail.errors import caller as caller_codes
