refactor: usual terms for probes, eviction and refusals for lack of memory

A request that tests an outdated estimate is a probe, as elsewhere in the project, not a trial. `end_stalled` is `evict_stalled`, `BodiesFull` is `MemoryExhausted` (its error code is the same), and `limit_heaps`, which sets options of malloc, is `tune_malloc`. Docstrings of the connection checks and of outdated estimates name the load and the reason. No behaviour changes; the unit tests of expected times, the scheduler, the bounded channel and the caller app pass.

--- a/src/skylarktrail/core/gateway/expected_times.py
+++ b/src/skylarktrail/core/gateway/expected_times.py
@@ -5,9 +5,9 @@
 down for a moment. Load reports and the ages of requests in flight are part of its
 expected response time, so that the next request goes elsewhere.
 
-An estimate that refuses all requests gets no responses that would correct it. Once it
-is outdated, a request may be a trial: it is judged by the estimate before any response,
-and its own response weighs more than others.
+An estimate that is too high refuses all requests, and then no response corrects it. So
+once it is outdated, a request is placed as a probe if the initial estimate allows it.
+The response of a probe weighs more than others.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 STUCK_REQUEST_RATIO = 3.0
 WORK_SMOOTHING_RATIO = 0.03  # Weight of one response in the mean work time of a route.
 PRIOR_RESPONSE_COUNT = 2  # Weight, in responses, of the work time before the first.
-TRIAL_WEIGHT_RATIO = 0.5  # Weight of the response of a trial.
+PROBE_WEIGHT_RATIO = 0.5  # Weight of the response of a probe.
 # A service that refuses all requests is tried once within this time, by each daemon and
 # instance. Slowdowns by noisy neighbours are over by then.
 ESTIMATE_TTL_MS = 1000.0
@@ -54,7 +54,7 @@
             self._work_ms[key] = mean_ms
         self._response_ms[key] = ticket.placed_ms + elapsed_ms
         instance.sampled_ms = self._response_ms[key]
-        min_weight = TRIAL_WEIGHT_RATIO if ticket.is_trial else 0.0
+        min_weight = PROBE_WEIGHT_RATIO if ticket.is_probe else 0.0
         instance.record_success(work_ms / max(1.0, mean_ms), min_weight)
 
     def _queued_count(self, ticket: Ticket, instance: Instance) -> float:
@@ -76,17 +76,17 @@
     def _next_weight(self, ticket: Ticket, work_ms: float) -> float:
         """Returns the weight of a response in the mean work time of its route.
 
-        The first responses weigh more, and so does a trial that was faster than usual:
+        The first responses weigh more, and so does a probe that was faster than usual:
         the mean may have refused all requests.
         """
         key = (ticket.service, ticket.route.name)
         count = self._response_counts.get(key, 0) + 1
         self._response_counts[key] = count
-        if ticket.is_trial and work_ms < self.work_ms(ticket):
-            return TRIAL_WEIGHT_RATIO
+        if ticket.is_probe and work_ms < self.work_ms(ticket):
+            return PROBE_WEIGHT_RATIO
         return max(WORK_SMOOTHING_RATIO, 1 / (count + PRIOR_RESPONSE_COUNT))
 
-    def trial_response_ms(
+    def probe_response_ms(
         self, ticket: Ticket, instance: Instance, now_ms: float
     ) -> float:
         """Estimates the response time without the outdated parts of the estimate.
--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -41,7 +41,7 @@
         rate_limit: Latest known rate limit.
         permits: Permits of this daemon while its rate is limited.
         permit_issuer: Issues the permits of all daemons if this one is the granter.
-        sampled_ms: When its speed was last seen, or a trial of it began.
+        sampled_ms: When its speed was last seen, or a probe of it began.
     """
 
     def __init__(self, entry: InstanceEntry, now_ms: float) -> None:
--- a/src/skylarktrail/core/gateway/scheduler.py
+++ b/src/skylarktrail/core/gateway/scheduler.py
@@ -236,10 +236,10 @@
         """Places the ticket if its response is expected in time, else refuses it."""
         expected_ms = self._times.response_ms(ticket, best, now_ms)
         if not self._timeliness.is_in_time(ticket, expected_ms, now_ms):
-            trial_ms = self._times.trial_response_ms(ticket, best, now_ms)
-            ticket.is_trial = self._timeliness.is_in_time(ticket, trial_ms, now_ms)
-            if ticket.is_trial:
-                expected_ms = trial_ms
+            probe_ms = self._times.probe_response_ms(ticket, best, now_ms)
+            ticket.is_probe = self._timeliness.is_in_time(ticket, probe_ms, now_ms)
+            if ticket.is_probe:
+                expected_ms = probe_ms
                 best.sampled_ms = now_ms
         if self._timeliness.check_in_time(ticket, expected_ms, now_ms):
             self._place(ticket, best, now_ms)
--- a/src/skylarktrail/core/gateway/ticket.py
+++ b/src/skylarktrail/core/gateway/ticket.py
@@ -31,7 +31,7 @@
         permit_instance: Instance for which it waits for a permit; empty if it does not.
         is_late: Whether its response cannot meet the latency target any more.
         own_in_flight: Requests of this daemon at the instance when it was placed.
-        is_trial: Whether it was placed as a trial, as estimates are outdated.
+        is_probe: Whether it was placed as a probe, as estimates are outdated.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         self.permit_instance = ""
         self.is_late = False
         self.own_in_flight = 0
-        self.is_trial = False
+        self.is_probe = False
 
     @property
     def is_decided(self) -> bool:
--- a/src/skylarktrail/daemon/bounded_channel.py
+++ b/src/skylarktrail/daemon/bounded_channel.py
@@ -23,12 +23,12 @@
 from ..response_bounds import MIN_BYTES_PER_S
 from . import timed_parser
 from .caller_guard import CallerGuard, EndedConnection
-from .caller_parser import BodiesFull, CallerParser
-from .connection_watch import end_stalled
+from .caller_parser import CallerParser, MemoryExhausted
+from .connection_watch import evict_stalled
 from .timed_parser import RequestTooSlow, TimedChannel
 
-SEND_BYTES = 1 << 18
-DISCARD_BYTES = 1 << 18
+SEND_BYTES = 1 << 18  # Largest write to the socket.
+DISCARD_BYTES = 1 << 18  # Largest read that is dropped after a refusal.
 # A few hundred chunks; a whole read of 8 KiB of them takes some 4 ms.
 SMALL_CHUNKS_READ_BYTES = 1 << 10
 SHARED_WRITE_BYTES = 1 << 16  # Longer data are written without a copy.
@@ -167,7 +167,7 @@
         if not self._is_receiving() or self._has_unread_bytes():
             return False
         if reason:
-            return self.refuse(BodiesFull("The caller has stalled."), reason)
+            return self.refuse(MemoryExhausted("The caller has stalled."), reason)
         return self.refuse(RequestTooSlow("The caller has stalled."), "stalled")
 
     def check_time(self) -> None:
@@ -241,14 +241,16 @@
         """Ends callers that have stalled; if that is not enough, refuses this one."""
         request = self.request
         needed_bytes = request.held_bytes if request is not None else 0
-        end_stalled(self.server, self._guard.budget, needed_bytes)
+        evict_stalled(self.server, self._guard.budget, needed_bytes)
         if not self._try_account():
-            self.refuse(BodiesFull("The request holds more than its share."), "budget")
+            self.refuse(
+                MemoryExhausted("The request holds more than its share."), "budget"
+            )
 
     def _drop_response(self, size_bytes: int) -> None:
         """Closes the connection, as there is no memory for its response."""
         self._unsent_bytes -= size_bytes
-        end = partial(end_stalled, self.server, self._guard.budget, size_bytes)
+        end = partial(evict_stalled, self.server, self._guard.budget, size_bytes)
         self.server.trigger.pull_trigger(end)
         self.server.trigger.pull_trigger(partial(self.end, "budget"))
 
--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -25,7 +25,7 @@
 from . import fields
 from .bounded_channel import BoundedChannel
 from .caller_guard import CallerGuard, EndObserver
-from .caller_parser import BodiesFull, FramingError
+from .caller_parser import FramingError, MemoryExhausted
 from .clock import now_ms
 from .connection_watch import CHECK_INTERVAL_S, accept_many, watch_connections
 from .metric_names import OTHER_LABEL
@@ -61,7 +61,7 @@
     RequestHeaderFieldsTooLarge: codes.FIELDS_TOO_LARGE,
     ServerNotImplemented: codes.FRAMING_BAD,
     RequestTooSlow: codes.REQUEST_TOO_SLOW,
-    BodiesFull: codes.BODIES_FULL,
+    MemoryExhausted: codes.BODIES_FULL,
 }
 RETRY_AFTER_MS = {codes.BODIES_FULL: BODIES_FULL_RETRY_MS}
 
--- a/src/skylarktrail/daemon/caller_guard.py
+++ b/src/skylarktrail/daemon/caller_guard.py
@@ -1,4 +1,4 @@
-"""What bounds the connections of callers: shared memory, silence and body sizes."""
+"""Bounds on connections of callers: shared memory, stalls and sizes of bodies."""
 
 from __future__ import annotations
 
--- a/src/skylarktrail/daemon/caller_parser.py
+++ b/src/skylarktrail/daemon/caller_parser.py
@@ -18,7 +18,7 @@
     """The end of a request cannot be determined reliably."""
 
 
-class BodiesFull(Error):
+class MemoryExhausted(Error):
     """What callers hold leaves no memory for a request; it has not run."""
 
     code = 503
--- a/src/skylarktrail/daemon/connection_watch.py
+++ b/src/skylarktrail/daemon/connection_watch.py
@@ -1,4 +1,8 @@
-"""Ends the connections of callers that stall, within the thread of their server."""
+"""Checks the connections of a server for callers that stall, in the server's thread.
+
+The load is many callers that stop in the middle of a request, or read no response. They
+are ended when their time is up, or earlier if others need the memory that they hold.
+"""
 
 from __future__ import annotations
 
@@ -25,7 +29,7 @@
     def maintain(now_s: float) -> None:
         for channel in _channels(server):
             channel.check_time()
-        end_stalled(server, budget, 0)
+        evict_stalled(server, budget, 0)
         close_idle(now_s)
 
     server.maintenance = maintain
@@ -57,7 +61,9 @@
     return bool(poller.poll(0))
 
 
-def end_stalled(server: BaseWSGIServer, budget: CallerBudget, more_bytes: int) -> None:
+def evict_stalled(
+    server: BaseWSGIServer, budget: CallerBudget, more_bytes: int
+) -> None:
     """Ends callers that have stalled, the longest first, until more memory fits.
 
     Args:
--- a/src/skylarktrail/heap.py
+++ b/src/skylarktrail/heap.py
@@ -17,7 +17,7 @@
 MAX_ARENAS = 2
 
 
-def limit_heaps() -> bool:
+def tune_malloc() -> bool:
     """Sets the bounds for this process; returns whether the C library knows them."""
     try:
         mallopt = ctypes.CDLL(None).mallopt
--- a/src/skylarktrail/run.py
+++ b/src/skylarktrail/run.py
@@ -15,7 +15,7 @@
 from .config.gateway_settings import is_gateway, parse_gateway_settings
 from .config.schema import read_json
 from .errors.code import Fault
-from .heap import limit_heaps
+from .heap import tune_malloc
 
 if TYPE_CHECKING:
     from .daemon.service import Service
@@ -42,7 +42,7 @@
 def main(argv: list[str] | None = None) -> int:
     """Runs the daemon until it has drained; returns its exit status."""
     arguments = make_parser().parse_args(argv)
-    limit_heaps()
+    tune_malloc()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     document = read_json(Path(arguments.settings))
