docs: plain reasons in comments on statuses, quotas, memory and malloc

Some comments began in the middle of a sentence or read like a riddle. They now name the load that a module answers, and the reason or the unit of a constant. Only comments and docstrings change; the unit tests of quotas and the bounded channel pass.

--- a/src/skylarktrail/caller_budget.py
+++ b/src/skylarktrail/caller_budget.py
@@ -9,10 +9,10 @@
 from .receive_budget import MEMORY_RATIO, ReceiveBudget, Reservation
 
 PROCESS_MB = 45.0  # Measured on a gateway without callers, with some margin.
-# Of the memory that the process and the responses of instances leave. The rest is for
-# buffers of the server, the copies of pieces being moved and the connections.
+# Fraction of the memory that the process and the responses of instances leave. The rest
+# is for connections, buffers of the server and copies of data being moved.
 CALLER_RATIO = 0.85
-# Of the limit, in addition to it, for requests below an equal share.
+# Memory beyond the limit, relative to it, for requests below an equal share.
 SMALL_REQUESTS_RATIO = 1 / 16
 MIN_LIMIT_BYTES = 1 << 20
 
@@ -74,7 +74,7 @@
         return self._reservation.try_extend(size_bytes - self._reservation.held_bytes)
 
     def release(self) -> None:
-        """Gives everything back."""
+        """Releases all memory of the connection."""
         reservation, self._reservation = self._reservation, None
         if reservation is not None:
             reservation.__exit__(None, None, None)
--- a/src/skylarktrail/core/gateway/quotas.py
+++ b/src/skylarktrail/core/gateway/quotas.py
@@ -22,8 +22,8 @@
 # burst. Half of the burst absorbs what is used until all daemons know of it.
 METERED_BELOW_RATIO = 0.5
 METERED_UNTIL_RATIO = 0.75
-# A former granter may have granted the whole burst just now. Half of a burst is added
-# to that, and no more than the bound of the users allows beyond rate and burst: a
+# A new granter starts with half of the burst, as a former one may have granted all of
+# it just now. It starts with no more than the bound allows beyond rate and burst: a
 # tenth of what the quota allows in 5 s, and 20 requests.
 START_RATIO = 0.5
 WINDOW_S = 5.0
--- a/src/skylarktrail/daemon/caller_parser.py
+++ b/src/skylarktrail/daemon/caller_parser.py
@@ -11,7 +11,7 @@
 CONTENT_LENGTH = "CONTENT_LENGTH"
 TRANSFER_ENCODING = "TRANSFER_ENCODING"
 MIN_FRAMING_BYTES = 8 << 10
-REQUEST_BYTES = 4 << 10  # Of a request without fields and body, with its objects.
+REQUEST_BYTES = 4 << 10  # Memory of the objects of a request without fields and body.
 
 
 class FramingError(BadRequest):
--- a/src/skylarktrail/daemon/timed_parser.py
+++ b/src/skylarktrail/daemon/timed_parser.py
@@ -16,7 +16,7 @@
 
 from ..response_bounds import MIN_BYTES_PER_S
 
-# For a request without a body; its bytes prolong it, as for a response.
+# Time for a request without a body. Each byte extends it by 1 / MIN_BYTES_PER_S.
 REQUEST_TIMEOUT_S = 30.0
 MAX_BLANK_BYTES = 64  # Between requests, where clients may send an empty line.
 
--- a/src/skylarktrail/heap.py
+++ b/src/skylarktrail/heap.py
@@ -1,8 +1,8 @@
 """Lets the C library return the memory of large buffers to the system.
 
-glibc raises the size from which it maps a buffer on its own, up to 32 MB, whenever one
-is freed. Bodies are then taken from heaps, which keep the memory of freed ones, and a
-body that grows is copied. A threshold that is set stays.
+The load is many large bodies. glibc maps large buffers separately, but raises the size
+from which it does so, up to 32 MB, whenever one is freed. Bodies are then allocated in
+heaps, which keep freed memory. A threshold that is set explicitly is not raised.
 """
 
 from __future__ import annotations
--- a/src/skylarktrail/response_status.py
+++ b/src/skylarktrail/response_status.py
@@ -1,7 +1,7 @@
-"""Which statuses of HTTP are those of a response, for all readers of responses.
+"""Tells final, interim and invalid HTTP statuses apart, for all readers of responses.
 
-A server in trouble may send any number. What has no status of a known class is no
-response: neither is it passed on, nor does it show whether the request has run.
+The load is a failing server that sends any number as status. A response with an invalid
+status is not passed on, and does not show whether the request has run.
 """
 
 from __future__ import annotations
@@ -11,12 +11,12 @@
 
 
 def is_final(status: int) -> bool:
-    """Returns whether a status is that of a response."""
+    """Returns whether a status is that of a final response."""
     return 200 <= status <= 599
 
 
 def is_interim(status: int) -> bool:
-    """Returns whether a response follows the head with this status.
+    """Returns whether a status is interim, so that another response follows.
 
     None follows a switch to another protocol, which no reader asks for.
     """
