fix: only long requests leave room for urgent ones

A request now yields only to urgent ones of less than 1/2.2 of its work. The unit tests use urgent requests of a third of the work.

--- a/src/skylarktrail/core/gateway/slot_reserve.py
+++ b/src/skylarktrail/core/gateway/slot_reserve.py
@@ -4,17 +4,18 @@
 ones all slots are taken and the queues of the instances are full, so that an urgent
 request waits for longer than its caller does, whatever its priority at the daemon.
 
-While requests of a higher priority arrive, a request therefore waits at the daemon as
-long as its target leaves it time. It takes neither a place in the queue of an instance
-nor one of the slots that are kept free. There are about as many of these as the number
-of urgent requests in progress varies by. They are spread over the instances of a
-service, so that a low urgent demand costs few slots, unless each key has one owner.
+While requests of a higher priority and of less work arrive, a request therefore waits
+at the daemon as long as its target leaves it time. It takes neither a place in the
+queue of an instance nor one of the slots that are kept free. There are about as many of
+these as the number of urgent requests in progress varies by. They are spread over the
+instances of a service, so that a low urgent demand costs few slots, unless each key has
+one owner.
 """
 
 from __future__ import annotations
 
 import math
-from typing import Callable
+from typing import Callable, NamedTuple
 
 import xxhash
 
@@ -39,6 +40,21 @@
 # A request is deferrable while the time left to its target exceeds this many times its
 # expected work. The rest allows for work that varies and for the wait for a slot.
 DEFERRABLE_WORK_RATIO = 2.5
+# Only requests of so much more work than urgent ones leave room for them. A slot that
+# others occupy is free again soon, so that room kept free costs more than it brings.
+LONG_WORK_RATIO = 2.2
+
+
+class UrgentArrival(NamedTuple):
+    """The latest request of one priority to a service.
+
+    Attributes:
+        at_ms: When it arrived.
+        work_ms: Its expected work.
+    """
+
+    at_ms: float
+    work_ms: float
 
 
 class SlotReserve:
@@ -62,22 +78,25 @@
         self._access = access
         self._times = times
         self._meter = meter
-        self._arrivals_ms: dict[str, dict[int, float]] = {}
+        self._arrivals: dict[str, dict[int, UrgentArrival]] = {}
         self._pacers: dict[tuple[str, int], AdaptivePacer] = {}
         self._ranks: dict[str, tuple[list[Instance], dict[str, int]]] = {}
 
     def record_arrival(self, ticket: Ticket, now_ms: float) -> None:
         """Records a request that leaves no slots free for less urgent ones."""
-        known = self._arrivals_ms.setdefault(ticket.service, {})
-        known[ticket.priority] = now_ms
+        known = self._arrivals.setdefault(ticket.service, {})
+        known[ticket.priority] = UrgentArrival(now_ms, self._times.work_ms(ticket))
 
     def has_more_urgent(self, ticket: Ticket, now_ms: float) -> bool:
-        """Returns whether more urgent requests to the same service arrived lately."""
+        """Returns whether a request would hold up more urgent ones of its service.
+
+        It would if such requests arrived lately and need much less work.
+        """
         oldest_ms = now_ms - URGENT_TTL_MS
-        arrivals_ms = self._arrivals_ms.get(ticket.service, {})
+        urgent_work_ms = self._times.work_ms(ticket) / LONG_WORK_RATIO
         return any(
-            at_ms >= oldest_ms
-            for priority, at_ms in arrivals_ms.items()
+            arrival.at_ms >= oldest_ms and arrival.work_ms <= urgent_work_ms
+            for priority, arrival in self._arrivals.get(ticket.service, {}).items()
             if priority < ticket.priority
         )
 
--- a/tests/core/gateway/test_slot_reserve.py
+++ b/tests/core/gateway/test_slot_reserve.py
@@ -15,6 +15,8 @@
 
 SLOTS = 3
 NO_WAIT_MS = 0.0
+# Work times follow from targets before the first response: a third of those of others.
+URGENT_TARGET_MS = 300.0
 
 
 @pytest.fixture
@@ -67,7 +69,7 @@
 def test_the_last_slot_waits_for_urgent_requests(make_scheduler, submit):
     """Guards against bursts of less urgent requests that fill all slots."""
     scheduler = make_scheduler(1)
-    scheduler.release(submit(scheduler, 0))
+    scheduler.release(submit(scheduler, 0, target_ms=URGENT_TARGET_MS))
     assert count_placed(scheduler, submit, 10) == SLOTS - 1
     assert submit(scheduler, 0).instance is not None
 
@@ -78,6 +80,13 @@
     assert count_placed(scheduler, submit, 10) >= SLOTS
 
 
+def test_requests_of_similar_work_leave_nothing_free(make_scheduler, submit):
+    """Guards against slots kept free where a slot is free again soon anyway."""
+    scheduler = make_scheduler(1)
+    scheduler.release(submit(scheduler, 0))
+    assert count_placed(scheduler, submit, 10) >= SLOTS
+
+
 def test_urgent_requests_leave_nothing_free_for_less_urgent_ones(
     make_scheduler, submit
 ):
@@ -95,7 +104,7 @@
 
 def test_the_reserve_ends_when_urgent_requests_stop(make_scheduler, submit):
     scheduler = make_scheduler(1)
-    scheduler.release(submit(scheduler, 0))
+    scheduler.release(submit(scheduler, 0, target_ms=URGENT_TARGET_MS))
     now_ms = URGENT_TTL_MS + 1
     assert count_placed(scheduler, submit, 10, now_ms=now_ms) >= SLOTS
 
@@ -103,7 +112,7 @@
 def test_a_request_whose_target_leaves_no_time_takes_any_slot(make_scheduler, submit):
     """Guards against requests that would miss their target for others to come."""
     scheduler = make_scheduler(1)
-    scheduler.release(submit(scheduler, 0))
+    scheduler.release(submit(scheduler, 0, target_ms=URGENT_TARGET_MS))
     tickets = [submit(scheduler, 2) for _ in range(SLOTS)]
     assert tickets[-1].instance is None
     scheduler.poll(300.0)
@@ -149,7 +158,7 @@
     scheduler = make_scheduler(4)
     for instance in scheduler.fleet.instances.values():
         instance.record_in_flight_total(SLOTS, 0.0)
-    scheduler.release(submit(scheduler, 0))
+    scheduler.release(submit(scheduler, 0, target_ms=URGENT_TARGET_MS))
     assert count_placed(scheduler, submit, 2, now_ms=1.0) == 0
     for step in range(1, 24):
         last = submit(scheduler, 2, now_ms=step * ADJUST_INTERVAL_MS)
