--- a/src/skylarktrail/errors/caller.py
+++ b/src/skylarktrail/errors/caller.py
@@ -122,3 +122,17 @@
     "Send it faster; it has not run.",
     status=408,
 )
+API_KEY_UNKNOWN = declare(
+    4017,
+    "API_KEY_UNKNOWN",
+    "The request carries no API key of a customer.",
+    "Send one key that the configuration names.",
+    status=401,
+)
+CONFIG_UNCONFIRMED = declare(
+    4018,
+    "CONFIG_UNCONFIRMED",
+    "The daemon cannot tell whether the API key is still valid.",
+    "Try again after the time given, or at another daemon.",
+    status=503,
+)
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -39,11 +39,14 @@
         request_id: Identifier of the caller's attempt.
         deadline_ms: How long the caller waits; None if it does not say.
         key_hash: Hash of the request's key; None if it has no key.
+        api_key: Key that identifies a customer; None if there is none or it is
+            malformed. It is never logged.
     """
 
     request_id: str
     deadline_ms: float | None
     key_hash: int | None
+    api_key: str | None = None
 
 
 class ResponseMetadata(NamedTuple):
--- a/src/skylarktrail/gateway/forwarding.py
+++ b/src/skylarktrail/gateway/forwarding.py
@@ -28,6 +28,7 @@
 from .connection_pool import ConnectionPool
 from .disconnect_monitor import DisconnectMonitor
 from .exchange import OutgoingRequest, RawResponse
+from .header_codec import HeaderCodec
 from .job import Attempt, Job
 from .metrics import GatewayMetrics
 from .outgoing import make_outgoing_request
@@ -39,7 +40,12 @@
 REPLY_MARGIN_MS = 10.0
 # The other daemon refused for a reason of its own, so a further one may serve.
 OTHER_DAEMON_CODES = frozenset(
-    (codes.DAEMON_CUT_OFF, caller_codes.DRAINING, caller_codes.NOT_CONFIGURED)
+    (
+        codes.DAEMON_CUT_OFF,
+        caller_codes.DRAINING,
+        caller_codes.NOT_CONFIGURED,
+        caller_codes.CONFIG_UNCONFIRMED,
+    )
 )
 Reply = Response | Problem
 
@@ -94,8 +100,7 @@
         site: State of the site.
         reach_monitor: Knows which daemons are cut off.
         disconnect_monitor: Aborts requests whose callers disconnect.
-        id_field: Name, in lower case, of the header field with the request id.
-        replaced_fields: Names, in lower case, of fields that daemons set themselves.
+        header_codec: Codec of the platform's header fields.
         metrics: Counts the forwarded requests and their bytes.
         budget: Memory of all responses that are being received; None for one of its
             own.
@@ -106,17 +111,17 @@
         site: SiteState,
         reach_monitor: ReachMonitor,
         disconnect_monitor: DisconnectMonitor,
-        id_field: str,
-        replaced_fields: frozenset[str],
+        header_codec: HeaderCodec,
         metrics: GatewayMetrics,
         budget: ReceiveBudget | None = None,
     ) -> None:
         self._site = site
         self._reach_monitor = reach_monitor
         self._disconnect_monitor = disconnect_monitor
-        self._replaced_fields = replaced_fields
+        self._header_codec = header_codec
         self._metrics = metrics
         # Refusals of daemons of older builds do not name the request.
+        id_field = header_codec.REQUEST_ID.lower()
         self._connections = ConnectionPool(id_field, False, budget)
         self._targets = ForwardTargets(site.zone, random.random)
         self._lock = threading.Lock()
@@ -214,7 +219,9 @@
             job.run_count,
         )
         added = [(fields.FORWARDED, encode_state(state))]
-        return make_outgoing_request(job, target.address, self._replaced_fields, added)
+        if job.is_key_checked:
+            added += self._header_codec.encode_for_daemon(job.metadata.api_key)
+        return make_outgoing_request(job, target.address, self._header_codec, added)
 
     def _handle_fault(
         self, name: str, target: TargetProcess, job: Job, fault: Fault, took_ms: float
--- a/src/skylarktrail/gateway/outgoing.py
+++ b/src/skylarktrail/gateway/outgoing.py
@@ -4,6 +4,7 @@
 
 from ..daemon import fields
 from .exchange import OutgoingRequest
+from .header_codec import HeaderCodec
 from .job import Job
 
 BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
@@ -11,18 +12,20 @@
 
 
 def make_outgoing_request(
-    job: Job, address: str, replaced_fields: frozenset[str], added: fields.Fields
+    job: Job, address: str, codec: HeaderCodec, added: fields.Fields
 ) -> OutgoingRequest:
     """Returns a caller's request with the header fields of this daemon.
 
     Args:
         job: The caller's request.
         address: `host:port` that it is sent to; the Host of a request without one.
-        replaced_fields: Names, in lower case, of the caller's fields to leave out.
+        codec: Codec of the platform, which names the caller's fields to leave out.
         added: Header fields to add.
     """
     request = job.request
-    dropped = replaced_fields | DROPPED_FIELDS
+    dropped = codec.REPLACED_FIELDS | DROPPED_FIELDS
+    if job.is_key_checked:
+        dropped |= codec.CUSTOMER_FIELDS
     forwarded = [
         (name, value)
         for name, value in fields.filter_request_fields(list(request.headers.items()))
--- a/src/skylarktrail/gateway/refusals.py
+++ b/src/skylarktrail/gateway/refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..core.gateway.key_check import CONFIG_UNCONFIRMED, KeyDecision
 from ..core.gateway.ticket import Ticket
 from ..daemon import fields
 from ..daemon.problem import Problem
@@ -10,6 +11,10 @@
 from ..errors.code import Code
 from .job import Job
 
+# Another daemon may accept the retry, and a short delay leaves time for it.
+CONFIG_UNCONFIRMED_RETRY_MS = 100.0
+AUTHENTICATE_FIELD = ("WWW-Authenticate", "Bearer")  # RFC 9110 requires it with 401.
+
 
 def refusal_code(job: Job, ticket: Ticket) -> Code:
     """Returns the code of the refusal of a ticket without an instance."""
@@ -33,3 +38,15 @@
     return Problem(
         code, fields.NOT_RUN, retry_after_ms=wait_ms, has_fractional_retry_after=True
     )
+
+
+def make_key_refusal(decision: KeyDecision) -> Problem:
+    """Returns the refusal of a request whose API key does not admit it."""
+    if decision.refusal_reason == CONFIG_UNCONFIRMED:
+        code = caller_codes.CONFIG_UNCONFIRMED
+        return make_refusal(code, CONFIG_UNCONFIRMED_RETRY_MS)
+    return Problem(
+        caller_codes.API_KEY_UNKNOWN,
+        fields.NOT_RUN,
+        added_headers=(AUTHENTICATE_FIELD,),
+    )
--- a/src/skylarktrail/gateway/reply_recorder.py
+++ b/src/skylarktrail/gateway/reply_recorder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ..core.gateway.key_check import KeyDecision
+from ..core.gateway.model import Route
 from ..daemon.problem import Problem
 from ..daemon.response import Response
 from ..daemon.routes import CallerRequest
@@ -31,9 +33,22 @@
         self._metrics = metrics
 
     def record_unrouted(
-        self, request: CallerRequest, metadata: CallerMetadata, problem: Problem
+        self,
+        request: CallerRequest,
+        metadata: CallerMetadata,
+        problem: Problem,
+        route: Route | None = None,
+        key_decision: KeyDecision = KeyDecision(False),
     ) -> Problem:
-        """Counts and logs the refusal of a request without a route; returns it."""
+        """Counts and logs the refusal of a request without a job; returns it.
+
+        Args:
+            request: The request.
+            metadata: Metadata from its header fields.
+            problem: The refusal.
+            route: Its route, if it has one.
+            key_decision: Result of the check of its API key.
+        """
         self._metrics.count_refusal("", problem.code)
         self._log.write(
             "request_refused",
@@ -41,6 +56,9 @@
             code=problem.code.name,
             host=request.headers.get("host", ""),
             path=request.path,
+            route=route.name if route else "",
+            customer=key_decision.customer.name if key_decision.customer else "",
+            why=key_decision.refusal_reason,
             **self._site.versions(now_ms())._asdict(),
         )
         return problem
@@ -58,6 +76,7 @@
             request=job.metadata.request_id,
             route=job.route.name,
             service=job.service,
+            customer=job.customer.name if job.customer else "",
             key_hash=job.key_hash,
             status=status,
             code=reply.code.name if is_problem else "",
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -7,6 +7,7 @@
 
 from result import Result
 
+from ..core.gateway.key_check import check_key
 from ..core.gateway.model import InstanceEntry
 from ..core.gateway.ticket import Ticket
 from ..daemon import fields
@@ -29,7 +30,7 @@
 from .outgoing import make_outgoing_request
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
-from .refusals import make_refusal, refusal_code
+from .refusals import make_key_refusal, make_refusal, refusal_code
 from .reply_recorder import Reply, ReplyRecorder
 from .request_guard import RequestGuard
 from .site_state import SiteState
@@ -123,7 +124,8 @@
         request_id = request.headers.get(name.lower())
         if request_id is None:
             return problem
-        return problem._replace(added_headers=((name, request_id),))
+        named = (name, request_id)
+        return problem._replace(added_headers=(*problem.added_headers, named))
 
     def _handle(self, request: CallerRequest, state: ForwardedState | None) -> Reply:
         with self._lock:
@@ -145,14 +147,25 @@
         if state is not None and self._site.is_cut:
             problem = make_refusal(codes.DAEMON_CUT_OFF, CLOSED_RETRY_MS)
             return self._recorder.record_unrouted(request, metadata, problem)
-        route = self._site.find_route(request.headers.get("host", ""), request.path)
+        table = self._site.route_table
+        route = table.find(request.headers.get("host", ""), request.path)
         if route is None:
             problem = Problem(caller_codes.ROUTE_UNKNOWN, fields.NOT_RUN)
             return self._recorder.record_unrouted(request, metadata, problem)
+        key_decision = check_key(
+            table.config.customers, route.is_public, metadata.api_key
+        )
+        if key_decision.refusal_reason:
+            problem = make_key_refusal(key_decision)
+            return self._recorder.record_unrouted(
+                request, metadata, problem, route, key_decision
+            )
         if state is None:
             job = self._job_maker.make(request, metadata, route)
         else:
             job = self._job_maker.make_forwarded(request, metadata, route, state)
+        job.customer = key_decision.customer
+        job.is_key_checked = key_decision.is_checked
         reply = self._refuse_blocked(job) or self._serve(job)
         self._recorder.record(job, reply)
         return reply
@@ -283,8 +296,10 @@
 
     def _make_request(self, job: Job, entry: InstanceEntry) -> OutgoingRequest:
         codec = self._header_codec
-        added = codec.encode_for_instance(entry, job.end_ms - now_ms())
-        return make_outgoing_request(job, entry.address, codec.REPLACED_FIELDS, added)
+        left_ms = job.end_ms - now_ms()
+        customer = job.customer.name if job.customer else ""
+        added = codec.encode_for_instance(entry, left_ms, customer)
+        return make_outgoing_request(job, entry.address, codec, added)
 
     def _release_connection(
         self, instance: str, connection: Connection, result: Result[RawResponse, Fault]
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -138,8 +138,7 @@
             self._site,
             self._reach_monitor,
             self._disconnect_monitor,
-            header_codec.REQUEST_ID.lower(),
-            header_codec.REPLACED_FIELDS,
+            header_codec,
             self._metrics,
             receive_budget,
         )
--- a/src/skylarktrail/platform/configuration.py
+++ b/src/skylarktrail/platform/configuration.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from ..core.gateway.checks import MAX_EXACT_NUMBER, is_name
+from ..core.gateway.customers import Customer, CustomerDirectory
 from ..core.gateway.model import (
     CallerLimits,
     Route,
@@ -19,6 +20,9 @@
 
 IDEMPOTENT = "idempotent"
 VERSION = re.compile("[0-9A-Fa-f]{1,8}")
+# Visible ASCII characters, with spaces between them: the name goes into a header field.
+CUSTOMER_NAME = re.compile(r"[!-~](?:[ -~]*[!-~])?")
+MIN_BURST = 1.0  # With a smaller one, no request would ever be within the quota.
 MAX_PATH_CHARACTERS = 4096
 
 
@@ -51,9 +55,34 @@
         tuple(routes),
         {item.name: item for item in services},
         _decode_limits(document.get("limits", {})),
+        _decode_customers(document.get("tenants", [])),
     )
 
 
+def _decode_customers(documents: Any) -> CustomerDirectory:
+    return CustomerDirectory(_decode_customer(item) for item in _to_list(documents))
+
+
+def _decode_customer(document: dict[str, Any]) -> tuple[Customer, list[str]]:
+    """Decodes a customer and its API keys; no exception shows a key."""
+    name = _to_name(document["name"])
+    if not CUSTOMER_NAME.fullmatch(name):
+        raise ValueError("a customer's name cannot be sent in a header field")
+    api_keys = _to_list(document.get("apiKeys", []))
+    if not all(isinstance(item, str) for item in api_keys):
+        raise TypeError("an API key is no text")
+    priority = document.get("priority")
+    rate_per_s = _to_number(document.get("ratePerS", 0))
+    burst = _to_number(document.get("burst", rate_per_s))
+    customer = Customer(
+        name,
+        None if priority is None else int(_to_number(priority)),
+        rate_per_s,
+        max(MIN_BURST, burst) if rate_per_s else burst,
+    )
+    return customer, api_keys
+
+
 def _decode_service(document: dict[str, Any]) -> ServiceSpec:
     return ServiceSpec(
         _to_name(document["name"]),
@@ -85,6 +114,7 @@
         timeout_ms,
         _to_number(document.get("targetLatencyMs", timeout_ms)),
         int(_to_number(document.get("priority", 0))),
+        _to_flag(document.get("public", False)),
     )
 
 
@@ -112,6 +142,18 @@
     return float(value)
 
 
+def _to_flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError(f"neither true nor false: {type(value).__name__}")
+    return value
+
+
+def _to_list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise TypeError(f"not a list: {type(value).__name__}")
+    return value
+
+
 def _to_name(value: Any) -> str:
     if not is_name(value):
         raise TypeError(f"not a name: {type(value).__name__}")
--- a/src/skylarktrail/platform/headers.py
+++ b/src/skylarktrail/platform/headers.py
@@ -19,12 +19,17 @@
 INSTANCE = "instance-id"
 COLD = "cold-ms"
 RATE_LIMIT = "server-limit"
+API_KEY = "Authorization"
+CUSTOMER = "Tenant"
+# Two fields, which the HTTP server joins with a comma, are malformed.
+BEARER = re.compile(r"bearer +([!-+\--~]+)", re.I)
 HASH_COUNT = 1 << 16
 MAX_NUMBER_CHARACTERS = 32
 NUMBER = re.compile(r"\s*[+-]?([0-9]+(\.[0-9]*)?|\.[0-9]+)(e[+-]?[0-9]+)?\s*", re.I)
 MAX_LOAD_FIGURE = 1 << 20  # Requests at one instance, or its work time in percent.
 USUAL_WORK_TIME_PERCENT = 100.0  # The fourth load figure is a percentage.
 REPLACED_FIELDS = frozenset((DEADLINE.lower(), TARGET.lower()))
+CUSTOMER_FIELDS = frozenset((API_KEY.lower(), CUSTOMER.lower()))
 
 
 def decode_caller(headers: Mapping[str, str]) -> CallerMetadata:
@@ -36,14 +41,21 @@
         headers.get(REQUEST_ID.lower(), ""),
         deadline_ms if deadline_ms and deadline_ms > 0 else None,
         int(key_hash) if is_in_range and key_hash is not None else None,
+        _parse_api_key(headers.get(API_KEY.lower(), "")),
     )
 
 
 def encode_for_instance(
-    entry: InstanceEntry, remaining_ms: float
+    entry: InstanceEntry, remaining_ms: float, customer: str = ""
 ) -> list[tuple[str, str]]:
     """Returns the header fields that the daemon adds to a request."""
-    return [(DEADLINE, str(max(1, int(remaining_ms)))), (TARGET, entry.instance)]
+    added = [(DEADLINE, str(max(1, int(remaining_ms)))), (TARGET, entry.instance)]
+    return [*added, (CUSTOMER, customer)] if customer else added
+
+
+def encode_for_daemon(api_key: str | None) -> list[tuple[str, str]]:
+    """Returns the header field with the API key, for a daemon that checks it again."""
+    return [] if api_key is None else [(API_KEY, f"Bearer {api_key}")]
 
 
 def decode_response(headers: Mapping[str, str]) -> ResponseMetadata:
@@ -94,6 +106,11 @@
     return max(0.0, number) if is_time and number is not None else None
 
 
+def _parse_api_key(text: str) -> str | None:
+    found = BEARER.fullmatch(text.strip())
+    return found[1] if found else None
+
+
 def _parse_number(text: str | None) -> float | None:
     """Returns a decimal number within `MAX_EXACT_NUMBER`; None for anything else."""
     if text is None or len(text) > MAX_NUMBER_CHARACTERS or not NUMBER.fullmatch(text):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import copy
 import json
 
 import pytest
 
+from skylarktrail.core.gateway.customers import Customer
 from skylarktrail.core.gateway.model import LoadReport, WeightedService
-from skylarktrail.platform.configuration import decode_configuration
+from skylarktrail.platform.configuration import (
+    decode_configuration,
+    read_configuration,
+)
 from skylarktrail.platform.entries import decode_entry
 from skylarktrail.platform.headers import decode_caller, decode_load, decode_response
 from skylarktrail.platform.store_client import (
@@ -71,6 +76,90 @@
 }
 
 
+CUSTOMERS = [
+    {
+        "name": "sese880",
+        "apiKeys": ["k-1", "k-2"],
+        "priority": 1,
+        "ratePerS": 161,
+        "burst": 30,
+    },
+    {"name": "other", "apiKeys": ["k-3", "k-1"], "ratePerS": 0.2},
+    {"name": "third"},
+]
+
+
+def test_decode_customers():
+    config = decode_configuration(CONFIG_DOCUMENT | {"tenants": CUSTOMERS})
+    first = Customer("sese880", 1, 161.0, 30.0)
+    second = Customer("other", None, 0.2, 1.0)
+    assert config.customers.customers == (first, second, Customer("third"))
+    found = [config.customers.find(key) for key in ("k-1", "k-2", "k-3", "", "K-1")]
+    assert found == [first, first, second, None, None]
+    assert "k-1" not in repr(config)
+
+
+@pytest.mark.parametrize("changes", [{}, {"tenants": []}])
+def test_a_configuration_without_customers(changes):
+    assert decode_configuration(CONFIG_DOCUMENT | changes).customers.is_empty
+
+
+ODD_CUSTOMERS = [
+    None,
+    {},
+    "secret",
+    ["secret"],
+    [{"apiKeys": ["secret"]}],
+    [{"name": "a\u00e9", "apiKeys": ["secret"]}],
+    [{"name": "", "apiKeys": ["secret"]}],
+    [{"name": " a", "apiKeys": ["secret"]}],
+    [{"name": "a", "apiKeys": "secret"}],
+    [{"name": "a", "apiKeys": ["secret", 3]}],
+    [{"name": "a", "apiKeys": None}],
+    [{"name": "a", "apiKeys": ["secret"], "ratePerS": -1}],
+    [{"name": "a", "apiKeys": ["secret"], "burst": "secret"}],
+]
+
+
+@pytest.mark.parametrize("customers", ODD_CUSTOMERS)
+def test_odd_customers_are_refused_without_showing_a_key(customers):
+    """A text in place of a list would make each of its letters a key."""
+    document = CONFIG_DOCUMENT | {"tenants": customers}
+    fault = read_configuration(json.dumps(document).encode()).unwrap_err()
+    assert "secret" not in fault
+
+
+@pytest.mark.parametrize("value", ["false", 0, None, []])
+def test_only_true_makes_a_route_public(value):
+    document = copy.deepcopy(CONFIG_DOCUMENT)
+    path = document["hosts"][0]["paths"][0]
+    path["public"] = True
+    assert [r.is_public for r in decode_configuration(document).routes] == [True, False]
+    path["public"] = value
+    assert read_configuration(json.dumps(document).encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    "text,api_key",
+    [
+        ("Bearer k-1", "k-1"),
+        ("bearer  k-1 ", "k-1"),
+        ("Bearer a, Bearer b", None),
+        ("Bearer a,b", None),
+        ("Bearer k 1", None),
+        ("Bearer k\u00e9", None),
+        ("Bearer", None),
+        ("Bearer ", None),
+        ("Basic k-1", None),
+        ("k-1", None),
+        ("", None),
+    ],
+)
+def test_decode_api_key(text, api_key):
+    """Two fields arrive joined with a comma, and neither of the keys may count."""
+    assert decode_caller({"authorization": text}).api_key == api_key
+
+
 def test_decode_configuration():
     config = decode_configuration(CONFIG_DOCUMENT)
     assert config.version == 0x1F
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -17,7 +17,8 @@
     "firstOffset ttlMs sharded healthCheck maxConnections hostname "
     "keyed.op keyed.servers evacuate/ non_idempotent "
     "nodeName readyAddress internalPortRange maxFds SKYLARKTRAIL_CONFIG "
-    "retryBudgetRatio budgetWindowS budgetExtraRetries graceS maxHoldMs fleetbench"
+    "retryBudgetRatio budgetWindowS budgetExtraRetries graceS maxHoldMs fleetbench "
+    "apiKeys ratePerS revokePartitioned revokeMs"
 ).split()
 # HTTP compares header names without regard to case.
 PATTERNS = {
