fix: clients that hold all connections no longer keep other callers out

What callers saw: with all connections of the callers' address held by clients that sent nothing, stopped inside a request, sent a byte now and then or stayed idle after an answer, three requests in a row on new connections ended in a time-out. The daemon was idle, with 41 MB.

Cause: the server of the library stops accepting at its limit of connections. Clients are ended for their silence after 15 s at the earliest, idle ones after two minutes, and those that open again at once take each place that becomes free.

Evidence: tests/processes/test_crowded_addresses.py, 400 connections against a daemon with 512 descriptors (112 connections). With the change all pass, at 41 MB.

Why it works: a new connection takes the place of the one whose caller loses least, in the order refused, unused, stalled in a request, idle, slow, answer unread. Requests that wait or run, and callers that keep pace, are never cut. A request that was being received is refused as not run (4021 CONNECTIONS_FULL), in the server's thread, as all others may be busy. Idle connections up to half of all are kept while newer ones can go within 0.25 s: at first all idle ones went before a crowd that opens fast (test_stalled_requests_go_before_idle_connections).

The errors of incomplete requests move to one module, request_errors.py.

--- a/src/skylarktrail/daemon/bounded_channel.py
+++ b/src/skylarktrail/daemon/bounded_channel.py
@@ -20,12 +20,14 @@
 from waitress.utilities import Error
 
 from ..caller_budget import CallerReservation
+from ..core.connection_eviction import MIN_HELD_S, ConnectionState, Phase
 from ..response_bounds import MIN_BYTES_PER_S
 from . import timed_parser
 from .caller_guard import CallerGuard, EndedConnection
-from .caller_parser import CallerParser, MemoryExhausted
+from .caller_parser import CallerParser
 from .connection_watch import evict_stalled
-from .timed_parser import RequestTooSlow, TimedChannel
+from .request_errors import ConnectionsExhausted, MemoryExhausted, RequestTooSlow
+from .timed_parser import TimedChannel
 
 SEND_BYTES = 1 << 18  # Largest write to the socket.
 DISCARD_BYTES = 1 << 18  # Largest read that is dropped after a refusal.
@@ -53,6 +55,7 @@
         self._unsent_bytes = 0  # Kept until the last of them is sent.
         self._unsent_since_s = 0.0
         self._active_s = time.monotonic()
+        self._is_used = False
         self._is_refused = False
         self._is_closed = False
         self._linger_end_s: float | None = None
@@ -100,6 +103,7 @@
 
     def service(self) -> None:
         """Executes one request."""
+        self._is_used = True
         try:
             super().service()
         finally:
@@ -125,8 +129,45 @@
             raise ClientDisconnected
         return super().write_soon(data)
 
-    def refuse(self, error: Error, reason: str) -> bool:
-        """Refuses the request that is being received; returns whether there is one."""
+    def state(self) -> ConnectionState:
+        """Returns what the connection is held for."""
+        if self._linger_end_s is not None:
+            return ConnectionState(Phase.REFUSED, self.silent_s)
+        if self.requests or self._is_closed:
+            return ConnectionState(Phase.ACTIVE)
+        if self.total_outbufs_len:
+            return self._sending_state()
+        if self.has_begun_request():
+            return self._receiving_state()
+        phase = Phase.IDLE if self._is_used else Phase.UNUSED
+        return ConnectionState(phase, self.silent_s)
+
+    def evict(self) -> None:
+        """Closes the connection for another caller; called in the server's thread.
+
+        A request that is being received is refused. Bytes that wait in the kernel may
+        be a request, so that the connection is kept.
+        """
+        if self._linger_end_s is not None:
+            self._close()
+        elif self._has_unread_bytes():
+            return
+        elif self._is_receiving():
+            error = ConnectionsExhausted("Another caller needs the connection.")
+            if self.refuse(error, "connections", is_immediate=True):
+                self._close()
+        else:
+            self.end("connections")
+
+    def refuse(self, error: Error, reason: str, is_immediate: bool = False) -> bool:
+        """Refuses the request that is being received; returns whether there is one.
+
+        Args:
+            error: The refusal.
+            reason: Reason in the log and the metrics.
+            is_immediate: Whether the refusal is sent now, in the server's thread, and
+                not when a thread is free.
+        """
         held_bytes = self.held_bytes
         with self.requests_lock:
             request = self.request
@@ -136,8 +177,11 @@
             self.mark_refused()
             self.request = None
             self.requests.append(request)
-            if len(self.requests) == 1:
+            if len(self.requests) == 1 and not is_immediate:
                 self.server.add_task(self)
+        if is_immediate:
+            self.service()
+            self.handle_write()
         self._try_account()
         self._observe_end(reason, held_bytes)
         return True
@@ -254,6 +298,24 @@
         self.server.trigger.pull_trigger(end)
         self.server.trigger.pull_trigger(partial(self.end, "budget"))
 
+    def _receiving_state(self) -> ConnectionState:
+        """Returns the state while a request is being received."""
+        if self.silent_s >= MIN_HELD_S:
+            return ConnectionState(Phase.STALLED, self.silent_s)
+        rate_bytes_per_s = self.request.rate_bytes_per_s
+        if rate_bytes_per_s >= MIN_BYTES_PER_S:
+            return ConnectionState(Phase.ACTIVE)
+        return ConnectionState(Phase.SLOW, self.request.age_s, rate_bytes_per_s)
+
+    def _sending_state(self) -> ConnectionState:
+        """Returns the state while a response is being sent."""
+        age_s = time.monotonic() - self._unsent_since_s
+        sent_bytes = self._unsent_bytes - self.total_outbufs_len
+        rate_bytes_per_s = sent_bytes / max(age_s, timed_parser.MIN_AGE_S)
+        if rate_bytes_per_s >= MIN_BYTES_PER_S:
+            return ConnectionState(Phase.ACTIVE)
+        return ConnectionState(Phase.UNREAD, age_s, rate_bytes_per_s)
+
     def _is_receiving(self) -> bool:
         """Returns whether only the caller can make progress on this connection."""
         return not self.requests and self.has_begun_request() and not self._is_closed
--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -25,19 +25,24 @@
 from . import fields
 from .bounded_channel import BoundedChannel
 from .caller_guard import CallerGuard, EndObserver
-from .caller_parser import FramingError, MemoryExhausted
 from .clock import now_ms
-from .connection_watch import CHECK_INTERVAL_S, accept_many, watch_connections
+from .connection_limit import limit_connections
+from .connection_watch import CHECK_INTERVAL_S, watch_connections
 from .metric_names import OTHER_LABEL
 from .problem import Problem
+from .request_errors import (
+    ConnectionsExhausted,
+    FramingError,
+    MemoryExhausted,
+    RequestTooSlow,
+)
 from .response import Response
 from .routes import CallerRequest
 from .thread_pool import GrowingDispatcher
-from .timed_parser import RequestTooSlow
 
 REASON_PHRASES = {200: "OK", 201: "Created", 202: "Accepted", 204: "No Content"}
 MEMORY_BUFFER_BYTES = 1 << 40  # Above each body: VMs have no disks for temporary files.
-BODIES_FULL_RETRY_MS = 1000.0
+RESOURCES_RETRY_MS = 1000.0
 Reply = Response | Problem
 
 
@@ -62,8 +67,12 @@
     ServerNotImplemented: codes.FRAMING_BAD,
     RequestTooSlow: codes.REQUEST_TOO_SLOW,
     MemoryExhausted: codes.BODIES_FULL,
+    ConnectionsExhausted: codes.CONNECTIONS_FULL,
+}
+RETRY_AFTER_MS = {
+    codes.BODIES_FULL: RESOURCES_RETRY_MS,
+    codes.CONNECTIONS_FULL: RESOURCES_RETRY_MS,
 }
-RETRY_AFTER_MS = {codes.BODIES_FULL: BODIES_FULL_RETRY_MS}
 
 
 def to_problem(error: Error) -> Problem:
@@ -268,7 +277,7 @@
     )
     server.channel_class = partial(ProblemChannel, app, guard)
     watch_connections(server, guard.budget)
-    accept_many(server)
+    limit_connections(server)
     return server
 
 
--- a/src/skylarktrail/daemon/caller_parser.py
+++ b/src/skylarktrail/daemon/caller_parser.py
@@ -6,6 +6,7 @@
 from waitress.utilities import BadRequest, Error, RequestEntityTooLarge
 
 from .chunk_receiver import BoundedChunkReceiver
+from .request_errors import FramingError
 from .timed_parser import TimedParser
 
 CONTENT_LENGTH = "CONTENT_LENGTH"
@@ -14,17 +15,6 @@
 REQUEST_BYTES = 4 << 10  # Memory of the objects of a request without fields and body.
 
 
-class FramingError(BadRequest):
-    """The end of a request cannot be determined reliably."""
-
-
-class MemoryExhausted(Error):
-    """What callers hold leaves no memory for a request; it has not run."""
-
-    code = 503
-    reason = "Service Unavailable"
-
-
 class CallerParser(TimedParser):
     """Refuses requests whose framing other HTTP parsers may read differently.
 
--- a/src/skylarktrail/daemon/connection_watch.py
+++ b/src/skylarktrail/daemon/connection_watch.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import select
 from typing import TYPE_CHECKING
 
 from waitress.server import BaseWSGIServer
@@ -17,7 +16,6 @@
     from .bounded_channel import BoundedChannel
 
 CHECK_INTERVAL_S = 1
-MAX_ACCEPTED = 64  # Connections in one pass over all of them; the library accepts one.
 # A caller within the limits may be silent as long, for instance after a lost packet.
 MIN_STALL_S = 1.0
 
@@ -35,32 +33,6 @@
     server.maintenance = maintain
 
 
-def accept_many(server: BaseWSGIServer) -> None:
-    """Lets a server accept several connections in one pass over all of them.
-
-    A pass takes longer the more connections there are, so that a crowd of them would
-    keep others waiting in the kernel's queue.
-    """
-    accept_one = server.handle_accept
-
-    def accept() -> None:
-        count = 0
-        while count < MAX_ACCEPTED and _has_waiting(server):
-            accept_one()
-            count += 1
-
-    server.handle_accept = accept
-
-
-def _has_waiting(server: BaseWSGIServer) -> bool:
-    """Returns whether a connection waits and may be accepted."""
-    if len(server._map) >= server.adj.connection_limit:
-        return False
-    poller = select.poll()
-    poller.register(server.socket, select.POLLIN)
-    return bool(poller.poll(0))
-
-
 def evict_stalled(
     server: BaseWSGIServer, budget: CallerBudget, more_bytes: int
 ) -> None:
--- a/src/skylarktrail/daemon/metrics.py
+++ b/src/skylarktrail/daemon/metrics.py
@@ -42,7 +42,8 @@
     "grants": CounterSpec("Grants sent to servers, by outcome.", ("outcome",)),
     "caller_ends": CounterSpec(
         "Callers' requests and connections ended by the daemon: budget (no memory), "
-        "stalled (nothing sent), unread (answer not read).",
+        "stalled (nothing sent), unread (answer not read), connections (a new "
+        "caller needs the connection).",
         ("reason",),
     ),
     "state_changes": CounterSpec("Changes of state.", ("event",)),
--- a/src/skylarktrail/daemon/timed_parser.py
+++ b/src/skylarktrail/daemon/timed_parser.py
@@ -12,22 +12,16 @@
 
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
-from waitress.utilities import Error
 
 from ..response_bounds import MIN_BYTES_PER_S
+from .request_errors import RequestTooSlow
 
 # Time for a request without a body. Each byte extends it by 1 / MIN_BYTES_PER_S.
 REQUEST_TIMEOUT_S = 30.0
+MIN_AGE_S = 1e-3  # Resolution of rates.
 MAX_BLANK_BYTES = 64  # Between requests, where clients may send an empty line.
 
 
-class RequestTooSlow(Error):
-    """A request was not complete in time; it has not run."""
-
-    code = 408
-    reason = "Request Timeout"
-
-
 class TimedParser(HTTPRequestParser):
     """Refuses a request that is not complete in time when its next bytes arrive."""
 
@@ -46,6 +40,16 @@
             return len(data)
         return consumed
 
+    @property
+    def age_s(self) -> float:
+        """Returns the time since the first byte of the request."""
+        return time.monotonic() - self._begun_s
+
+    @property
+    def rate_bytes_per_s(self) -> float:
+        """Returns the mean rate at which the request arrives."""
+        return self._size_bytes / max(self.age_s, MIN_AGE_S)
+
     def is_late(self) -> bool:
         """Returns whether the request should be complete by now."""
         allowed_s = REQUEST_TIMEOUT_S + self._size_bytes / MIN_BYTES_PER_S
--- a/src/skylarktrail/errors/caller.py
+++ b/src/skylarktrail/errors/caller.py
@@ -150,3 +150,10 @@
     "Try again after the time given; it has not run.",
     status=503,
 )
+CONNECTIONS_FULL = declare(
+    4021,
+    "CONNECTIONS_FULL",
+    "All connections are taken, and the request arrived too slowly to keep one.",
+    "Try again after the time given; it has not run.",
+    status=503,
+)
--- a/src/skylarktrail/gateway/metrics.py
+++ b/src/skylarktrail/gateway/metrics.py
@@ -31,7 +31,8 @@
     "forwarded_bytes": ("Bytes of forwarded bodies and their answers.", ("zone",)),
     "caller_ends": (
         "Callers' requests and connections ended by the daemon: budget (no memory), "
-        "stalled (nothing sent), unread (answer not read).",
+        "stalled (nothing sent), unread (answer not read), connections (a new "
+        "caller needs the connection).",
         ("reason",),
     ),
     "moved_ranges": ("Key ranges given to another owner.", ("service",)),
