fix: clients that hold connections no longer keep health checks out

What callers saw: with 100 connections held at the address for health checks, or at that for operators, no health check on a new connection was answered, and the platform takes a daemon out of rotation after two misses. Bodies were accepted there, too: one of 30 MB was kept in a temporary file and answered with 200; VMs have no disk, so that such files are memory.

Cause: these addresses used the library's channel and limits: 100 connections, idle ones for two minutes, bodies of 1 GB.

Neither address needs a body.

--- a/src/skylarktrail/daemon/service.py
+++ b/src/skylarktrail/daemon/service.py
@@ -269,6 +269,7 @@
             OperatorApp(status_source, self._metrics),
             settings.operator_address,
             OPERATOR_THREADS,
+            self._record_ended_caller,
         )
         self._servers.append(operators)
         for server in self._servers:
--- a/src/skylarktrail/gateway/client_bounds.py
+++ b/src/skylarktrail/gateway/client_bounds.py
@@ -52,15 +52,14 @@
         return self._make_guard(lambda: max(default_bytes, self._limits().body_bytes))
 
     def _make_guard(self, read_body_limit) -> CallerGuard:
-        return CallerGuard(
-            self._budget, self._bounds, read_body_limit, self._record_end
-        )
+        return CallerGuard(self._budget, self._bounds, read_body_limit, self.record_end)
 
     def _limits(self) -> CallerLimits:
         table = self._site.route_table
         return table.config.limits if table is not None else CallerLimits()
 
-    def _record_end(self, ended: EndedConnection) -> None:
+    def record_end(self, ended: EndedConnection) -> None:
+        """Logs and counts a connection that was ended, at any address."""
         self._metrics.count("caller_ends", ended.reason)
         held_bytes = self._budget.used_bytes
         self._log.write("caller_ended", **ended._asdict(), all_held_bytes=held_bytes)
--- a/src/skylarktrail/gateway/http_servers.py
+++ b/src/skylarktrail/gateway/http_servers.py
@@ -67,7 +67,7 @@
             )
         addresses = [settings.ready_address, settings.metrics_address]
         self._servers = self._request_servers + [
-            make_plain_server(health_app, item, READY_THREADS)
+            make_plain_server(health_app, item, READY_THREADS, clients.record_end)
             for item in addresses
             if item
         ]
--- a/tests/processes/test_crowded_addresses.py
+++ b/tests/processes/test_crowded_addresses.py
@@ -104,7 +104,7 @@
         check_daemon(site)
 
 
-@pytest.mark.parametrize("name", ["forwarding", "peers"])
+@pytest.mark.parametrize("name", ["forwarding", "health", "peers"])
 @pytest.mark.parametrize("kind", ["nothing sent", "a head byte by byte"])
 def test_held_connections_of_each_address(site, name, kind):
     """Guards against an address whose connections take those of all others."""
