fix: crowds at several addresses leave descriptors for all others

What callers saw: with crowds of 800 connections at the addresses of callers, forwarding, health checks and peers of a daemon that may open 1,024 descriptors, no request and no health check was answered. All 1,024 were taken, so that neither connections to instances nor to the store could be opened.

Cause: callers and forwarding each had all descriptors but 400, health checks and metrics had 100 each besides, and the peer address had no limit.

Evidence: test_crowds_at_all_addresses_at_once failed in both kinds on (1,024 descriptors, served=False, healthy=False).

Why it works: the limits are shares of the descriptors and fit into them together. At the peer address a connection without a hello is closed when there are more than an eighth of the descriptors, the oldest first; its share is above the number of daemons that may dial a new granter at once.

--- a/src/skylarktrail/gateway/http_servers.py
+++ b/src/skylarktrail/gateway/http_servers.py
@@ -12,13 +12,12 @@
 from ..daemon.plain_server import make_plain_server
 from ..daemon.unfinished import has_unfinished_requests
 from .client_bounds import ClientBounds
+from .descriptor_shares import share_descriptors
 from .event_log import EventLog
 from .health_app import HealthApp
 from .worker import Worker
 
 READY_THREADS = 2
-# File descriptors for the store, the instances and the libraries.
-RESERVED_DESCRIPTORS = 400
 
 
 class HttpServers:
@@ -43,13 +42,12 @@
         health_app: HealthApp,
         clients: ClientBounds,
     ) -> None:
-        connections = max(64, settings.descriptors - RESERVED_DESCRIPTORS)
-        limits = LimitSettings(connections=connections)
+        shares = share_descriptors(settings.descriptors)
         caller_server = make_caller_server(
             app,
             settings.caller_address,
             settings.threads,
-            limits,
+            LimitSettings(connections=shares.callers),
             1,
             clients.caller_guard(),
         )
@@ -60,7 +58,7 @@
                     forward_app,
                     settings.forward_address,
                     settings.threads,
-                    limits,
+                    LimitSettings(connections=shares.forwarding),
                     1,
                     clients.forward_guard(),
                 )
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -35,6 +35,7 @@
 from ..peer.hub import Responder
 from ..peer.links import PeerLinks
 from ..peer.messages import Message
+from ..peer.unopened import DEFAULT_UNOPENED
 from .clock import now_ms
 from .event_log import EventLog
 from .instance_log import log_instance_changes
@@ -71,6 +72,7 @@
         on_offer: Called with the term of a granter that offers its role.
         on_term_end_request: Called with the term of a new granter, to stop grants of
             lower terms before the request is confirmed.
+        unopened_limit: Largest number of accepted connections without a hello.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         on_unknown_granter: Callable[[], None],
         on_offer: Callable[[int], None],
         on_term_end_request: Callable[[int], None],
+        unopened_limit: int = DEFAULT_UNOPENED,
     ) -> None:
         self._site = site
         self._process = process
@@ -118,6 +121,7 @@
             lambda *_: None,
             lambda *_: None,
             HEARTBEAT_MS,
+            unopened_limit,
         )
 
     def add_handler(
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -30,6 +30,7 @@
 from .clock import now_ms
 from .config_confirmer import ConfigConfirmer
 from .connection_pool import ConnectionPool
+from .descriptor_shares import share_descriptors
 from .disconnect_monitor import DisconnectMonitor
 from .event_log import EventLog
 from .forwarding import Forwarder
@@ -114,6 +115,7 @@
             self._on_unknown_granter,
             self._on_role_offer,
             self._on_term_end_request,
+            share_descriptors(settings.descriptors).unopened_links,
         )
         self._messenger.add_handler(
             GatewayOpenGrantsRequest, self._on_open_grants_request
--- a/src/skylarktrail/peer/hub.py
+++ b/src/skylarktrail/peer/hub.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from concurrent.futures import Future
+from functools import partial
 from typing import Callable, NamedTuple
 
 from absl import logging
@@ -23,6 +24,7 @@
 from .link import Link, OutgoingMessage, Peer, PendingRequest
 from .messages import Heartbeat, Hello, Message
 from .send_budget import SendBudget
+from .unopened import DEFAULT_UNOPENED, CountedConnection, UnopenedConnections
 
 HEARTBEAT_MS = 200
 SILENCE_TIMEOUT_MS = 1000
@@ -108,6 +110,7 @@
         counters: Counter[str],
         send_reply: Callable,
         heartbeat_ms: int = HEARTBEAT_MS,
+        unopened_limit: int = DEFAULT_UNOPENED,
     ) -> None:
         self._own_hello = own_hello
         self._encoded_hello = encode(own_hello).unwrap()
@@ -122,6 +125,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._roster: set[str] = set()
         self._budget = SendBudget()
+        self._unopened = UnopenedConnections(unopened_limit)
         self.peers: dict[str, Peer] = {}
         self.heartbeat_peers: frozenset[str] = frozenset()
         self.loop = asyncio.get_running_loop()
@@ -130,7 +134,13 @@
         """Binds an address `host:port` and returns it with the bound port."""
         host, _, port = address.rpartition(":")
         try:
-            self._server = await serve(self._accept, host, int(port), **SOCKET_OPTIONS)
+            self._server = await serve(
+                self._accept,
+                host,
+                int(port),
+                create_connection=partial(CountedConnection, self._unopened),
+                **SOCKET_OPTIONS,
+            )
         except (OSError, ValueError) as error:
             return Err(Fault(codes.LISTEN_FAILED, address, str(error)))
         bound = next(iter(self._server.sockets)).getsockname()
@@ -338,6 +348,7 @@
 
     async def _accept(self, socket: Connection) -> None:
         hello = await self._exchange_hellos(socket)
+        self._unopened.discard(socket)
         if hello is None or hello.daemon == self._own_hello.daemon:
             return
         await self._run_link(
--- a/src/skylarktrail/peer/links.py
+++ b/src/skylarktrail/peer/links.py
@@ -17,6 +17,7 @@
 from .hub import HEARTBEAT_MS, Callbacks, Hub, OnDown, OnMessage, OnUp
 from .link import OutgoingMessage, Peer
 from .messages import Hello, Message
+from .unopened import DEFAULT_UNOPENED
 
 START_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 5.0
@@ -38,6 +39,7 @@
         on_up: Called as described at `Callbacks`.
         on_down: Called as described at `Callbacks`.
         heartbeat_ms: Interval between heartbeats.
+        unopened_limit: Largest number of accepted connections without a hello.
 
     Attributes:
         counters: Number of events by name, such as messages `dropped` or `malformed`
@@ -54,11 +56,13 @@
         on_up: OnUp,
         on_down: OnDown,
         heartbeat_ms: int = HEARTBEAT_MS,
+        unopened_limit: int = DEFAULT_UNOPENED,
     ) -> None:
         self._own_hello = Hello(own_daemon, incarnation, zone)
         self._listen_address = listen_address
         self._callbacks = Callbacks(on_message, on_up, on_down)
         self._heartbeat_ms = heartbeat_ms
+        self._unopened_limit = unopened_limit
         self._request_ids = itertools.count(1 + secrets.randbits(REQUEST_ID_BITS))
         self._thread = threading.Thread(target=self._run, name="peer-links")
         self._thread.daemon = True
@@ -177,6 +181,7 @@
             self.counters,
             self._send,
             self._heartbeat_ms,
+            self._unopened_limit,
         )
         address = await hub.listen(self._listen_address)
         if isinstance(address, Ok):
--- a/tests/processes/test_crowded_addresses.py
+++ b/tests/processes/test_crowded_addresses.py
@@ -11,6 +11,7 @@
 import resource
 import signal
 import time
+from contextlib import ExitStack
 
 import pytest
 
@@ -23,7 +24,9 @@
 GATEWAY = "d1"
 MEMORY_MB = 160
 DESCRIPTORS = 512
+PAIR_DESCRIPTORS = 1024
 CROWD = 400
+PAIR_CROWD = 800
 SETTLE_S = 2.0
 READY_S = 15.0
 ATTEMPTS = 3  # As the clients of the operators' pages, each on a new connection.
@@ -31,10 +34,15 @@
 
 
 @pytest.fixture
-def site(tmp_path):
+def descriptors(request):
+    return getattr(request, "param", DESCRIPTORS)
+
+
+@pytest.fixture
+def site(tmp_path, descriptors):
     """Returns a site whose daemon has few descriptors, with requests served."""
     site = GatewaySite(tmp_path, gateways=1, instances=4)
-    limits = {"memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS}
+    limits = {"memory_mb": MEMORY_MB, "descriptors": descriptors}
     settings = site.gateway_settings[GATEWAY] | limits
     site.settings_path(GATEWAY).write_text(json.dumps(settings))
     with site:
@@ -42,7 +50,7 @@
         while not is_served(site):
             assert time.monotonic() < end_s
         pid = site.gateways[GATEWAY].pid
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
         yield site
 
 
@@ -70,7 +78,7 @@
     return False
 
 
-def check_daemon(site):
+def check_daemon(site, descriptors=DESCRIPTORS):
     """Checks that the daemon lives, within its limits, and serves new connections."""
     time.sleep(SETTLE_S)
     process = site.gateways[GATEWAY]
@@ -80,7 +88,7 @@
     peak_mb = read_peak_mb(process.pid)
     print(f"{used} descriptors, peak {peak_mb:.0f} MB, {served=}, {healthy=}")
     assert process.is_running
-    assert used <= DESCRIPTORS
+    assert used <= descriptors
     assert peak_mb <= MEMORY_MB
     assert served
     assert healthy
@@ -112,6 +120,17 @@
         check_daemon(site)
 
 
+@pytest.mark.parametrize("descriptors", [PAIR_DESCRIPTORS], indirect=True)
+@pytest.mark.parametrize("kind", ["nothing sent", "idle after an answer"])
+def test_crowds_at_all_addresses_at_once(site, descriptors, kind):
+    """Guards against limits of addresses whose sum exceeds the descriptors."""
+    with ExitStack() as stack:
+        for address in addresses(site).values():
+            crowd = ConnectionCrowd(address, PAIR_CROWD, HOLDINGS[kind])
+            stack.enter_context(crowd)
+        check_daemon(site, descriptors)
+
+
 def test_held_connections_while_the_store_is_away(site):
     """Guards against a crowd that takes the descriptors of the store's calls."""
     holding = HOLDINGS["a head without its body"]
