test: sites wait for their instances before a test sets controls

What was seen: test_requests_that_are_passed_on_in_the_grace_are_answered failed in three runs with "assert refused": no request was refused, all were answered with 200. At 27 requests of 2.4 s of work on two instances with three slots that takes 10.8 s, and the grace is 6 s.

Cause: the fixture waited for the daemons only, then set the work of each instance, and ignored that the call failed. An instance that did not listen yet kept its work of 20 ms and served everything.

Evidence: with one instance stopped for 3 s right after its start, its control call fails (connection refused), and the test fails in the same line with 27 answers 200 in 3.0 s; in 2 of 2 runs. With the change it passes with a start 3 and 5 s late. The logs of the three earlier runs were not kept: that they failed for this reason is concluded from the missing refusals.

The site now waits until each instance responds, and the fixture checks that the control was confirmed.

--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -150,6 +150,8 @@
         self.publish()
         for process in [*self.instances.values(), *self.gateways.values()]:
             process.start()
+        for address in self.instance_addresses.values():
+            self.wait_for(address, "/runs")
         for address in self.ready_addresses.values():
             self.wait_for(address, "/ready")
 
@@ -180,11 +182,11 @@
         """Sends a GET directly to a process."""
         return self._send("GET", f"http://{address}{path}", {}, b"", 1.0)
 
-    def control(self, address: str, **values: Any) -> None:
-        """Sets controls of a stand-in."""
-        self._send(
-            "POST", f"http://{address}/control", {}, json.dumps(values).encode(), 2.0
-        )
+    def control(self, address: str, **values: Any) -> bool:
+        """Sets controls of a stand-in; returns whether it has confirmed them."""
+        body = json.dumps(values).encode()
+        response = self._send("POST", f"http://{address}/control", {}, body, 2.0)
+        return response.status == 200
 
     def copy_store(self) -> None:
         """Lets the store keep a copy of its records."""
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -30,7 +30,7 @@
         site.publish(hosts=hosts)
         for name, address in site.instance_addresses.items():
             if name.startswith(BOOKING.service):
-                site.control(address, work_ms=WORK_MS)
+                assert site.control(address, work_ms=WORK_MS)
         time.sleep(2.0)  # The configuration is in force.
         warm_up(site)
         yield site
