fix: a planned stop does not wait for callers that send nothing

What callers saw: those that had stopped inside a request got no answer from a daemon that was stopped; their connections were closed at the end of its grace. The stop itself took nearly all of the grace, with little left for answers of requests that run.

Cause: the daemon waits for each request that is being received, whether or not anything arrives, though it refuses new requests from 2.9 s on and would refuse these, too.

Why it works: from then on, requests that are silent for 0.1 s or arrive below the lowest rate are refused as not run, in the server's thread. Callers that keep pace are awaited as before, as are running requests and answers. The daemon of daemon/ does the same.

--- a/src/skylarktrail/daemon/bounded_channel.py
+++ b/src/skylarktrail/daemon/bounded_channel.py
@@ -26,7 +26,12 @@
 from .caller_guard import CallerGuard, EndedConnection
 from .caller_parser import CallerParser
 from .connection_watch import evict_stalled
-from .request_errors import ConnectionsExhausted, MemoryExhausted, RequestTooSlow
+from .request_errors import (
+    ConnectionsExhausted,
+    DaemonDraining,
+    MemoryExhausted,
+    RequestTooSlow,
+)
 from .timed_parser import TimedChannel
 
 SEND_BYTES = 1 << 18  # Largest write to the socket.
@@ -159,6 +164,17 @@
         else:
             self.end("connections")
 
+    def refuse_if_slow(self) -> None:
+        """Refuses a request that stalls or trickles, as the daemon drains.
+
+        Called in the server's thread.
+        """
+        state = self.state()
+        is_slow = state.phase in (Phase.STALLED, Phase.SLOW)
+        if is_slow and state.held_s >= MIN_HELD_S and not self._has_unread_bytes():
+            error = DaemonDraining("The daemon stops before the request is complete.")
+            self.refuse(error, "draining", is_immediate=True)
+
     def refuse(self, error: Error, reason: str, is_immediate: bool = False) -> bool:
         """Refuses the request that is being received; returns whether there is one.
 
--- a/src/skylarktrail/daemon/caller_app.py
+++ b/src/skylarktrail/daemon/caller_app.py
@@ -32,6 +32,7 @@
 from .problem import Problem
 from .request_errors import (
     ConnectionsExhausted,
+    DaemonDraining,
     FramingError,
     MemoryExhausted,
     RequestTooSlow,
@@ -43,6 +44,7 @@
 REASON_PHRASES = {200: "OK", 201: "Created", 202: "Accepted", 204: "No Content"}
 MEMORY_BUFFER_BYTES = 1 << 40  # Above each body: VMs have no disks for temporary files.
 RESOURCES_RETRY_MS = 1000.0
+DRAINING_RETRY_MS = 20.0  # Another daemon accepts the retry at once.
 Reply = Response | Problem
 
 
@@ -68,10 +70,12 @@
     RequestTooSlow: codes.REQUEST_TOO_SLOW,
     MemoryExhausted: codes.BODIES_FULL,
     ConnectionsExhausted: codes.CONNECTIONS_FULL,
+    DaemonDraining: codes.DRAINING,
 }
 RETRY_AFTER_MS = {
     codes.BODIES_FULL: RESOURCES_RETRY_MS,
     codes.CONNECTIONS_FULL: RESOURCES_RETRY_MS,
+    codes.DRAINING: DRAINING_RETRY_MS,
 }
 
 
--- a/src/skylarktrail/daemon/caller_guard.py
+++ b/src/skylarktrail/daemon/caller_guard.py
@@ -12,7 +12,7 @@
     """A caller's request or connection that was ended.
 
     Attributes:
-        reason: `budget`, `stalled`, `unread` or `connections`.
+        reason: `budget`, `stalled`, `unread`, `connections` or `draining`.
         address: Address of the caller.
         held_bytes: Memory that the connection held.
         silent_ms: How long the caller neither sent nor read.
--- a/src/skylarktrail/daemon/metrics.py
+++ b/src/skylarktrail/daemon/metrics.py
@@ -43,7 +43,7 @@
     "caller_ends": CounterSpec(
         "Callers' requests and connections ended by the daemon: budget (no memory), "
         "stalled (nothing sent), unread (answer not read), connections (a new "
-        "caller needs the connection).",
+        "caller needs the connection), draining (too slow for a planned stop).",
         ("reason",),
     ),
     "state_changes": CounterSpec("Changes of state.", ("event",)),
--- a/src/skylarktrail/daemon/request_errors.py
+++ b/src/skylarktrail/daemon/request_errors.py
@@ -23,6 +23,13 @@
     reason = "Service Unavailable"
 
 
+class DaemonDraining(Error):
+    """The daemon stops before a request that arrives slowly can be complete."""
+
+    code = 503
+    reason = "Service Unavailable"
+
+
 class ConnectionsExhausted(Error):
     """Another caller needs the connection of a request that does not arrive."""
 
--- a/src/skylarktrail/daemon/service.py
+++ b/src/skylarktrail/daemon/service.py
@@ -51,7 +51,7 @@
 from .router import Router
 from .status_collector import ChangeLog, Readiness, StatusCollector
 from .ticker import Ticker
-from .unfinished import has_unfinished_requests
+from .unfinished import has_unfinished_requests, refuse_slow_requests
 from .vm_watcher import VmWatcher
 
 TICK_MS = 50
@@ -166,6 +166,8 @@
         self._router.is_draining = True
         self._dispatcher.set_stop(until_ms)
         while now_ms() < until_ms and self._is_drain_incomplete():
+            for server in self._request_servers:
+                refuse_slow_requests(server)
             time.sleep(DRAIN_POLL_MS / 1000)
         self._changes.record("drained", in_flight=self._router.in_flight)
         self.stop()
--- a/src/skylarktrail/gateway/http_servers.py
+++ b/src/skylarktrail/gateway/http_servers.py
@@ -10,7 +10,7 @@
 from ..config.settings import LimitSettings
 from ..daemon.caller_app import CallerApp, make_caller_server
 from ..daemon.plain_server import make_plain_server
-from ..daemon.unfinished import has_unfinished_requests
+from ..daemon.unfinished import has_unfinished_requests, refuse_slow_requests
 from .client_bounds import ClientBounds
 from .descriptor_shares import share_descriptors
 from .event_log import EventLog
@@ -79,6 +79,11 @@
         """Returns whether a request is received in part or not answered in full."""
         return any(has_unfinished_requests(server) for server in self._request_servers)
 
+    def refuse_slow_requests(self) -> None:
+        """Refuses requests that stall or trickle, as the daemon drains."""
+        for server in self._request_servers:
+            refuse_slow_requests(server)
+
 
 def _serve(server: BaseWSGIServer) -> float:
     """Serves requests; returns only if the server is closed."""
--- a/src/skylarktrail/gateway/metrics.py
+++ b/src/skylarktrail/gateway/metrics.py
@@ -32,7 +32,7 @@
     "caller_ends": (
         "Callers' requests and connections ended by the daemon: budget (no memory), "
         "stalled (nothing sent), unread (answer not read), connections (a new "
-        "caller needs the connection).",
+        "caller needs the connection), draining (too slow for a planned stop).",
         ("reason",),
     ),
     "moved_ranges": ("Key ranges given to another owner.", ("service",)),
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -236,6 +236,7 @@
         _sleep_until(min(end_ms, started_ms + UNREADY_NOTICE_MS))
         self._router.is_closed = True
         while self._has_unfinished_requests() and now_ms() < end_ms:
+            self._servers.refuse_slow_requests()
             time.sleep(DRAIN_POLL_S)
         time.sleep(FLUSH_S)
         self._stop()
--- a/tests/daemon/test_unfinished.py
+++ b/tests/daemon/test_unfinished.py
@@ -9,12 +9,17 @@
 import pytest
 
 from skylarktrail.config.settings import LimitSettings
+from skylarktrail.core.connection_eviction import MIN_HELD_S
 from skylarktrail.daemon.caller_app import CallerApp, make_caller_server
 from skylarktrail.daemon.metrics import Metrics
 from skylarktrail.daemon.response import Response
-from skylarktrail.daemon.unfinished import has_unfinished_requests
+from skylarktrail.daemon.unfinished import (
+    has_unfinished_requests,
+    refuse_slow_requests,
+)
 
 GET = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 LARGE_BYTES = 32 << 20
 WAIT_TIMEOUT_S = 10.0
 
@@ -82,6 +87,33 @@
     wait_until_unfinished(server, False)
 
 
+@pytest.mark.parametrize("part", [b"GET /x HT", HEAD, HEAD + b"abc"])
+def test_a_stalled_request_is_refused_as_the_daemon_drains(server, part):
+    """Guards against a planned stop that waits for callers that send nothing."""
+    with connect(server) as connection:
+        connection.sendall(part)
+        wait_until_unfinished(server, True)
+        time.sleep(2 * MIN_HELD_S)
+        refuse_slow_requests(server)
+        answer = connection.recv(1 << 16)
+        assert answer.split(b"\r\n")[0].endswith(b" 503 DRAINING")
+        assert b"\r\nSkylark-Outcome: not-run\r\n" in answer
+        wait_until_unfinished(server, False)
+
+
+def test_a_running_request_is_not_refused_as_the_daemon_drains(server, handler):
+    """Guards against the refusal of work that has begun."""
+    with connect(server) as connection:
+        connection.sendall(GET)
+        wait_until_unfinished(server, True)
+        time.sleep(2 * MIN_HELD_S)
+        refuse_slow_requests(server)
+        time.sleep(0.2)
+        assert has_unfinished_requests(server)
+        handler.release.set()
+        assert connection.recv(1 << 16).startswith(b"HTTP/1.1 200 ")
+
+
 def test_a_request_that_waits_for_a_thread_is_unfinished(server, handler):
     with connect(server) as first, connect(server) as second:
         first.sendall(GET)
