--- a/demo/site.py
+++ b/demo/site.py
@@ -41,6 +41,7 @@
         timings: `timings` in the settings of the daemons.
         threads: Number of threads of each daemon.
         retention_records: Number of records that the log guarantees to keep.
+        limits: `limits` in the settings of the daemons.
     """
 
     service_ms: float = 10.0
@@ -53,6 +54,7 @@
     timings: dict[str, int] = {}
     threads: int = 32
     retention_records: int = 100_000
+    limits: dict[str, int] = {}
 
 
 class Vm(NamedTuple):
@@ -225,6 +227,7 @@
             },
             "threads": self.options.threads,
             "timings": self.options.timings,
+            "limits": self.options.limits,
         }
         self._settings_path(vm.id).write_text(json.dumps(settings, indent=2) + "\n")
 
