fix: lines about ended connections do not displace those of requests

What operators saw: a crowd of 800 connections that send nothing and open again at once left 1,346 lines caller_ended in 5 s, and 6,769 further lines were dropped, those about requests of ordinary callers among them, as all share one rate limit.

Cause: each ended connection had a line. In daemon/, whose lines about ended callers had a limit, the library's warnings about its queue of requests had none.

Why it works: each reason has one line a second, which tells how many had none before it; the counter has all. The library's warnings are off in both daemons, as in gateways before.

--- a/src/skylarktrail/gateway/client_bounds.py
+++ b/src/skylarktrail/gateway/client_bounds.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import threading
+
 from ..caller_budget import make_caller_budget
 from ..config.gateway_settings import GatewaySettings
 from ..core.gateway.model import CallerLimits
 from ..daemon.caller_guard import CallerGuard, EndedConnection
+from .clock import now_ms
 from .event_log import EventLog
 from .metrics import GatewayMetrics
 from .site_state import SiteState
 
+# Crowds end hundreds of connections a second; all lines share one rate limit.
+LOG_INTERVAL_MS = 1000.0
+
 
 class ClientBounds:
     """Makes the bounds that the request servers of one daemon share.
@@ -32,6 +38,9 @@
         self._site = site
         self._log = log
         self._metrics = metrics
+        self._lock = threading.Lock()
+        self._logged_ms: dict[str, float] = {}  # Time of the last line by reason.
+        self._unlogged_counts: dict[str, int] = {}
         self._budget = make_caller_budget(settings.memory_mb, self._bounds.held_bytes)
         metrics.add_gauge(
             "caller_bytes",
@@ -59,7 +68,29 @@
         return table.config.limits if table is not None else CallerLimits()
 
     def record_end(self, ended: EndedConnection) -> None:
-        """Logs and counts a connection that was ended, at any address."""
+        """Counts a connection that was ended, at any address, and logs some of them.
+
+        Each reason has a line a second; it tells how many others there were before it.
+        """
         self._metrics.count("caller_ends", ended.reason)
-        held_bytes = self._budget.used_bytes
-        self._log.write("caller_ended", **ended._asdict(), all_held_bytes=held_bytes)
+        unlogged_count = self._begin_line(ended.reason)
+        if unlogged_count is None:
+            return
+        self._log.write(
+            "caller_ended",
+            **ended._asdict(),
+            all_held_bytes=self._budget.used_bytes,
+            unlogged_count=unlogged_count,
+        )
+
+    def _begin_line(self, reason: str) -> int | None:
+        """Returns how many ends had no line since the last; None if this has none."""
+        at_ms = now_ms()
+        with self._lock:
+            unlogged_count = self._unlogged_counts.get(reason, 0)
+            if at_ms - self._logged_ms.get(reason, -LOG_INTERVAL_MS) < LOG_INTERVAL_MS:
+                self._unlogged_counts[reason] = unlogged_count + 1
+                return None
+            self._logged_ms[reason] = at_ms
+            self._unlogged_counts[reason] = 0
+            return unlogged_count
--- a/src/skylarktrail/gateway/run.py
+++ b/src/skylarktrail/gateway/run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import queue
 import signal
 from pathlib import Path
@@ -17,7 +16,6 @@
 from .adapters import ADAPTERS
 from .service import GatewayService
 
-LIBRARY_LOGGERS = ("waitress", "urllib3")  # Their log lines contain no request id.
 SETTINGS_POLL_S = 2.0  # The file is also reloaded if it changes without SIGHUP.
 
 
@@ -31,8 +29,6 @@
     Returns:
         None after the daemon has drained, or the fault that kept it from starting.
     """
-    for name in LIBRARY_LOGGERS:
-        logging.getLogger(name).setLevel(logging.ERROR)
     if settings.store.adapter not in ADAPTERS:
         return Err(Fault(codes.VALUE_NOT_ALLOWED, "$.store.adapter"))
     signals: queue.SimpleQueue[int] = queue.SimpleQueue()
--- a/src/skylarktrail/run.py
+++ b/src/skylarktrail/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging as standard_logging
 import signal
 import sys
 import threading
@@ -20,6 +21,8 @@
 if TYPE_CHECKING:
     from .daemon.service import Service
 
+# Clients cause their warnings, which contain no request id.
+LIBRARY_LOGGERS = ("waitress", "urllib3")
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 1
 EXIT_START_FAILED = 3
@@ -45,6 +48,8 @@
     tune_malloc()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
+    for name in LIBRARY_LOGGERS:
+        standard_logging.getLogger(name).setLevel(standard_logging.ERROR)
     document = read_json(Path(arguments.settings))
     if document.is_err():
         return _print_faults([document.unwrap_err()])
