test: two crowds at once beside slow instances

Twelve large bodies that stop one byte short, twice, and 400 trickled ones, while instances take a second for each request.

--- a/tests/processes/test_crowded_addresses.py
+++ b/tests/processes/test_crowded_addresses.py
@@ -18,7 +18,7 @@
 from demo.gateway_site import REQUEST_KINDS, GatewaySite
 
 from .connection_crowds import HOLDINGS, ConnectionCrowd
-from .crowds import count_descriptors, read_peak_mb
+from .crowds import Crowd, CrowdSession, count_descriptors, read_peak_mb
 
 BOOKING = REQUEST_KINDS[1]
 GATEWAY = "d1"
@@ -31,6 +31,8 @@
 READY_S = 15.0
 ATTEMPTS = 3  # As the clients of the operators' pages, each on a new connection.
 PROBE_TIMEOUT_S = 4.0
+SLOW_WORK_MS = 1000.0
+LARGE_BODIES = Crowd(12, "Content-Length: 30000000", 29_999_999)
 
 
 @pytest.fixture
@@ -148,3 +150,16 @@
             site.gateways[GATEWAY].send_signal(signal.SIGHUP)
             time.sleep(0.2)
         check_daemon(site)
+
+
+def test_two_crowds_beside_slow_instances(site):
+    """Guards against bounds of memory and of connections that defeat each other."""
+    callers = addresses(site)["callers"]
+    for name, address in site.instance_addresses.items():
+        if name.startswith(BOOKING.service):
+            assert site.control(address, work_ms=SLOW_WORK_MS)
+    with CrowdSession(callers, LARGE_BODIES):
+        with ConnectionCrowd(callers, CROWD, HOLDINGS["a body byte by byte"]):
+            check_daemon(site)
+            with CrowdSession(callers, LARGE_BODIES):
+                check_daemon(site)
