--- a/tests/gateway/test_unheld_keys.py
+++ b/tests/gateway/test_unheld_keys.py
@@ -9,6 +9,7 @@
 import pytest
 
 from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.key_owners import REPEATED_UNHELD_KEY_MS, UNHELD_KEY_MS
 from skylarktrail.core.gateway.model import (
     InstanceEntry,
     Route,
@@ -17,11 +18,7 @@
 )
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.core.gateway.ticket import Ticket
-from skylarktrail.gateway.site_state import (
-    REPEATED_UNHELD_KEY_MS,
-    UNHELD_KEY_MS,
-    SiteState,
-)
+from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.gateway.site_store import Listing
 
 SERVICE = "stock"
--- a/tests/processes/connection_crowds.py
+++ b/tests/processes/connection_crowds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import selectors
 import socket
 import threading
@@ -15,6 +16,8 @@
 READ_BYTES = 1 << 16
 MAX_OPENED_PER_CONNECTION = 200  # Bounds how often a crowd opens again.
 FILL_TIMEOUT_S = 5.0
+HEALTH_ATTEMPTS = 3
+HEALTH_TIMEOUT_S = 4.0
 HEAD = (
     f"POST /booking/x HTTP/1.1\r\nHost: {HOST_NAME}\r\nRequest-Id: c\r\n"
     f"Deadline-Ms: {DEADLINE_MS}\r\n"
@@ -138,3 +141,19 @@
         self._selector.unregister(connection)
         del self._open[connection]
         connection.close()
+
+
+def is_healthy(address: str) -> bool:
+    """Returns whether a health check on a new connection is answered."""
+    host, _, port = address.rpartition(":")
+    for _ in range(HEALTH_ATTEMPTS):
+        check = http.client.HTTPConnection(host, int(port), timeout=HEALTH_TIMEOUT_S)
+        try:
+            check.request("GET", "/ready")
+            if check.getresponse().status == 200:
+                return True
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            check.close()
+    return False
--- a/tests/processes/test_crowded_addresses.py
+++ b/tests/processes/test_crowded_addresses.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import resource
 import signal
@@ -17,7 +16,7 @@
 
 from demo.gateway_site import REQUEST_KINDS, GatewaySite
 
-from .connection_crowds import HOLDINGS, ConnectionCrowd
+from .connection_crowds import HOLDINGS, ConnectionCrowd, is_healthy
 from .crowds import Crowd, CrowdSession, count_descriptors, read_peak_mb
 
 BOOKING = REQUEST_KINDS[1]
@@ -30,7 +29,6 @@
 SETTLE_S = 2.0
 READY_S = 15.0
 ATTEMPTS = 3  # As the clients of the operators' pages, each on a new connection.
-PROBE_TIMEOUT_S = 4.0
 SLOW_WORK_MS = 1000.0
 LARGE_BODIES = Crowd(12, "Content-Length: 30000000", 29_999_999)
 
@@ -64,22 +62,6 @@
     return False
 
 
-def is_healthy(address):
-    """Returns whether a health check on a new connection is answered."""
-    for _ in range(ATTEMPTS):
-        host, _, port = address.rpartition(":")
-        check = http.client.HTTPConnection(host, int(port), timeout=PROBE_TIMEOUT_S)
-        try:
-            check.request("GET", "/ready")
-            if check.getresponse().status == 200:
-                return True
-        except (OSError, http.client.HTTPException):
-            pass
-        finally:
-            check.close()
-    return False
-
-
 def check_daemon(site, descriptors=DESCRIPTORS):
     """Checks that the daemon lives, within its limits, and serves new connections."""
     time.sleep(SETTLE_S)
--- a/tests/processes/test_crowded_daemons.py
+++ b/tests/processes/test_crowded_daemons.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import http.client
 import time
 
 import pytest
@@ -14,7 +13,7 @@
 from demo.client import Client
 
 from .conftest import OPTIONS
-from .connection_crowds import HOLDINGS, ConnectionCrowd
+from .connection_crowds import HOLDINGS, ConnectionCrowd, is_healthy
 from .crowds import count_descriptors, read_peak_mb
 
 DAEMON = "router-1"
@@ -24,7 +23,6 @@
 DESCRIPTORS = 1024
 SETTLE_S = 2.0
 ATTEMPTS = 3
-TIMEOUT_S = 4.0
 CLOSE = {"Connection": "close"}
 
 
@@ -42,22 +40,6 @@
     return statuses[-1] == 200
 
 
-def is_healthy(address):
-    """Returns whether the operators' address answers on a new connection."""
-    host, _, port = address.rpartition(":")
-    for _ in range(ATTEMPTS):
-        check = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
-        try:
-            check.request("GET", "/ready")
-            if check.getresponse().status == 200:
-                return True
-        except (OSError, http.client.HTTPException):
-            pass
-        finally:
-            check.close()
-    return False
-
-
 def check_daemon(site):
     """Checks that the daemon lives, within its limits, and serves new connections."""
     time.sleep(SETTLE_S)
