--- a/src/skylarktrail/gateway/client_bounds.py
+++ b/src/skylarktrail/gateway/client_bounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from typing import Callable, Mapping
 
 from ..caller_budget import make_caller_budget
 from ..config.gateway_settings import GatewaySettings
@@ -15,6 +16,7 @@
 
 # Crowds end hundreds of connections a second; all lines share one rate limit.
 LOG_INTERVAL_MS = 1000.0
+ConnectionCounter = Callable[[], Mapping[str, float]]
 
 
 class ClientBounds:
@@ -67,6 +69,15 @@
         table = self._site.route_table
         return table.config.limits if table is not None else CallerLimits()
 
+    def add_connection_gauge(self, count_by_address: ConnectionCounter) -> None:
+        """Adds the gauge of open connections by address."""
+        self._metrics.add_labelled_gauge(
+            "client_connections",
+            "Open connections of clients, by address.",
+            "address",
+            count_by_address,
+        )
+
     def record_end(self, ended: EndedConnection) -> None:
         """Counts a connection that was ended, at any address, and logs some of them.
 
--- a/src/skylarktrail/gateway/gauges.py
+++ b/src/skylarktrail/gateway/gauges.py
@@ -9,6 +9,7 @@
 from .config_confirmer import ConfigConfirmer
 from .connection_pool import ConnectionPool
 from .event_log import EventLog
+from .messenger import Messenger
 from .metrics import GatewayMetrics
 from .router import GatewayRouter
 from .site_state import SiteState
@@ -22,6 +23,7 @@
     connections: ConnectionPool,
     receive_budget: ReceiveBudget,
     confirmer: ConfigConfirmer,
+    messenger: Messenger,
     log: EventLog,
 ) -> None:
     """Adds the gauges; each reads its component at each scrape.
@@ -34,6 +36,7 @@
         connections: Pool of connections to instances.
         receive_budget: Bounds the responses that are not complete yet.
         confirmer: Confirms the configuration.
+        messenger: Holds the links to other daemons.
         log: The event log.
     """
     add = metrics.add_gauge
@@ -75,6 +78,11 @@
         "not revoked in bounded time.",
         confirmer.age_ms,
     )
+    add(
+        "unopened_links_closed",
+        "Connections at the peer address, without a hello, closed for newer ones.",
+        lambda: messenger.closed_unopened_count,
+    )
     add(
         "connections_opened",
         "Connections opened to instances.",
--- a/src/skylarktrail/gateway/http_servers.py
+++ b/src/skylarktrail/gateway/http_servers.py
@@ -51,37 +51,48 @@
             1,
             clients.caller_guard(),
         )
-        self._request_servers = [caller_server]
+        self._request_servers = {"callers": caller_server}
         if settings.forward_address:
-            self._request_servers.append(
-                make_caller_server(
-                    forward_app,
-                    settings.forward_address,
-                    settings.threads,
-                    LimitSettings(connections=shares.forwarding),
-                    1,
-                    clients.forward_guard(),
-                )
+            self._request_servers["forwarding"] = make_caller_server(
+                forward_app,
+                settings.forward_address,
+                settings.threads,
+                LimitSettings(connections=shares.forwarding),
+                1,
+                clients.forward_guard(),
             )
-        addresses = [settings.ready_address, settings.metrics_address]
-        self._servers = self._request_servers + [
-            make_plain_server(health_app, item, READY_THREADS, clients.record_end)
-            for item in addresses
-            if item
-        ]
+        addresses = {
+            "health": settings.ready_address,
+            "metrics": settings.metrics_address,
+        }
+        self._servers = self._request_servers | {
+            name: make_plain_server(
+                health_app, address, READY_THREADS, clients.record_end
+            )
+            for name, address in addresses.items()
+            if address
+        }
+        clients.add_connection_gauge(self.open_connections)
+
+    def open_connections(self) -> dict[str, float]:
+        """Returns the number of open connections by address."""
+        return {
+            name: len(server.active_channels) for name, server in self._servers.items()
+        }
 
     def start(self, log: EventLog) -> None:
         """Starts the thread of each server; their failures are logged."""
-        for server in self._servers:
+        for server in self._servers.values():
             Worker("http-server", partial(_serve, server), log).start()
 
     def has_unfinished_requests(self) -> bool:
         """Returns whether a request is received in part or not answered in full."""
-        return any(has_unfinished_requests(server) for server in self._request_servers)
+        servers = self._request_servers.values()
+        return any(has_unfinished_requests(server) for server in servers)
 
     def refuse_slow_requests(self) -> None:
         """Refuses requests that stall or trickle, as the daemon drains."""
-        for server in self._request_servers:
+        for server in self._request_servers.values():
             refuse_slow_requests(server)
 
 
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -124,6 +124,11 @@
             unopened_limit,
         )
 
+    @property
+    def closed_unopened_count(self) -> int:
+        """Returns how many connections without a hello were closed for newer ones."""
+        return self._links.closed_unopened_count
+
     def add_handler(
         self, message_type: type, handle: Callable[[str, Any, Responder], None]
     ) -> None:
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -186,6 +186,7 @@
             self._connections,
             receive_budget,
             self._confirmer,
+            self._messenger,
             self._log,
         )
 
--- a/src/skylarktrail/peer/hub.py
+++ b/src/skylarktrail/peer/hub.py
@@ -125,7 +125,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._roster: set[str] = set()
         self._budget = SendBudget()
-        self._unopened = UnopenedConnections(unopened_limit)
+        self.unopened = UnopenedConnections(unopened_limit)
         self.peers: dict[str, Peer] = {}
         self.heartbeat_peers: frozenset[str] = frozenset()
         self.loop = asyncio.get_running_loop()
@@ -138,7 +138,7 @@
                 self._accept,
                 host,
                 int(port),
-                create_connection=partial(CountedConnection, self._unopened),
+                create_connection=partial(CountedConnection, self.unopened),
                 **SOCKET_OPTIONS,
             )
         except (OSError, ValueError) as error:
@@ -348,7 +348,7 @@
 
     async def _accept(self, socket: Connection) -> None:
         hello = await self._exchange_hellos(socket)
-        self._unopened.discard(socket)
+        self.unopened.discard(socket)
         if hello is None or hello.daemon == self._own_hello.daemon:
             return
         await self._run_link(
--- a/src/skylarktrail/peer/links.py
+++ b/src/skylarktrail/peer/links.py
@@ -131,6 +131,11 @@
                 future.set_result(_fault(codes.REQUEST_NOT_SENT, daemon))
         return future
 
+    @property
+    def closed_unopened_count(self) -> int:
+        """Returns how many connections without a hello were closed for newer ones."""
+        return 0 if self._hub is None else self._hub.unopened.closed_count
+
     def last_received_ms(self, daemon: str) -> int | None:
         """Returns the monotonic time of a peer's last message; None for never."""
         peer = self._find_peer(daemon)
--- a/src/skylarktrail/peer/unopened.py
+++ b/src/skylarktrail/peer/unopened.py
@@ -19,10 +19,14 @@
 
     Args:
         limit: Largest number of them; beyond it the oldest is closed.
+
+    Attributes:
+        closed_count: Number of connections that were closed for newer ones.
     """
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
+        self.closed_count = 0
         self._connections: dict[ServerConnection, None] = {}
 
     def __len__(self) -> int:
@@ -34,6 +38,7 @@
         if len(self._connections) > self._limit:
             oldest = next(iter(self._connections))
             self.discard(oldest)
+            self.closed_count += 1
             oldest.transport.abort()
 
     def discard(self, connection: ServerConnection) -> None:
