fix: callers on slow links keep their connections for a while

What callers would see: with all connections of an address taken, a request that arrives below 128 KiB/s was refused after 0.1 s, and an answer read below that was cut after as long. On a link of 5 Mbit/s that many callers share all are that slow, so that newcomers would end the requests and answers of the others in turn.

Cause: one shortest time for all phases. Found by reading, and by test_slow_readers_are_not_cut_for_newcomers, which failed with a second for answers: what the daemon sees of a slow reader is what its kernel takes, in steps of more than a second.

Each phase has its own shortest time: 0.1 s without a byte inside a request or before it, 1 s for a request that arrives slowly, 5 s for an answer, none for answered connections. Crowds that trickle go first all the same, as the slowest.

--- a/src/skylarktrail/core/connection_eviction.py
+++ b/src/skylarktrail/core/connection_eviction.py
@@ -9,12 +9,10 @@
 from __future__ import annotations
 
 import heapq
+import math
 from enum import IntEnum
 from typing import Mapping, NamedTuple, TypeVar
 
-# Clients send a request as soon as they are connected, and parts of it without pauses.
-MIN_HELD_S = 0.1
-
 Connection = TypeVar("Connection")
 
 
@@ -27,7 +25,7 @@
         STALLED: The client is silent inside a request, which has not run.
         IDLE: The last request was answered; the client connects again for the next.
         SLOW: A request arrives slower than the lowest rate; it has not run.
-        UNREAD: A response is read slower than the lowest rate; its request has run.
+        UNREAD: A response is read slowly or not at all; its request has run.
         ACTIVE: A request waits or runs, or its client keeps pace; never closed.
     """
 
@@ -41,7 +39,18 @@
 
 
 PENDING = (Phase.UNUSED, Phase.STALLED, Phase.SLOW)  # Without a complete request.
-ANSWERED = (Phase.REFUSED, Phase.IDLE)  # Closed without a delay, as nothing is lost.
+# How long a connection is kept in a phase at least. Clients send a request as soon as
+# they are connected, and parts of it without pauses; on a link that many share they may
+# send and read slowly for a while. Nothing is lost with answered connections.
+MIN_HELD_S = {
+    Phase.REFUSED: 0.0,
+    Phase.UNUSED: 0.1,
+    Phase.STALLED: 0.1,
+    Phase.IDLE: 0.0,
+    Phase.SLOW: 1.0,
+    Phase.UNREAD: 5.0,
+}
+SHORTEST_PAUSE_S = MIN_HELD_S[Phase.STALLED]
 
 
 class ConnectionState(NamedTuple):
@@ -65,7 +74,7 @@
     """Returns the connections to close, the first one first.
 
     Within a phase the slowest go first, then those that are held longest. Fewer than
-    `count` are returned if others may be closed `MIN_HELD_S` later.
+    `count` are returned if others may be closed `SHORTEST_PAUSE_S` later.
 
     Args:
         states: State of each connection.
@@ -75,7 +84,7 @@
     candidates = [
         item
         for item in states.items()
-        if _may_be_evicted(item[1]) and item[0] not in kept
+        if may_be_evicted(item[1]) and item[0] not in kept
     ]
     evicted = heapq.nsmallest(count, candidates, key=lambda item: _order(item[1]))
     return [connection for connection, _ in evicted]
@@ -97,10 +106,9 @@
     return {connection for connection, _ in newest}
 
 
-def _may_be_evicted(state: ConnectionState) -> bool:
-    if state.phase is Phase.ACTIVE:
-        return False
-    return state.phase in ANSWERED or state.held_s >= MIN_HELD_S
+def may_be_evicted(state: ConnectionState) -> bool:
+    """Returns whether a connection has been held long enough to be closed."""
+    return state.held_s >= MIN_HELD_S.get(state.phase, math.inf)
 
 
 def _order(state: ConnectionState) -> tuple[Phase, float, float]:
--- a/src/skylarktrail/daemon/bounded_channel.py
+++ b/src/skylarktrail/daemon/bounded_channel.py
@@ -20,7 +20,12 @@
 from waitress.utilities import Error
 
 from ..caller_budget import CallerReservation
-from ..core.connection_eviction import MIN_HELD_S, ConnectionState, Phase
+from ..core.connection_eviction import (
+    SHORTEST_PAUSE_S,
+    ConnectionState,
+    Phase,
+    may_be_evicted,
+)
 from ..response_bounds import MIN_BYTES_PER_S
 from . import timed_parser
 from .caller_guard import CallerGuard, EndedConnection
@@ -171,7 +176,7 @@
         """
         state = self.state()
         is_slow = state.phase in (Phase.STALLED, Phase.SLOW)
-        if is_slow and state.held_s >= MIN_HELD_S and not self._has_unread_bytes():
+        if is_slow and may_be_evicted(state) and not self._has_unread_bytes():
             error = DaemonDraining("The daemon stops before the request is complete.")
             self.refuse(error, "draining", is_immediate=True)
 
@@ -316,7 +321,7 @@
 
     def _receiving_state(self) -> ConnectionState:
         """Returns the state while a request is being received."""
-        if self.silent_s >= MIN_HELD_S:
+        if self.silent_s >= SHORTEST_PAUSE_S:
             return ConnectionState(Phase.STALLED, self.silent_s)
         rate_bytes_per_s = self.request.rate_bytes_per_s
         if rate_bytes_per_s >= MIN_BYTES_PER_S:
@@ -328,9 +333,9 @@
         age_s = time.monotonic() - self._unsent_since_s
         sent_bytes = self._unsent_bytes - self.total_outbufs_len
         rate_bytes_per_s = sent_bytes / max(age_s, timed_parser.MIN_AGE_S)
-        if rate_bytes_per_s >= MIN_BYTES_PER_S:
-            return ConnectionState(Phase.ACTIVE)
-        return ConnectionState(Phase.UNREAD, age_s, rate_bytes_per_s)
+        is_slow = rate_bytes_per_s < MIN_BYTES_PER_S
+        held_s = age_s if is_slow else self.silent_s
+        return ConnectionState(Phase.UNREAD, held_s, rate_bytes_per_s)
 
     def _is_receiving(self) -> bool:
         """Returns whether only the caller can make progress on this connection."""
--- a/src/skylarktrail/daemon/connection_limit.py
+++ b/src/skylarktrail/daemon/connection_limit.py
@@ -12,7 +12,7 @@
 
 from waitress.server import BaseWSGIServer
 
-from ..core.connection_eviction import MIN_HELD_S, choose_evicted
+from ..core.connection_eviction import SHORTEST_PAUSE_S, choose_evicted
 
 if TYPE_CHECKING:
     from .bounded_channel import BoundedChannel
@@ -71,7 +71,7 @@
 
     def _retry_later(self) -> None:
         wake = partial(self._server.trigger.pull_trigger, self._retry)
-        timer = threading.Timer(MIN_HELD_S, wake)
+        timer = threading.Timer(SHORTEST_PAUSE_S, wake)
         timer.daemon = True
         timer.start()
 
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -212,3 +212,15 @@
     assert unread.recv(13) == b"HTTP/1.1 200 "
     assert all(item.held_bytes < 1 << 20 for item in ends)
     del crowd
+
+
+def test_slow_readers_are_not_cut_for_newcomers(port, handler, ends):
+    """Guards against the loss of answers on a link that many callers share."""
+    handler.response_bytes = 4 << 20
+    readers = [connect(port, GET, 4096) for _ in range(CHANNELS)]
+    newcomer = connect(port, GET)
+    for _ in range(20):
+        time.sleep(0.1)
+        assert all(reader.recv(4096) for reader in readers)
+    assert is_open(newcomer)
+    assert not ends
