--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -151,6 +151,10 @@
         daemons: Number of daemons.
         services: Number of instances of each service; `catalogo` is divided by key.
         instance_options: Further arguments of the instances.
+        routes: Routes of the configuration; None for a read by key and an order.
+        instance_program: Arguments of Python that start an instance.
+        limits: Limits of the configuration; None for those of the pages' example.
+        store_program: Arguments of Python that start the store.
     """
 
     def __init__(
@@ -159,11 +163,14 @@
         services: dict[str, int],
         instance_options: tuple[str, ...] = (),
         routes: list[dict[str, Any]] | None = None,
+        instance_program: tuple[str, ...] = ("-m", "standins.platform.instance"),
         limits: dict[str, Any] | None = None,
+        store_program: tuple[str, ...] = ("-m", "standins.platform.store"),
     ) -> None:
         self.directory = Path(tempfile.mkdtemp(prefix="review-3-"))
         self.ports = Ports()
         self.routes = routes or default_routes()
+        self.instance_program = instance_program
         self.limits = limits or {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 67108864,
@@ -175,7 +182,7 @@
         self.store_address = self.ports.address()
         self.store = Process(
             "store",
-            ["-m", "standins.platform.store", "--address", self.store_address],
+            [*store_program, "--address", self.store_address],
             self.directory,
         )
         self.instances: dict[str, Process] = {}
@@ -197,7 +204,7 @@
         name = f"i-{service}-{index + 1}"
         address = self.ports.address()
         self.instance_addresses[name] = address
-        arguments = ["-m", "standins.platform.instance", "--name", name]
+        arguments = [*self.instance_program, "--name", name]
         arguments += ["--service", service, "--address", address]
         arguments += ["--zone", ZONES[index % len(ZONES)]]
         arguments += ["--store", self.store_address, *options]
@@ -289,6 +296,10 @@
     def control(self, address: str, **values: Any) -> None:
         self.post(address, "/control", values)
 
+    def set_zone_out(self, zone: str, is_out: bool) -> None:
+        """Evacuates a zone, or takes it back."""
+        self.put("keyed.op", f"evacuate/{zone}", {} if is_out else None)
+
     def publish(self) -> None:
         """Writes the next version of the configuration."""
         self.version += 1
--- a/review/common-3/ordinary.py
+++ b/review/common-3/ordinary.py
@@ -25,6 +25,7 @@
         detail: What ended the connection instead.
         is_kept: Whether the connection had carried an answered request before.
         took_ms: Time until the answer or its absence.
+        headers: Header fields of the answer, names in lower case.
     """
 
     at_s: float
@@ -35,6 +36,12 @@
     detail: str
     is_kept: bool
     took_ms: float
+    headers: dict[str, str]
+
+    @property
+    def answered_s(self) -> float:
+        """Unix time of the answer or its absence."""
+        return self.at_s + self.took_ms / 1000
 
 
 class OrdinaryClients:
@@ -83,7 +90,7 @@
                 is_kept = False
             name = f"{rng.getrandbits(64):016x}"
             at_s = time.time()
-            status, detail, is_open = self._send(connection, name)
+            status, detail, is_open, headers = self._send(connection, name)
             sent = Sent(
                 at_s,
                 name,
@@ -93,6 +100,7 @@
                 detail,
                 is_kept,
                 (time.time() - at_s) * 1000,
+                headers,
             )
             with self._lock:
                 self.sent.append(sent)
@@ -105,7 +113,7 @@
 
     def _send(
         self, connection: http.client.HTTPConnection, name: str
-    ) -> tuple[int, str, bool]:
+    ) -> tuple[int, str, bool, dict[str, str]]:
         headers = {
             "Host": HOST_NAME,
             "Request-Id": name,
@@ -115,6 +123,7 @@
             connection.request("POST", f"{self._prefix}x", self._body, headers)
             response = connection.getresponse()
             response.read()
-            return response.status, "", not response.will_close
+            fields = {k.lower(): v for k, v in response.getheaders()}
+            return response.status, "", not response.will_close, fields
         except (OSError, http.client.HTTPException) as error:
-            return 0, type(error).__name__, False
+            return 0, type(error).__name__, False, {}
