--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -155,6 +155,8 @@
         instance_program: Arguments of Python that start an instance.
         limits: Limits of the configuration; None for those of the pages' example.
         store_program: Arguments of Python that start the store.
+        configuration_delay_s: How long after the start of the daemons the first
+            configuration is written.
     """
 
     def __init__(
@@ -166,11 +168,13 @@
         instance_program: tuple[str, ...] = ("-m", "standins.platform.instance"),
         limits: dict[str, Any] | None = None,
         store_program: tuple[str, ...] = ("-m", "standins.platform.store"),
+        configuration_delay_s: float = 0.0,
     ) -> None:
         self.directory = Path(tempfile.mkdtemp(prefix="review-3-"))
         self.ports = Ports()
         self.routes = routes or default_routes()
         self.instance_program = instance_program
+        self.configuration_delay_s = configuration_delay_s
         self.limits = limits or {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 67108864,
@@ -243,9 +247,13 @@
             raise CannotRun("target/deps is missing: run the build of the deploy file")
         self.store.start()
         self.wait_for(self.store_address, "/calls")
-        self.publish()
+        if not self.configuration_delay_s:
+            self.publish()
         for process in [*self.instances.values(), *self.daemons.values()]:
             process.start()
+        if self.configuration_delay_s:
+            time.sleep(self.configuration_delay_s)
+            self.publish()
         for address in self.instance_addresses.values():
             self.wait_for(address, "/runs")
         for daemon in self.daemons.values():
