--- a/review/11/case.py
+++ b/review/11/case.py
@@ -22,7 +22,7 @@
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # How many records older the copy is. After the return the daemons write as many: the
-# claim of the granter, the owners, the move out of the zone, the era, and its two parts.
+# claim of the granter, the owners, the move out of a zone, the era, and its two parts.
 RECORDS = 6
 CONFIGURATION_S = 2.5  # All daemons have registered by then.
 AWAY_S = 1.0
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -107,12 +107,14 @@
     ]
     start_s = clients.sent[0].at_s
     lines = [(at_s, text) for at_s, text in events]
-    lines += [(at_s, f"{d} passes on Server-Leaving of {i}") for (d, i), at_s in told.items()]
+    lines += [
+        (at_s, f"{d} passes on Server-Leaving of {i}") for (d, i), at_s in told.items()
+    ]
     lines += [
         (
             item.at_s,
-            f"order {item.request_id} at {item.daemon}: {item.status or item.detail} after"
-            f" {item.took_ms:.0f} ms, reached"
+            f"order {item.request_id} at {item.daemon}:"
+            f" {item.status or item.detail} after {item.took_ms:.0f} ms, reached"
             f" {[n for n, _ in arrivals.get(item.request_id, [])]},"
             f" {len(runs.get(item.request_id, []))} runs"
             f"{', LATE' if item.request_id in late_ids else ''}",
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -1,7 +1,7 @@
 """A small deployment as loopback processes, started as the deploy file says.
 
-The daemons run `python3 -m skylarktrail --settings FILE` from the repository's root, with
-the libraries and the package of `target/deps`. The store and the instances are the
+The daemons run `python3 -m skylarktrail --settings FILE` from the repository's root,
+with the libraries and the package of `target/deps`. The store and the instances are the
 project's own stand-ins.
 """
 
@@ -202,9 +202,7 @@
         """Returns the address at which a daemon reaches the store."""
         return self.store_address
 
-    def _add_instance(
-        self, service: str, index: int, options: tuple[str, ...]
-    ) -> None:
+    def _add_instance(self, service: str, index: int, options: tuple[str, ...]) -> None:
         name = f"i-{service}-{index + 1}"
         address = self.ports.address()
         self.instance_addresses[name] = address
@@ -279,7 +277,9 @@
     @staticmethod
     def get(address: str, path: str, timeout_s: float = 1.0) -> bytes | None:
         try:
-            with urllib.request.urlopen(f"http://{address}{path}", timeout=timeout_s) as r:
+            with urllib.request.urlopen(
+                f"http://{address}{path}", timeout=timeout_s
+            ) as r:
                 return r.read()
         except OSError:
             return None
@@ -361,4 +361,7 @@
 
 def default_routes() -> list[dict[str, Any]]:
     """Returns a route for reads by key and one for orders."""
-    return [make_route("stock", "catalogo", True), make_route("order", "pedidos", False)]
+    return [
+        make_route("stock", "catalogo", True),
+        make_route("order", "pedidos", False),
+    ]
--- a/review/common-3/drill_store.py
+++ b/review/common-3/drill_store.py
@@ -1,9 +1,9 @@
 """The project's stand-in of the store, with the drill of NEWS.md and a late write.
 
-The store goes away while a write of the daemons is on its way. It comes back from a copy
-some seconds old, with a higher `Store-Era`; what the operator and the instances wrote is
-written again. The write that got no response is executed seconds later, as soon as its
-condition holds; if that is not so in time, it is dropped.
+The store goes away while a write of the daemons is on its way. It comes back from a
+copy some seconds old, with a higher `Store-Era`; what the operator and the instances
+wrote is written again. The write that got no response is executed seconds later, as
+soon as its condition holds; if that is not so in time, it is dropped.
 
 - `POST /operator/arm` with `{"records": K}`: the next write of owners of which none is
   moving gets no response, and the store goes away. The copy is K records older.
--- a/review/common-3/leaving_instance.py
+++ b/review/common-3/leaving_instance.py
@@ -1,7 +1,7 @@
 """The project's stand-in of an instance, which can leave as NEWS.md says.
 
-`POST /leave` with `{"exit_s": S}` lets it say `Server-Leaving: 1` in all its answers. It
-keeps serving, and exits S seconds later, with the requests that run then. It never
+`POST /leave` with `{"exit_s": S}` lets it say `Server-Leaving: 1` in all its answers.
+It keeps serving, and exits S seconds later, with the requests that run then. It never
 reports `draining`: its entry is not renewed any more.
 """
 
