--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,7 +18,7 @@
 COMMON = HERE.parent / "common-3"
 sys.path.insert(0, str(COMMON))
 
-from deployment import CannotRun, Site, make_route  # noqa: E402
+from deployment import CannotRun, Site, make_route, run_case  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # How many records older the copy is. After the return the daemons write as many: the
@@ -224,4 +224,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(main)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -17,7 +17,7 @@
 COMMON = HERE.parent / "common-3"
 sys.path.insert(0, str(COMMON))
 
-from deployment import CannotRun, Site, make_route  # noqa: E402
+from deployment import CannotRun, Site, make_route, run_case  # noqa: E402
 from ordinary import OrdinaryClients, Sent  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -25,7 +25,7 @@
 STORE_DOWN_S = 4.5
 LEAVE_AFTER_S = 0.3
 EXIT_AFTER_S = 4.0  # After the first answer that says so: drainMs and a little longer.
-INSTANCES = 7
+INSTANCES = 8
 LEAVING = ("i-pedidos-1", "i-pedidos-4")
 CLIENTS = 24
 
@@ -130,4 +130,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(main)
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -17,9 +17,10 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.request
 from pathlib import Path
-from typing import Any
+from typing import Any, Callable
 
 ROOT = Path(__file__).resolve().parents[2]
 DEPS = ROOT / "target" / "deps"
@@ -359,6 +360,24 @@
     }
 
 
+def run_case(main: Callable[[], int]) -> None:
+    """Runs a case and exits with its result; with 2 after an error or a SIGTERM.
+
+    An uncaught exception would end Python with 1, which means that the rule was broken.
+    """
+
+    def stop(*_: object) -> None:
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    try:
+        result = main()
+    except Exception:
+        traceback.print_exc()
+        result = 2
+    sys.exit(result)
+
+
 def default_routes() -> list[dict[str, Any]]:
     """Returns a route for reads by key and one for orders."""
     return [
