--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -16,7 +16,7 @@
 from .lease_call_gate import LeaseCallGate
 from .lease_calls import MAX_GRANT_DELIVERY_MS, LeaseTimings
 from .open_grants import EndedTerms, OpenGrantReport, select_open_grants
-from .owner_records import OwnerRecords, first_term_in
+from .owner_records import OwnerRecords
 from .pending_write import PendingWrite
 from .positions import era_of
 from .ranges import OwnedRange, OwnerTable
@@ -32,6 +32,7 @@
     encode_granter,
     encode_owners,
 )
+from .terms import first_term_in
 
 
 class RoleEffects(Protocol):
@@ -55,6 +56,9 @@
     def on_owners_recorded(self, service: str, is_recorded: bool) -> None:
         """Handles the outcome of a write of owners."""
 
+    def on_record_replaced(self, key: str, term: int) -> None:
+        """Handles that a record of the term is not valid any more, and is repeated."""
+
 
 class GranterRole:
     """The granter role as seen by one process of a daemon.
@@ -242,6 +246,7 @@
         write = self.pending_write
         if write is None or self._position < 0 or not write.is_due(now_ms):
             return
+        self._name_term(write)
         write.record_sending(self._position, now_ms)
         self._effects.send_write(write)
 
@@ -249,12 +254,20 @@
         self, service: str, ranges: Sequence[OwnedRange], now_ms: float
     ) -> None:
         """Writes the owners of a service."""
-        value = encode_owners(ranges)
+        value = encode_owners(ranges, self.term)
         self._writes.append(
             PendingWrite(OWNERS_PREFIX + service, value, service, ranges)
         )
         self.step(now_ms)
 
+    def _name_term(self, write: PendingWrite) -> None:
+        """Lets owners that are first sent now name the present term.
+
+        They may have waited for a claim in a later era.
+        """
+        if write.service and not write.is_sent:
+            write.value = encode_owners(write.ranges, self.term)
+
     def find_granter(self, service: str, now_ms: float) -> Granter | None:
         """Returns the granter of a service, which begins with the recorded owners.
 
@@ -265,7 +278,7 @@
             return self.granters[service]
         authority_end_ms = self.former_authority_end_ms()
         are_complete = self._owner_records.are_complete(self._position)
-        is_certain = are_complete and not self._shared.are_owners_malformed(service)
+        is_certain = are_complete and not self._shared.are_owners_uncertain(service)
         if not is_certain and now_ms < self.former_leases_end_ms():
             return None
         recorded = self._shared.owners.get(service, OwnerTable())
@@ -396,17 +409,18 @@
         if write is None or not write.is_sent or write.is_in_flight:
             return
         if self._position > write.expected_position:
-            is_applied = self._read_value(write) == write.value
-            self._complete_write(write, is_applied, now_ms)
+            self._complete_write(write, self._is_on_record(write), now_ms)
 
-    def _read_value(self, write: PendingWrite) -> bytes:
-        """Returns the value that was last read for the key of a write."""
+    def _is_on_record(self, write: PendingWrite) -> bool:
+        """Returns whether the records read say what a write says."""
         if write.key == GRANTER_KEY:
-            return encode_granter(self._shared.granter)
+            return encode_granter(self._shared.granter) == write.value
         if write.key == ERA_KEY:
-            return encode_era(self._shared.era)
-        table = self._shared.owners.get(write.service)
-        return encode_owners(table.ranges) if table else b""
+            return encode_era(self._shared.era) == write.value
+        if self._shared.are_owners_uncertain(write.service):
+            return False
+        recorded = self._shared.recorded_owners(write.service)
+        return recorded.ranges == list(write.ranges)
 
     def _complete_write(
         self, write: PendingWrite, is_applied: bool, now_ms: float
@@ -491,8 +505,9 @@
         """Lets owners be recorded again whose record is malformed."""
         for service, granter in self.granters.items():
             is_pending = any(write.service == service for write in self._writes)
-            if self._shared.are_owners_malformed(service) and not is_pending:
+            if self._shared.are_owners_uncertain(service) and not is_pending:
                 granter.record_again()
+                self._effects.on_record_replaced(OWNERS_PREFIX + service, self.term)
 
     def _shorten_former_authority(self, now_ms: float) -> None:
         members = self._shared.members
--- a/src/skylarktrail/core/gateway/owner_records.py
+++ b/src/skylarktrail/core/gateway/owner_records.py
@@ -10,18 +10,11 @@
 from .positions import era_of
 from .shared_state import SharedState
 
-# Terms of a later era exceed all of an earlier one, also those that the store has lost.
-TERMS_PER_ERA = 1 << 16
 # A first read within this time after the first start of a site precedes all grants: a
 # new granter waits longer for the first listing of the instances.
 FIRST_READ_MS = 2000.0
 
 
-def first_term_in(position: int) -> int:
-    """Returns the lowest term of the era of a position."""
-    return max(1, era_of(position) * TERMS_PER_ERA)
-
-
 class OwnerRecords:
     """Whether the records of owners are complete, as far as one process can know.
 
--- a/src/skylarktrail/core/gateway/shared_state.py
+++ b/src/skylarktrail/core/gateway/shared_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 from typing import Any, Callable, Iterable, NamedTuple
 
 import cbor2
@@ -10,6 +11,7 @@
 from .forward_targets import ForwardTarget
 from .model import HASH_COUNT
 from .ranges import OwnedRange, OwnerTable
+from .terms import first_term_of
 
 GRANTER_KEY = "granter"
 MEMBER_PREFIX = "member/"
@@ -48,6 +50,19 @@
     peer_address: str
 
 
+class OwnersRecord(NamedTuple):
+    """The owners of the key hashes of a service.
+
+    Attributes:
+        table: The owners.
+        term: Term of the granter that wrote the record; 0 if the record names none, as
+            daemons of earlier releases write it.
+    """
+
+    table: OwnerTable
+    term: int
+
+
 NO_GRANTER = GranterRecord("", "", 0)
 
 
@@ -61,9 +76,16 @@
     return GranterRecord(*cbor2.loads(value))
 
 
-def encode_owners(ranges: Iterable[OwnedRange]) -> bytes:
-    """Encodes the owners of the key hashes of a service."""
-    return cbor2.dumps([list(item) for item in ranges])
+def encode_owners(ranges: Iterable[OwnedRange], term: int = 0) -> bytes:
+    """Encodes the owners of the key hashes of a service.
+
+    Args:
+        ranges: The owners.
+        term: Term of the granter that records them; 0 for none. It is an item of its
+            own after the owners, as daemons of earlier releases read only the first.
+    """
+    owners = cbor2.dumps([list(item) for item in ranges])
+    return owners + cbor2.dumps(term) if term else owners
 
 
 def encode_member(member: Member) -> bytes:
@@ -89,18 +111,18 @@
     return GranterRecord(*fields)
 
 
-def read_owners(value: bytes) -> OwnerTable | None:
+def read_owners(value: bytes) -> OwnersRecord | None:
     """Reads the owners of a service; returns None if they are malformed.
 
     Ranges that overlap are, as a hash has one owner.
     """
-    items = _read_list(value)
-    if items is None or not all(map(_is_range, items)):
+    items, term = _read_list_and_term(value)
+    if items is None or not all(map(_is_range, items)) or not is_count(term):
         return None
     ranges = sorted(OwnedRange(*item) for item in items)
     if any(a.last >= b.first for a, b in zip(ranges, ranges[1:])):
         return None
-    return OwnerTable(ranges)
+    return OwnersRecord(OwnerTable(ranges), term)
 
 
 def _read_names(value: bytes) -> list[str] | None:
@@ -121,6 +143,18 @@
     return fields
 
 
+def _read_list_and_term(value: bytes) -> tuple[list[Any] | None, Any]:
+    """Reads a list and the term after it; the term is 0 if there is none."""
+    stream = io.BytesIO(value)
+    decoder = cbor2.CBORDecoder(stream, max_depth=MAX_DEPTH)
+    try:
+        items = decoder.decode()
+        term = decoder.decode() if stream.tell() < len(value) else 0
+    except Exception:  # The tag decoders of cbor2 raise many types.
+        return None, 0
+    return (items if isinstance(items, list) else None), term
+
+
 def _read_value(value: bytes) -> Any:
     try:
         return cbor2.loads(value, max_depth=MAX_DEPTH)
@@ -147,6 +181,10 @@
     counts as that of an unknown granter in the next term, and a malformed era as
     unknown. So nothing is granted on the strength of what it may have replaced.
 
+    A record that names a term of an earlier era than the store's was copied, or was
+    executed late: it may have replaced a record of this era. The owners that it names
+    are not on record in this era.
+
     Attributes:
         granter: The present granter.
         members: Daemons by name.
@@ -154,8 +192,9 @@
         owners: Owners of the key hashes by service.
         era: Era of the store in which all owners were recorded last; 0 if there is no
             record of it, `UNKNOWN_ERA` if that is malformed.
-        malformed_keys: Keys of members, targets and owners whose record is malformed,
-            and of owners that are known but have no record.
+        uncertain_keys: Keys of members, targets and owners whose record is malformed,
+            of owners that are known but have no record, and of owners whose record is
+            of an earlier era.
         is_granter_missed: Whether the present term may be later than that of the
             granter, as its record is malformed and earlier ones were not read.
     """
@@ -166,16 +205,19 @@
         self.members: dict[str, Member] = {}
         self.forward_targets: dict[str, ForwardTarget] = {}
         self.owners: dict[str, OwnerTable] = {}
-        self.malformed_keys: set[str] = set()
+        self.uncertain_keys: set[str] = set()
         self.is_granter_missed = False
 
-    def apply(self, records: Iterable[tuple[str, bytes]], is_snapshot: bool) -> None:
+    def apply(
+        self, records: Iterable[tuple[str, bytes]], is_snapshot: bool, era: int = 0
+    ) -> None:
         """Applies records in order.
 
         Args:
             records: Keys and values; an empty value deletes the key.
             is_snapshot: Whether the records are complete, so that members without a
                 record are removed.
+            era: Era of the store that the records were read from; 0 if it names none.
         """
         records = list(records)
         if is_snapshot:
@@ -191,31 +233,33 @@
             }
             # A store that is back from an older copy may have lost them.
             known = {OWNERS_PREFIX + service for service in self.owners}
-            self.malformed_keys |= known - names
+            self.uncertain_keys |= known - names
         for key, value in records:
-            self._apply_one(key, value, is_snapshot)
+            self._apply_one(key, value, is_snapshot, first_term_of(era))
 
-    def are_owners_malformed(self, service: str) -> bool:
-        """Returns whether the record of a service's owners is malformed or lost."""
-        return OWNERS_PREFIX + service in self.malformed_keys
+    def are_owners_uncertain(self, service: str) -> bool:
+        """Returns whether the known owners of a service may not be on record."""
+        return OWNERS_PREFIX + service in self.uncertain_keys
 
     def has_uncertain_owners(self) -> bool:
         """Returns whether the known owners of any service may not be on record."""
-        return any(key.startswith(OWNERS_PREFIX) for key in self.malformed_keys)
+        return any(key.startswith(OWNERS_PREFIX) for key in self.uncertain_keys)
 
     def recorded_owners(self, service: str) -> OwnerTable:
         """Returns the owners that are on record, as far as that is known."""
-        if self.are_owners_malformed(service):
+        if self.are_owners_uncertain(service):
             return OwnerTable()
         return self.owners.get(service, OwnerTable())
 
     def record_owners(self, service: str, owners: OwnerTable) -> None:
         """Records the owners of a service, as the last record has them."""
         self.owners[service] = owners
-        self.malformed_keys.discard(OWNERS_PREFIX + service)
+        self.uncertain_keys.discard(OWNERS_PREFIX + service)
 
-    def _apply_one(self, key: str, value: bytes, is_snapshot: bool) -> None:
-        self.malformed_keys.discard(key)
+    def _apply_one(
+        self, key: str, value: bytes, is_snapshot: bool, first_term: int
+    ) -> None:
+        self.uncertain_keys.discard(key)
         if key == GRANTER_KEY and value:
             self._apply_granter(read_granter(value), is_snapshot)
         elif key == ERA_KEY and value:
@@ -226,11 +270,20 @@
             targets = self.forward_targets
             self._apply_names(key, FORWARD_PREFIX, value, targets, ForwardTarget)
         elif key.startswith(OWNERS_PREFIX) and value:
-            owners = read_owners(value)
-            if owners is None:
-                self.malformed_keys.add(key)
-            else:
-                self.owners[key.removeprefix(OWNERS_PREFIX)] = owners
+            self._apply_owners(key, read_owners(value), first_term)
+
+    def _apply_owners(
+        self, key: str, record: OwnersRecord | None, first_term: int
+    ) -> None:
+        if record is None:
+            self.uncertain_keys.add(key)
+            return
+        service = key.removeprefix(OWNERS_PREFIX)
+        if not record.term or record.term >= first_term:
+            self.owners[service] = record.table
+            return
+        self.uncertain_keys.add(key)
+        self.owners.setdefault(service, record.table)  # Requests need some owner.
 
     def _apply_granter(self, record: GranterRecord | None, is_snapshot: bool) -> None:
         if record is not None:
@@ -254,6 +307,6 @@
         if fields is not None:
             known[name] = make(*fields)
         elif value:
-            self.malformed_keys.add(key)
+            self.uncertain_keys.add(key)
         else:
             known.pop(name, None)
--- a/src/skylarktrail/gateway/granter_actor.py
+++ b/src/skylarktrail/gateway/granter_actor.py
@@ -277,6 +277,10 @@
         """Logs the outcome of a write of owners."""
         self._log.state("owners_recorded", service=service, landed=is_recorded)
 
+    def on_record_replaced(self, key: str, term: int) -> None:
+        """Logs that a record of the term is not valid any more, and is repeated."""
+        self._log.state("record_replaced", key=key, term=term)
+
     @_handles(FormerTermEnded)
     def _handle_former_term_ended(self, ended: FormerTermEnded) -> bool:
         is_current = self._role.handle_former_term_ended(
--- a/src/skylarktrail/gateway/shared_watcher.py
+++ b/src/skylarktrail/gateway/shared_watcher.py
@@ -119,7 +119,7 @@
                 missing.
         """
         with self._lock:
-            is_base_known = not self._site.shared.are_owners_malformed(service)
+            is_base_known = not self._site.shared.are_owners_uncertain(service)
             if self._position == position and is_base_known:
                 self._advance(position + 1)
                 self._site.apply_owner_changes(service, changed, now_ms())
@@ -143,7 +143,7 @@
     def _apply_records(self, records: list[tuple[str, bytes]], position: int) -> bool:
         self._apply_update(SharedUpdate(records, False, position))
         self._on_broadcast(position)
-        if self._own_keys() & self._site.shared.malformed_keys:
+        if self._own_keys() & self._site.shared.uncertain_keys:
             self._wakeup.set()  # A read registers this daemon again.
         return True
 
@@ -164,7 +164,7 @@
         """Writes the records of this daemon that the store does not have yet."""
         name, shared = self._site.daemon, self._site.shared
         records = []
-        is_malformed = bool(self._own_keys() & shared.malformed_keys)
+        is_malformed = bool(self._own_keys() & shared.uncertain_keys)
         if is_malformed or shared.members.get(name) != self._member:
             records.append((MEMBER_PREFIX + name, encode_member(self._member)))
         target = self._forward_target
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -19,6 +19,7 @@
     PermitRequest,
     RateLimit,
 )
+from ..core.gateway.positions import era_of
 from ..core.gateway.ranges import OwnedRange, OwnerTable, apply_changed_ranges
 from ..core.gateway.routes import RouteTable, Splitter
 from ..core.gateway.scheduler import Scheduler, SchedulerView
@@ -133,7 +134,8 @@
         """Applies the daemons' shared records."""
         with self.lock:
             before = dict(self.shared.owners)
-            self.shared.apply(update.records, update.is_snapshot)
+            era = era_of(update.position)
+            self.shared.apply(update.records, update.is_snapshot, era)
             self._on_owners_changed(before, now_ms)
 
     def apply_owner_changes(
--- a/tests/core/gateway/lease_world.py
+++ b/tests/core/gateway/lease_world.py
@@ -14,6 +14,7 @@
 from skylarktrail.core.gateway.key_load import LoadDistribution
 from skylarktrail.core.gateway.lease_calls import GrantCall, ReleaseCall
 from skylarktrail.core.gateway.model import InstanceEntry
+from skylarktrail.core.gateway.positions import era_of
 from skylarktrail.core.gateway.ranges import OwnedRange, find_gaps
 from skylarktrail.core.gateway.shared_state import (
     OWNERS_PREFIX,
@@ -23,7 +24,7 @@
 
 from .lease_world_daemon import SERVICE, DaemonProcess, DaemonSettings
 from .lease_world_instances import InstanceProcess, Lease
-from .lease_world_store import SharedRead, SimulatedStore
+from .lease_world_store import HeldWrite, SharedRead, SimulatedStore
 
 STEP_MS = 50.0
 SLOW_CLOCK_RATIO = 1.02  # The clock of an instance may run 2% slow.
@@ -162,6 +163,7 @@
         self._fence_granters: dict[int, str] = {}
         self._unlisted: set[str] = set()
         self._trace: list[str] = []
+        self._is_held_write: Callable[[str, bytes], bool] | None = None
         for number in range(instances):
             self.add_instance(f"s{number}", f"a{number}")
             self.register(f"s{number}")
@@ -498,9 +500,16 @@
             daemon.after(STORE_TIMEOUT_MS, lambda: complete("lost"))
             return
 
+        if position is not None and self._try_hold_write(key, value, position):
+            daemon.after(STORE_TIMEOUT_MS, lambda: complete("lost"))
+            return
+
         def append() -> int | str:
             end = self.store.append(key, value, position)
-            return "conflict" if end is None else end
+            is_conflict = end is None
+            if position is not None and era_of(position) != self.store.era:
+                is_conflict = True  # Follows `PlatformStore.share`.
+            return "conflict" if is_conflict or end is None else end
 
         if self.random.random() < faults.late_ratio:
             self.schedule(self.random.uniform(*LATE_WRITE_DELAY_MS), append)
@@ -511,6 +520,20 @@
         else:
             self._call_store(daemon, append, complete)
 
+    def hold_next_write(self, is_meant: Callable[[str, bytes], bool]) -> None:
+        """Holds the next conditional write of some kind; the store goes away then."""
+        self._is_held_write = is_meant
+
+    def _try_hold_write(self, key: str, value: bytes, position: int) -> bool:
+        is_meant = self._is_held_write
+        if is_meant is None or not is_meant(key, value):
+            return False
+        self._is_held_write = None
+        self.log(f"the store goes away, a write of {key} is on its way")
+        self.store.held_write = HeldWrite(key, value, position)
+        self.store_faults.states.update({name: SILENT for name in self.daemons})
+        return True
+
     def recorded_owners(self) -> list[OwnedRange]:
         """Returns the owners that the store has on record."""
         state = SharedState()
--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -28,6 +28,7 @@
 from skylarktrail.core.gateway.model import InstanceEntry
 from skylarktrail.core.gateway.open_grants import OpenGrantReport
 from skylarktrail.core.gateway.pending_write import PendingWrite
+from skylarktrail.core.gateway.positions import era_of
 from skylarktrail.core.gateway.ranges import OwnedRange, OwnerTable
 from skylarktrail.core.gateway.role_vacancy import NEVER_MS
 from skylarktrail.core.gateway.shared_state import (
@@ -300,7 +301,8 @@
         """Follows `LogReader._read` and `SharedWatcher._finish_read`."""
         if self._read_position == position:
             self._read_position = read.position
-            self.shared.apply(read.records, read.is_snapshot)
+            era = era_of(read.position)
+            self.shared.apply(read.records, read.is_snapshot, era)
         is_granter = self.shared.granter.process == self.process
         if is_granter and position != SNAPSHOT and read.records:
             self.world.broadcast(
@@ -332,18 +334,19 @@
             return
         if self._read_position == base:
             self._read_position = read.position
-            self.shared.apply(read.records, False)
+            self.shared.apply(read.records, False, era_of(read.position))
             self.role.handle_broadcast(read.position, self.world.now_ms)
         elif read.position > self._read_position:
             self.trigger_read()
 
     def receive_owners(self, ranges: tuple[OwnedRange, ...], position: int) -> None:
         """Follows `SharedWatcher.apply_owner_changes`."""
-        if self._read_position == position:
+        is_base_known = not self.shared.are_owners_uncertain(SERVICE)
+        if self._read_position == position and is_base_known:
             self._read_position = position + 1
-            self.shared.owners[SERVICE] = OwnerTable(ranges)
+            self.shared.record_owners(SERVICE, OwnerTable(ranges))
             self.role.handle_broadcast(position + 1, self.world.now_ms)
-        elif self._read_position < position:
+        elif self._read_position <= position:
             self.trigger_read()
 
     # Listings, as in watchers.InstanceWatcher and messenger.Messenger.
@@ -504,6 +507,10 @@
         """Logs the outcome of a write of owners."""
         self._log(f"owners are {'recorded' if is_recorded else 'not recorded'}")
 
+    def on_record_replaced(self, key: str, term: int) -> None:
+        """Logs that a record of the term is not valid any more, and is repeated."""
+        self._log(f"the record {key} is replaced")
+
     def _step_service(self, at_ms: float) -> None:
         """Follows `ServiceStepper.step`."""
         granter = self.role.find_granter(SERVICE, at_ms)
--- a/tests/core/gateway/lease_world_store.py
+++ b/tests/core/gateway/lease_world_store.py
@@ -27,11 +27,30 @@
     has_more: bool = False
 
 
+class HeldWrite(NamedTuple):
+    """A conditional write that gets no answer and is executed in a later era.
+
+    Attributes:
+        key: Key of the record.
+        value: Value of the record.
+        position: The write applies only if the log ends at the offset of it.
+    """
+
+    key: str
+    value: bytes
+    position: int
+
+
 class SimulatedStore:
     """Log of the daemons' records with conditional appends, entries and candidates.
 
+    As in the platform's store, a condition is an offset, which means another record in
+    each era.
+
     Attributes:
         records: Keys and values of the log.
+        held_write: A write that is executed as soon as its condition holds in a later
+            era; None if there is none.
         entries: Entries of the instances by identifier.
         listing_position: Increases with each change of the entries.
         era: Increases when the store comes back from an older copy.
@@ -42,6 +61,7 @@
 
     def __init__(self, era: int = 1) -> None:
         self.records: list[tuple[str, bytes]] = []
+        self.held_write: HeldWrite | None = None
         self.entries: dict[str, InstanceEntry] = {}
         self.listing_position = 0
         self.era = era
@@ -64,13 +84,24 @@
         Returns:
             The position after the record; None if the condition does not hold.
         """
-        if position is not None and position != self.position:
+        if position is not None and offset_of(position) != len(self.records):
             return None
         self.records.append((key, value))
+        end = self.position
+        self._execute_held_write()
         waiting, self._waiting = self._waiting, []
         for wake in waiting:
             wake()
-        return self.position
+        return end
+
+    def _execute_held_write(self) -> None:
+        """Executes the held write if its condition holds in a later era."""
+        write = self.held_write
+        if write is None or era_of(write.position) == self.era:
+            return
+        if offset_of(write.position) == len(self.records):
+            self.records.append((write.key, write.value))
+            self.held_write = None
 
     def read(self, position: int) -> SharedRead | str:
         """Returns the records from a position on, or the newest of each key."""
@@ -107,3 +138,4 @@
         del self.records[position:]
         self.era += 1
         self._candidates.clear()
+        self._execute_held_write()
--- a/tests/core/gateway/test_granter_role.py
+++ b/tests/core/gateway/test_granter_role.py
@@ -96,6 +96,9 @@
     def on_owners_recorded(self, service, is_recorded):
         """Needs no handling."""
 
+    def on_record_replaced(self, key, term):
+        """Needs no handling."""
+
     def read(self, position, *records, is_snapshot=False):
         """Applies records and hands the read to the role."""
         self.shared.apply(records, is_snapshot)
--- a/tests/core/gateway/test_malformed_records.py
+++ b/tests/core/gateway/test_malformed_records.py
@@ -57,6 +57,7 @@
     b"\x9b" + b"\xff" * 8,
     b"\xc0\x61x",
     b"\xd8\x23\x61(",
+    *[cbor2.dumps([RANGE]) + term for term in (b"\xff", b"\x20", b"\x61x", b"\x1b")],
     *[
         cbor2.dumps(value)
         for value in (
@@ -91,7 +92,7 @@
     malformed += [(MEMBER_PREFIX, value), ("", value), ("other", value)]
     state.apply([*malformed, *list_good()], is_snapshot)
     assert state.granter == GranterRecord("d2", "p2", 4)
-    assert (state.era, state.malformed_keys - {MEMBER_PREFIX}) == (0, set())
+    assert (state.era, state.uncertain_keys - {MEMBER_PREFIX}) == (0, set())
     assert state.members["d2"] == Member("p2", "10.0.0.2:1")
     assert state.forward_targets["d2"] == ForwardTarget("z", "a:1")
     assert state.owners[SERVICE].ranges == list(OWNERS)
@@ -138,7 +139,7 @@
     state = SharedState()
     state.apply(list_good(), False)
     state.apply([(key, b"\xff") for key in KEYS[2:]], False)
-    assert state.malformed_keys == set(KEYS[2:])
+    assert state.uncertain_keys == set(KEYS[2:])
     assert set(state.members) == set(state.forward_targets) == {"d2"}
     assert state.owners[SERVICE].ranges == list(OWNERS)
 
--- a/tests/core/gateway/test_missing_records.py
+++ b/tests/core/gateway/test_missing_records.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from skylarktrail.core.gateway.owner_records import FIRST_READ_MS, TERMS_PER_ERA
+from skylarktrail.core.gateway.owner_records import FIRST_READ_MS
 from skylarktrail.core.gateway.positions import make_position
 from skylarktrail.core.gateway.role_vacancy import SUCCESSOR_GRACE_MS
 from skylarktrail.core.gateway.shared_state import (
@@ -16,6 +16,7 @@
     GRANTER_KEY,
     decode_granter,
 )
+from skylarktrail.core.gateway.terms import TERMS_PER_ERA
 
 from .lease_world import LeaseWorld
 from .lease_world_daemon import DaemonSettings
--- a/tests/gateway/granter_daemon.py
+++ b/tests/gateway/granter_daemon.py
@@ -152,3 +152,6 @@
 
     def on_owners_recorded(self, service: str, is_recorded: bool) -> None:
         """Needs no handling."""
+
+    def on_record_replaced(self, key: str, term: int) -> None:
+        """Needs no handling."""
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -478,4 +478,4 @@
     watcher.run_once()
     assert [position for position, _ in store.calls] == [None, 7]
     assert site.shared.owners["stock"].owners() == {"i-2"}
-    assert not site.shared.malformed_keys
+    assert not site.shared.uncertain_keys
--- a/tests/processes/test_builds_side_by_side.py
+++ b/tests/processes/test_builds_side_by_side.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
+import subprocess
+import sys
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
@@ -12,6 +15,8 @@
 import pytest
 
 from demo.gateway_site import REQUEST_KINDS, GatewaySite
+from skylarktrail.core.gateway.ranges import OwnedRange
+from skylarktrail.core.gateway.shared_state import encode_owners
 from soak.builds import PRESENT, BuildMissingError, export_build, use_build
 from soak.checks import find_wrong_runs
 from soak.instance_links import MODULE, impair_links
@@ -38,6 +43,13 @@
 # One and a half times the rate, and five requests more.
 ALLOWED_COUNT = 1.5 * LIMIT_PER_S * LIMITED_OFFER_S + 5
 MAX_REFUSAL_MS = 500.0
+READ_OWNERS = """
+import sys
+from skylarktrail.core.gateway.shared_state import SharedState
+state = SharedState()
+state.apply([("owners/stock", bytes.fromhex(sys.argv[1]))], True)
+print([list(item) for item in state.owners["stock"].ranges])
+"""
 
 
 @pytest.fixture(scope="module")
@@ -176,6 +188,22 @@
     assert "forward_address" in process.output()
 
 
+@pytest.mark.parametrize("commit", [WITHOUT_PERMITS, WITH_PERMITS, WITH_ERAS])
+def test_an_earlier_build_reads_owners_that_name_a_term(export, commit):
+    """Guards against owners that daemons of earlier builds take for malformed."""
+    owners = [OwnedRange(0, 99, "i-1", 5, "i-2", 6), OwnedRange(100, 65535, "i-2", 6)]
+    encoded = encode_owners(owners, term=131072).hex()
+    environment = os.environ | {"PYTHONPATH": str(export(commit).source_dir)}
+    read = subprocess.run(
+        [sys.executable, "-c", READ_OWNERS, encoded],
+        env=environment,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert read.stdout.strip() == str([list(item) for item in owners])
+
+
 def send_all(site, daemon, count=REQUEST_COUNT, key=None):
     """Sends requests through one daemon, some at the same time."""
     kinds = [STOCK if key is not None else REQUEST_KINDS[n % 2] for n in range(count)]
--- a/tests/test_wire_forms.py
+++ b/tests/test_wire_forms.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from skylarktrail.core.gateway.shared_state import SharedState
+from skylarktrail.core.gateway.shared_state import SharedState, read_owners
 from skylarktrail.core.state import State
 from skylarktrail.gateway.forwarding import decode_state
 from skylarktrail.peer import codec
@@ -44,7 +44,14 @@
     return frame.message
 
 
+def decode_owners_of_term(form):
+    record = read_owners(bytes.fromhex(form.encoded))
+    return [record.table.ranges, record.term]
+
+
 def decode_shared_record(form, key):
+    if key == wire_forms.OWNERS_OF_TERM:
+        return decode_owners_of_term(form)
     state = SharedState()
     state.apply([(key, bytes.fromhex(form.encoded))], is_snapshot=True)
     name = key.partition("/")[2]
--- a/tests/wire_forms.py
+++ b/tests/wire_forms.py
@@ -30,6 +30,7 @@
 ITEM_COUNT = 2  # Items of a sample list.
 MESSAGE, SHARED, LOG, STATE = "message", "shared_record", "log_record", "log_state"
 FORWARD_HEADER = "forward_header"
+OWNERS_OF_TERM = "owners_of_term"  # Its key in the store is that of owners.
 
 
 class WireForm(NamedTuple):
@@ -125,6 +126,11 @@
         )
     if hasattr(shared_state, "encode_era"):
         encoders["era"] = (int, shared_state.encode_era)
+    if hasattr(shared_state, "OwnersRecord"):
+        encoders[OWNERS_OF_TERM] = (
+            tuple[tuple[ranges.OwnedRange, ...], int],
+            lambda sample: shared_state.encode_owners(*sample),
+        )
     for key, (cls, encode) in sorted(encoders.items()):
         sample = make_sample(cls)
         yield WireForm(
