--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -350,11 +350,17 @@
                 self._continue_in_term(granter.term, now_ms)
             else:
                 self.end_term(now_ms)
-        elif self._has_lost_records and not self._writes:
+        elif self._is_claim_lost() and not self._writes:
+            if self._shared.is_granter_replaced:
+                self._effects.on_record_replaced(GRANTER_KEY, self.term)
             self._claim_role()
         elif granter.term < self.term and not self._has_lost_records:
             self.end_term(now_ms)
 
+    def _is_claim_lost(self) -> bool:
+        """Returns whether the record of this term is lost, or was replaced."""
+        return self._has_lost_records or self._shared.is_granter_replaced
+
     def _handle_restored_store(self, now_ms: float) -> None:
         """Handles that the store has lost the last records that it acknowledged.
 
@@ -398,7 +404,7 @@
         return self._vacancy.take_offer(self._shared.granter.term, started_ms, now_ms)
 
     def _claim_role(self) -> None:
-        last_term = max(self._shared.granter.term, self.term)
+        last_term = max(self._shared.last_term, self.term)
         term = max(last_term + 1, first_term_in(self._position))
         record = GranterRecord(self._daemon, self._process, term)
         self._writes = [PendingWrite(GRANTER_KEY, encode_granter(record))]
--- a/src/skylarktrail/core/gateway/shared_state.py
+++ b/src/skylarktrail/core/gateway/shared_state.py
@@ -183,7 +183,7 @@
 
     A record that names a term of an earlier era than the store's was copied, or was
     executed late: it may have replaced a record of this era. The owners that it names
-    are not on record in this era.
+    are not on record in this era, and a claim does not replace a granter of this era.
 
     Attributes:
         granter: The present granter.
@@ -192,9 +192,10 @@
         owners: Owners of the key hashes by service.
         era: Era of the store in which all owners were recorded last; 0 if there is no
             record of it, `UNKNOWN_ERA` if that is malformed.
+        last_term: Highest term that any record has named.
         uncertain_keys: Keys of members, targets and owners whose record is malformed,
-            of owners that are known but have no record, and of owners whose record is
-            of an earlier era.
+            of owners that are known but have no record, and of owners and the granter
+            whose record is of an earlier era.
         is_granter_missed: Whether the present term may be later than that of the
             granter, as its record is malformed and earlier ones were not read.
     """
@@ -205,6 +206,7 @@
         self.members: dict[str, Member] = {}
         self.forward_targets: dict[str, ForwardTarget] = {}
         self.owners: dict[str, OwnerTable] = {}
+        self.last_term = 0
         self.uncertain_keys: set[str] = set()
         self.is_granter_missed = False
 
@@ -237,6 +239,11 @@
         for key, value in records:
             self._apply_one(key, value, is_snapshot, first_term_of(era))
 
+    @property
+    def is_granter_replaced(self) -> bool:
+        """Whether a claim of an earlier era has replaced the present granter's."""
+        return GRANTER_KEY in self.uncertain_keys
+
     def are_owners_uncertain(self, service: str) -> bool:
         """Returns whether the known owners of a service may not be on record."""
         return OWNERS_PREFIX + service in self.uncertain_keys
@@ -261,7 +268,7 @@
     ) -> None:
         self.uncertain_keys.discard(key)
         if key == GRANTER_KEY and value:
-            self._apply_granter(read_granter(value), is_snapshot)
+            self._apply_granter(read_granter(value), is_snapshot, first_term)
         elif key == ERA_KEY and value:
             self.era = _read_era(value)
         elif key.startswith(MEMBER_PREFIX):
@@ -278,6 +285,7 @@
         if record is None:
             self.uncertain_keys.add(key)
             return
+        self.last_term = max(self.last_term, record.term)
         service = key.removeprefix(OWNERS_PREFIX)
         if not record.term or record.term >= first_term:
             self.owners[service] = record.table
@@ -285,14 +293,21 @@
         self.uncertain_keys.add(key)
         self.owners.setdefault(service, record.table)  # Requests need some owner.
 
-    def _apply_granter(self, record: GranterRecord | None, is_snapshot: bool) -> None:
+    def _apply_granter(
+        self, record: GranterRecord | None, is_snapshot: bool, first_term: int
+    ) -> None:
+        if record is not None and record.term < first_term <= self.granter.term:
+            self.uncertain_keys.add(GRANTER_KEY)
+            return
         if record is not None:
             self.granter = record
+            self.last_term = max(self.last_term, record.term)
             self.is_granter_missed = False
             return
         self.is_granter_missed = self.is_granter_missed or is_snapshot
         if self.granter.daemon:
             self.granter = GranterRecord("", "", self.granter.term + 1)
+            self.last_term = max(self.last_term, self.granter.term)
 
     def _apply_names(
         self,
--- a/tests/core/gateway/test_late_writes.py
+++ b/tests/core/gateway/test_late_writes.py
@@ -89,6 +89,7 @@
         lambda key, value: key.startswith(OWNERS_PREFIX) and has_moves(value),
         drain_owner,
     ),
+    "claim": WriteKind(lambda key, _: key == GRANTER_KEY, kill_granter),
     "era": WriteKind(lambda key, _: key == ERA_KEY, return_to_copy),
 }
 
@@ -236,3 +237,26 @@
     term = daemon.role.term
     assert term >= first_term_of(ERA + 1)
     assert daemon.writes[0].value == encode_owners(MOVED_OWNERS, term)
+
+
+def test_a_claim_of_an_earlier_era_ends_no_term(make_successor):
+    """Guards against a granter that gives way to a claim which is void."""
+    daemon = make_successor(owners_of_term(OWNERS, TERM))
+    term = daemon.role.term
+    late = granter_record("d3", "p3", EARLIER_TERM)
+    daemon.shared.apply([late], False, ERA)
+    daemon.role.handle_read(make_position(ERA, 11), daemon.now_ms, daemon.now_ms)
+    assert daemon.land() == GRANTER_KEY
+    assert (daemon.role.is_granter, daemon.role.term) == (True, term + 1)
+
+
+def test_a_term_behind_a_claim_of_an_earlier_era_is_used_once():
+    """Guards against the term of a granter whose claim nobody can read any more."""
+    daemon = Daemon()
+    records = [granter_record("d3", "p3", EARLIER_TERM), era_record(ERA)]
+    records.append(owners_of_term(OWNERS, TERM + 4))
+    daemon.shared.apply(records, True, ERA)
+    daemon.role.handle_read(make_position(ERA, 9), daemon.now_ms, daemon.now_ms)
+    daemon.role.handle_candidacy(True, daemon.now_ms)
+    daemon.land()
+    assert daemon.role.term > TERM + 4
