--- a/src/skylarktrail/core/gateway/fleet.py
+++ b/src/skylarktrail/core/gateway/fleet.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import Iterable, NamedTuple
 
 from .instance import Instance
+from .leaving import LeavingInstances, LeavingNotice
 from .model import InstanceEntry
 
 # Entries that expired during an outage of the store are written again within this time.
@@ -32,6 +34,7 @@
     """Instances by identifier.
 
     Instances whose entries expire during an outage of the store are kept for a while.
+    An incarnation that has said that it leaves is leaving whenever it is listed.
     """
 
     def __init__(self) -> None:
@@ -39,6 +42,7 @@
         self._by_service: dict[str, list[Instance]] = {}
         self._unreliable_until_ms = 0.0
         self._lower_since_ms: dict[str, float] = {}
+        self._leaving = LeavingInstances()
 
     def record_store_outage(self, now_ms: float) -> None:
         """Records that a read of the store has failed."""
@@ -69,15 +73,40 @@
         """Returns the instance with an identifier, if there is one."""
         return self.instances.get(instance)
 
+    def record_leaving(self, notice: LeavingNotice, now_ms: float) -> bool:
+        """Records that an incarnation says that it leaves; returns whether it is new.
+
+        It may not be listed yet, or not any more.
+        """
+        if not self._leaving.record(notice, now_ms):
+            return False
+        found = self.instances.get(notice.instance)
+        if found is not None and found.entry.start_ms == notice.start_ms:
+            found.record_leaving(now_ms)
+        return True
+
+    def leaving_notices(self) -> list[LeavingNotice]:
+        """Returns the notices of the listed instances that say that they leave."""
+        return [
+            _make_notice(instance.entry)
+            for instance in self.instances.values()
+            if instance.told_leaving_ms < math.inf
+        ]
+
+    def _add(self, entry: InstanceEntry, now_ms: float) -> None:
+        instance = Instance(entry, now_ms)
+        instance.record_leaving(self._leaving.since_ms(_make_notice(entry)))
+        self.instances[entry.instance] = instance
+
     def _merge_one(self, entry: InstanceEntry, now_ms: float) -> str:
         known = self.instances.get(entry.instance)
         if known is None:
-            self.instances[entry.instance] = Instance(entry, now_ms)
+            self._add(entry, now_ms)
             return "joined"
         if entry.start_ms != known.entry.start_ms:
             if entry.start_ms < known.entry.start_ms:
                 return ""
-            self.instances[entry.instance] = Instance(entry, now_ms)
+            self._add(entry, now_ms)
             return "reborn"
         if self._is_outdated(entry, known.entry, now_ms):
             return ""
@@ -113,3 +142,7 @@
         self._by_service = {}
         for instance in self.instances.values():
             self._by_service.setdefault(instance.entry.service, []).append(instance)
+
+
+def _make_notice(entry: InstanceEntry) -> LeavingNotice:
+    return LeavingNotice(entry.instance, entry.start_ms)
--- a/src/skylarktrail/core/gateway/instance.py
+++ b/src/skylarktrail/core/gateway/instance.py
@@ -38,6 +38,8 @@
         failure_ratio: Smoothed ratio of failed attempts.
         cold_bucket: Limits the rate of requests while it is cold.
         draining_since_ms: When it was first seen to be draining; infinite if it is not.
+        told_leaving_ms: When it was first heard to say in an answer that it leaves;
+            infinite if it has not.
         rate_limit: Latest known rate limit.
         permits: Permits of this daemon while its rate is limited.
         permit_issuer: Issues the permits of all daemons if this one is the granter.
@@ -55,6 +57,7 @@
         self.failure_ratio = 0.0
         self.cold_bucket: TokenBucket | None = None
         self.draining_since_ms = now_ms if entry.is_draining else math.inf
+        self.told_leaving_ms = math.inf
         self.rate_limit = RateLimit(
             entry.instance, entry.start_ms, False, 0.0, -math.inf
         )
@@ -86,6 +89,20 @@
             self.draining_since_ms = now_ms
         self.entry = entry
 
+    def record_leaving(self, at_ms: float) -> None:
+        """Records that it says that it leaves, which holds for this incarnation."""
+        self.told_leaving_ms = min(self.told_leaving_ms, at_ms)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it drains by its entry, or has said that it leaves."""
+        return self.entry.is_draining or self.told_leaving_ms < math.inf
+
+    @property
+    def leaving_since_ms(self) -> float:
+        """When it was first known to leave; infinite if it does not."""
+        return min(self.draining_since_ms, self.told_leaving_ms)
+
     def update_cold_time(self, cold_ms: float, now_ms: float) -> None:
         """Records the time for which the instance remains cold."""
         self.cold_until_ms = now_ms + cold_ms
--- a/src/skylarktrail/core/gateway/instance_access.py
+++ b/src/skylarktrail/core/gateway/instance_access.py
@@ -1,8 +1,10 @@
 """Decides which instances may get requests: drains, cold rates, permits, lost links.
 
-An instance that drains, or whose zone is taken out, gets no new requests; as the owner
-of keys it serves them while they move. A cold instance gets requests at its cold rate.
-One that names a rate, or that is the cold owner of some keys, needs a permit for each.
+An instance that leaves, or whose zone is taken out, gets no new requests; as the owner
+of keys it serves them while they move. It leaves if its entry says that it drains, or
+if it has said in an answer that it leaves, whatever its entry says. A cold instance
+gets requests at its cold rate. One that names a rate, or that is the cold owner of some
+keys, needs a permit for each.
 """
 
 from __future__ import annotations
@@ -17,7 +19,7 @@
 from .ticket import Ticket
 
 COLD_BURST_COUNT = 1.0  # Burst of requests to a cold instance.
-DRAINING_OWNER_GRACE_MS = 700.0  # A draining owner serves its keys while they move.
+LEAVING_OWNER_GRACE_MS = 700.0  # An owner that leaves serves its keys as they move.
 ZONE_OUT_OWNER_GRACE_MS = 2500.0  # So does an owner in a zone that is taken out.
 
 
@@ -73,11 +75,11 @@
     def is_out_of_service(
         self, instance: Instance, is_keyed: bool, now_ms: float
     ) -> bool:
-        """Returns whether an instance gets no new requests as it or its zone drains."""
+        """Returns whether it gets no new requests, as it leaves or its zone is out."""
         zone_out_ms = self._state.view.zones_out.get(instance.entry.zone, math.inf)
         if not is_keyed:
-            return instance.entry.is_draining or zone_out_ms <= now_ms
-        owner_end_ms = instance.draining_since_ms + DRAINING_OWNER_GRACE_MS
+            return instance.is_leaving or zone_out_ms <= now_ms
+        owner_end_ms = instance.leaving_since_ms + LEAVING_OWNER_GRACE_MS
         return now_ms >= min(owner_end_ms, zone_out_ms + ZONE_OUT_OWNER_GRACE_MS)
 
     def _accepts_requests(
--- a/src/skylarktrail/core/gateway/service_load.py
+++ b/src/skylarktrail/core/gateway/service_load.py
@@ -42,7 +42,7 @@
     zones_out: Mapping[str, float],
     in_flight: Mapping[str, int],
 ) -> ServiceLoads:
-    """Sums up the instances in service, neither draining nor in an evacuated zone.
+    """Sums up the instances in service, neither leaving nor in an evacuated zone.
 
     Args:
         instances: All listed instances.
@@ -51,11 +51,12 @@
         in_flight: In-flight requests of all daemons by instance.
     """
     loads = ServiceLoads({}, {})
-    for entry in (instance.entry for instance in instances):
+    for instance in instances:
+        entry = instance.entry
         spec = services.get(entry.service)
         if spec is None or spec.is_keyed:
             continue
-        if entry.is_draining or entry.zone in zones_out:
+        if instance.is_leaving or entry.zone in zones_out:
             continue
         count = in_flight.get(entry.instance, 0)
         loads.totals[entry.service] = loads.totals.get(entry.service, 0) + count
--- a/src/skylarktrail/gateway/attempt_judge.py
+++ b/src/skylarktrail/gateway/attempt_judge.py
@@ -14,6 +14,7 @@
 from .exchange import RawResponse, ResponseMetadata
 from .header_codec import HeaderCodec
 from .job import Attempt, Job
+from .leaving_notifier import LeavingNotifier
 from .rate_limiter import RateLimiter
 from .request_guard import RequestGuard
 from .site_state import SiteState
@@ -32,6 +33,7 @@
         connections: Pool of connections to instances.
         rate_limiter: Keeps the requests to an instance within the rate that it names.
         request_guard: Blocks requests that end the instances that run them.
+        leaving_notifier: Records the instances that say that they leave.
     """
 
     def __init__(
@@ -41,12 +43,14 @@
         connections: ConnectionPool,
         rate_limiter: RateLimiter,
         request_guard: RequestGuard,
+        leaving_notifier: LeavingNotifier,
     ) -> None:
         self._site = site
         self._header_codec = header_codec
         self._connections = connections
         self._rate_limiter = rate_limiter
         self._request_guard = request_guard
+        self._leaving_notifier = leaving_notifier
 
     def judge(
         self,
@@ -99,6 +103,8 @@
             instance.update_cold_time(metadata.cold_ms, now_ms())
         if metadata.is_signed or metadata.rate_limit_per_s is not None:
             self._rate_limiter.observe(instance, metadata.rate_limit_per_s)
+        if metadata.is_leaving and _is_from(name, metadata):
+            self._leaving_notifier.observe(instance)
         if raw_response.status == MISDIRECTED_STATUS:
             return self._handle_misdirected(job, ticket, metadata)
         is_success = 200 <= raw_response.status < 300
@@ -133,3 +139,12 @@
             return Attempt(name, "OTHER_INSTANCE", False)
         self._site.record_unheld_key(job.service, job.key_hash, name, now_ms())
         return Attempt(name, "UNHELD", False)
+
+
+def _is_from(instance: str, metadata: ResponseMetadata) -> bool:
+    """Returns whether a response is the word of an instance.
+
+    Bytes that are no answer of its service have no signature and do not name it.
+    """
+    is_signed = metadata.is_signed and not metadata.instance
+    return is_signed or metadata.instance == instance
--- a/src/skylarktrail/gateway/exchange.py
+++ b/src/skylarktrail/gateway/exchange.py
@@ -63,6 +63,7 @@
         cold_ms: How much longer the instance is cold, if present.
         rate_limit_per_s: Requests per second that the instance accepts from all
             daemons together; None if it names no limit.
+        is_leaving: Whether the instance says that it leaves.
     """
 
     request_id: str
@@ -72,6 +73,7 @@
     load: LoadReport | None
     cold_ms: float | None
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class OutgoingRequest(NamedTuple):
--- a/src/skylarktrail/gateway/gauges.py
+++ b/src/skylarktrail/gateway/gauges.py
@@ -83,6 +83,11 @@
         "Connections at the peer address, without a hello, closed for newer ones.",
         lambda: messenger.closed_unopened_count,
     )
+    add(
+        "leaving_instances",
+        "Listed instances that have said in an answer that they leave.",
+        lambda: len(site.leaving_notices()),
+    )
     add(
         "connections_opened",
         "Connections opened to instances.",
--- a/src/skylarktrail/gateway/router.py
+++ b/src/skylarktrail/gateway/router.py
@@ -27,6 +27,7 @@
 from .header_codec import HeaderCodec
 from .job import Attempt, Job
 from .job_maker import JobMaker
+from .leaving_notifier import LeavingNotifier
 from .metrics import GatewayMetrics
 from .outgoing import make_outgoing_request
 from .quota_enforcer import QuotaEnforcer
@@ -57,6 +58,7 @@
         rate_limiter: Keeps the requests to an instance within the rate that it names.
         quota_enforcer: Keeps the requests of customers within their quotas.
         request_guard: Blocks requests that end the instances that run them.
+        leaving_notifier: Records the instances that say that they leave.
         disconnect_monitor: Aborts requests whose callers disconnect.
         log: Receives a line for each request.
         metrics: Counts replies, refusals and attempts.
@@ -77,6 +79,7 @@
         rate_limiter: RateLimiter,
         quota_enforcer: QuotaEnforcer,
         request_guard: RequestGuard,
+        leaving_notifier: LeavingNotifier,
         disconnect_monitor: DisconnectMonitor,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -95,7 +98,12 @@
         self._confirmer = confirmer
         self._job_maker = JobMaker(site)
         self._judge = AttemptJudge(
-            site, header_codec, connections, rate_limiter, request_guard
+            site,
+            header_codec,
+            connections,
+            rate_limiter,
+            request_guard,
+            leaving_notifier,
         )
         self._recorder = ReplyRecorder(site, log, metrics)
         self._lock = threading.Lock()
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -48,6 +48,7 @@
 from .health_app import HealthApp
 from .http_servers import HttpServers
 from .instance_watcher import InstanceWatcher
+from .leaving_notifier import LeavingNotifier
 from .load_reporter import LoadReporter
 from .messenger import Messenger
 from .metrics import GatewayMetrics
@@ -133,6 +134,7 @@
             self._site, self._messenger, self._log, self._metrics
         )
         self._request_guard = RequestGuard(self._messenger, self._log)
+        self._leaving_notifier = LeavingNotifier(self._site, self._messenger, self._log)
         self._reach_monitor = ReachMonitor(
             self._site,
             self._connections,
@@ -157,6 +159,7 @@
             self._rate_limiter,
             self._quota_enforcer,
             self._request_guard,
+            self._leaving_notifier,
             self._disconnect_monitor,
             self._log,
             self._metrics,
@@ -335,6 +338,7 @@
             "config-confirmer": self._confirmer.run_once,
             "quotas": self._quota_enforcer.run_once,
             "request-guard": self._request_guard.run_once,
+            "leaving-notifier": self._leaving_notifier.run_once,
             "reachability": self._reach_monitor.run_once,
         }
         self._workers = [Worker(name, task, log) for name, task in tasks.items()]
--- a/src/skylarktrail/gateway/service_stepper.py
+++ b/src/skylarktrail/gateway/service_stepper.py
@@ -128,7 +128,7 @@
     ) -> dict[str, KeyedInstance]:
         """Returns the instances of a service as input of its granter.
 
-        Draining, evacuated and unreachable instances may not keep their keys, nor may
+        Leaving, evacuated and unreachable instances may not keep their keys, nor may
         cold ones while there is a warm one. A suspended instance gets no more keys.
         """
         with self._site.lock:
@@ -184,4 +184,4 @@
 
 
 def _is_leaving(instance: Instance, zones_out: set[str]) -> bool:
-    return instance.entry.is_draining or instance.entry.zone in zones_out
+    return instance.is_leaving or instance.entry.zone in zones_out
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -12,6 +12,7 @@
 from ..core.gateway.fleet import Fleet, FleetChange
 from ..core.gateway.forward_targets import TargetProcess
 from ..core.gateway.key_owners import KeyOwners
+from ..core.gateway.leaving import LeavingNotice
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
 from ..core.gateway.permits import (
     MAX_DENIAL_MS,
@@ -191,6 +192,19 @@
             self.scheduler.release(ticket)
             self._poll(now_ms)
 
+    def record_leaving(self, notice: LeavingNotice, now_ms: float) -> bool:
+        """Records that an instance says that it leaves; returns whether it is new."""
+        with self.lock:
+            is_new = self.fleet.record_leaving(notice, now_ms)
+            if is_new:
+                self._poll(now_ms)
+            return is_new
+
+    def leaving_notices(self) -> list[LeavingNotice]:
+        """Returns the notices of the listed instances that say that they leave."""
+        with self.lock:
+            return self.fleet.leaving_notices()
+
     def record_unreachable(self, instance: str, now_ms: float) -> None:
         """Records that a connection to an instance failed."""
         with self.lock:
--- a/src/skylarktrail/peer/gateway_messages.py
+++ b/src/skylarktrail/peer/gateway_messages.py
@@ -13,6 +13,7 @@
 from ..core.gateway.open_grants import OpenGrantReport
 from ..core.gateway.ranges import OwnedRange
 from . import config_messages  # noqa: F401  Importing registers its messages.
+from . import leaving_messages  # noqa: F401
 from . import limit_messages  # noqa: F401
 from . import quota_messages  # noqa: F401
 from .messages import message
--- a/src/skylarktrail/platform/headers.py
+++ b/src/skylarktrail/platform/headers.py
@@ -19,6 +19,8 @@
 INSTANCE = "instance-id"
 COLD = "cold-ms"
 RATE_LIMIT = "server-limit"
+LEAVING = "server-leaving"
+LEAVING_VALUE = "1"
 API_KEY = "Authorization"
 CUSTOMER = "Tenant"
 # Two fields, which the HTTP server joins with a comma, are malformed.
@@ -68,6 +70,7 @@
         load=decode_load(headers.get(LOAD, "")),
         cold_ms=_parse_cold_ms(headers.get(COLD)),
         rate_limit_per_s=_parse_rate(headers.get(RATE_LIMIT)),
+        is_leaving=headers.get(LEAVING, "").strip() == LEAVING_VALUE,
     )
 
 
--- a/standins/platform/instance.py
+++ b/standins/platform/instance.py
@@ -133,6 +133,7 @@
         self._start_ms = int(time.time() * 1000)
         self._sequence = 0
         self._state = "ready"
+        self._says_leaving = False
         self._key_ranges = KeyRanges()
         self._arrivals = ArrivalClock()
         self._slots = threading.Semaphore(arguments.slots)
@@ -160,6 +161,7 @@
         route("GET", "/ranges")(lambda _: json_response(self._key_ranges.ranges()))
         route("GET", "/last")(self._handle_last)
         route("POST", "/drain")(self._handle_drain)
+        route("POST", "/leave")(self._handle_leave)
         self.application.fallback(self._handle_request)
 
     def send_heartbeats(self) -> None:
@@ -195,6 +197,18 @@
         self._state = "draining"
         return json_response({})
 
+    def _handle_leave(self, request: Request) -> Response:
+        """Says in all answers that it leaves, and exits if it is told when.
+
+        Its entry stays as it is: it never says that it drains.
+        """
+        payload = json.loads(request.body or b"{}")
+        self._says_leaving = True
+        print_line(f"leaves {now_ms()}")
+        if "exit_s" in payload:
+            threading.Timer(payload["exit_s"], lambda: os._exit(0)).start()
+        return json_response({})
+
     def _handle_last(self, _: Request) -> Response:
         return json_response(
             {"at_ms": self._run_times_ms[-1] if self._run_times_ms else 0}
@@ -281,6 +295,8 @@
         if self.controls["rate_limit_per_s"]:
             limit = str(self.controls["rate_limit_per_s"])
             instance_headers.append(("Server-Limit", limit))
+        if self._says_leaving:
+            instance_headers.append(("Server-Leaving", "1"))
         return Response(status, body, "text/plain", (*headers, *instance_headers))
 
 
--- a/tests/core/gateway/lease_world_daemon.py
+++ b/tests/core/gateway/lease_world_daemon.py
@@ -551,7 +551,7 @@
         for name, instance in self.fleet.instances.items():
             entry = instance.entry
             can_keep = self.is_cut or not instance.is_unreachable(at_ms)
-            can_keep = can_keep and not entry.is_draining
+            can_keep = can_keep and not instance.is_leaving
             can_receive = can_keep and not instance.is_suspended(at_ms)
             keyed[name] = KeyedInstance(
                 name,
@@ -560,7 +560,7 @@
                 can_receive,
                 1.0,
                 can_keep,
-                entry.is_draining,
+                instance.is_leaving,
             )
         return keyed
 
--- a/tests/gateway/test_odd_requests.py
+++ b/tests/gateway/test_odd_requests.py
@@ -73,6 +73,7 @@
             nothing,
             nothing,
             nothing,
+            nothing,
             self.disconnect_monitor,
             self._log,
             GatewayMetrics(),
--- a/tests/gateway/test_quota_routing.py
+++ b/tests/gateway/test_quota_routing.py
@@ -65,6 +65,7 @@
             quotas,
             nothing,
             nothing,
+            nothing,
             self.log,
             GatewayMetrics(),
         )
--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -220,6 +220,7 @@
             Unused(),
             Unused(),
             RequestGuard(),
+            Unused(),
             monitors[-1],
             EventLog("d1", io.StringIO()),
             GatewayMetrics(),
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from skylarktrail.core.gateway.leaving import LeavingNotice
 from skylarktrail.core.gateway.model import InstanceEntry
 from skylarktrail.core.gateway.quotas import QuotaGrant, QuotaUsage
 from skylarktrail.core.gateway.ranges import OwnedRange
@@ -15,6 +16,7 @@
 from skylarktrail.peer import (
     config_messages,
     gateway_messages,
+    leaving_messages,
     limit_messages,
     messages,
     quota_messages,
@@ -88,6 +90,7 @@
     ),
     gateway_messages.GatewayAnsweredRequests(("0c1f",)),
     gateway_messages.GatewayStoreEra(2),
+    leaving_messages.GatewayLeavingInstances((LeavingNotice("i-1", 1 << 41),)),
     config_messages.GatewayConfigAsk(),
     config_messages.GatewayConfigConfirmed(7, 12.5),
     quota_messages.GatewayQuotaReport((QuotaUsage("acme", 3, 1, 2),)),
