--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -17,7 +17,7 @@
 from .lease_calls import MAX_GRANT_DELIVERY_MS, LeaseTimings
 from .open_grants import EndedTerms, OpenGrantReport, select_open_grants
 from .owner_records import OwnerRecords
-from .pending_write import PendingWrite
+from .pending_write import PendingWrite, make_owners_write
 from .positions import era_of
 from .ranges import OwnedRange, OwnerTable
 from .role_vacancy import NEVER_MS, RoleVacancy
@@ -30,7 +30,6 @@
     decode_granter,
     encode_era,
     encode_granter,
-    encode_owners,
 )
 from .terms import first_term_in
 
@@ -246,7 +245,7 @@
         write = self.pending_write
         if write is None or self._position < 0 or not write.is_due(now_ms):
             return
-        self._name_term(write)
+        write.name_term(self.term)
         write.record_sending(self._position, now_ms)
         self._effects.send_write(write)
 
@@ -254,20 +253,9 @@
         self, service: str, ranges: Sequence[OwnedRange], now_ms: float
     ) -> None:
         """Writes the owners of a service."""
-        value = encode_owners(ranges, self.term)
-        self._writes.append(
-            PendingWrite(OWNERS_PREFIX + service, value, service, ranges)
-        )
+        self._writes.append(make_owners_write(service, ranges, self.term))
         self.step(now_ms)
 
-    def _name_term(self, write: PendingWrite) -> None:
-        """Lets owners that are first sent now name the present term.
-
-        They may have waited for a claim in a later era.
-        """
-        if write.service and not write.is_sent:
-            write.value = encode_owners(write.ranges, self.term)
-
     def find_granter(self, service: str, now_ms: float) -> Granter | None:
         """Returns the granter of a service, which begins with the recorded owners.
 
@@ -415,18 +403,7 @@
         if write is None or not write.is_sent or write.is_in_flight:
             return
         if self._position > write.expected_position:
-            self._complete_write(write, self._is_on_record(write), now_ms)
-
-    def _is_on_record(self, write: PendingWrite) -> bool:
-        """Returns whether the records read say what a write says."""
-        if write.key == GRANTER_KEY:
-            return encode_granter(self._shared.granter) == write.value
-        if write.key == ERA_KEY:
-            return encode_era(self._shared.era) == write.value
-        if self._shared.are_owners_uncertain(write.service):
-            return False
-        recorded = self._shared.recorded_owners(write.service)
-        return recorded.ranges == list(write.ranges)
+            self._complete_write(write, write.is_on_record(self._shared), now_ms)
 
     def _complete_write(
         self, write: PendingWrite, is_applied: bool, now_ms: float
--- a/src/skylarktrail/core/gateway/pending_write.py
+++ b/src/skylarktrail/core/gateway/pending_write.py
@@ -6,6 +6,15 @@
 from typing import Sequence
 
 from .ranges import OwnedRange
+from .shared_state import (
+    ERA_KEY,
+    GRANTER_KEY,
+    OWNERS_PREFIX,
+    SharedState,
+    encode_era,
+    encode_granter,
+    encode_owners,
+)
 
 WRITE_RETRY_MS = 200.0  # Delay before a write of unknown outcome is retried.
 
@@ -48,6 +57,24 @@
         """Returns whether a call that carries the write has not ended yet."""
         return self.is_sent and self.retry_at_ms == 0.0
 
+    def name_term(self, term: int) -> None:
+        """Lets owners that are sent for the first time name a term.
+
+        They may have waited for the claim of a later era.
+        """
+        if self.service and not self.is_sent:
+            self.value = encode_owners(self.ranges, term)
+
+    def is_on_record(self, shared: SharedState) -> bool:
+        """Returns whether the records that were read say what the write says."""
+        if self.key == GRANTER_KEY:
+            return encode_granter(shared.granter) == self.value
+        if self.key == ERA_KEY:
+            return encode_era(shared.era) == self.value
+        if shared.are_owners_uncertain(self.service):
+            return False
+        return shared.recorded_owners(self.service).ranges == list(self.ranges)
+
     def is_due(self, now_ms: float) -> bool:
         """Returns whether to send the write, or to send it again."""
         return not self.is_sent or 0.0 < self.retry_at_ms <= now_ms
@@ -70,3 +97,11 @@
         The write cannot be applied after that; a read shows whether it was before.
         """
         self.retry_at_ms = math.inf
+
+
+def make_owners_write(
+    service: str, ranges: Sequence[OwnedRange], term: int
+) -> PendingWrite:
+    """Returns a write of the owners of a service by the granter of a term."""
+    value = encode_owners(ranges, term)
+    return PendingWrite(OWNERS_PREFIX + service, value, service, ranges)
--- a/src/skylarktrail/gateway/rate_limiter.py
+++ b/src/skylarktrail/gateway/rate_limiter.py
@@ -16,6 +16,7 @@
 from .clock import now_ms
 from .event_log import EventLog
 from .messenger import Messenger
+from .site_permits import SitePermits
 from .site_state import SiteState
 
 # The granter usually replies within a few milliseconds. A caller's request waits that
@@ -39,7 +40,7 @@
     """
 
     def __init__(self, site: SiteState, messenger: Messenger, log: EventLog) -> None:
-        self._site = site
+        self._permits = SitePermits(site)
         self._messenger = messenger
         self._log = log
         messenger.add_handler(GatewayRateLimits, self._handle_limits)
@@ -58,32 +59,32 @@
         limit = known._replace(
             is_limited=per_s is not None, per_s=per_s or 0.0, observed_ms=now_ms()
         )
-        if self._site.record_rate_limit(limit, now_ms()):
+        if self._permits.record_rate_limit(limit, now_ms()):
             self._log_limit(limit, "")
             if _is_reported_at_once(known, limit):
                 self._report([limit])
 
     def request_permits(self) -> None:
         """Asks for the permits that requests wait for."""
-        for request in self._site.pop_permit_requests(now_ms()):
+        for request in self._permits.pop_permit_requests(now_ms()):
             if self._messenger.is_granter():
-                reply = self._site.issue_permits(request, now_ms())
-                self._site.record_permits(request.instance, reply, now_ms())
+                reply = self._permits.issue_permits(request, now_ms())
+                self._permits.record_permits(request.instance, reply, now_ms())
             elif not self._messenger.is_granter_alive():
-                self._site.take_own_permits(request, now_ms())
+                self._permits.take_own_permits(request, now_ms())
             else:
                 self._request_from_granter(request)
 
     def run_once(self) -> float:
         """Repeats all limits as granter; returns the pause in milliseconds."""
         if self._messenger.is_granter():
-            limits = self._site.rate_limits()
+            limits = self._permits.rate_limits()
             if limits:
                 self._messenger.broadcast(_make_message(limits))
         return REPEAT_INTERVAL_MS
 
     def _request_from_granter(self, request: PermitRequest) -> None:
-        limit = self._site.find_rate_limit(request.instance)
+        limit = self._permits.find_rate_limit(request.instance)
         if limit is None:
             return
         message = GatewayPermitRequest(
@@ -93,12 +94,12 @@
         def handle_reply(future: Future) -> None:
             outcome = future.result()
             if outcome.is_err() or not isinstance(outcome.unwrap(), GatewayPermits):
-                self._site.take_own_permits(request, now_ms())
+                self._permits.take_own_permits(request, now_ms())
                 return
             reply = outcome.unwrap()
             self._record_limit(reply.limit, "granter")
             permits = IssuedPermits(reply.count, reply.wait_ms)
-            self._site.record_permits(request.instance, permits, now_ms())
+            self._permits.record_permits(request.instance, permits, now_ms())
             self.request_permits()
 
         future = self._messenger.request_granter(message, PERMIT_TIMEOUT_MS)
@@ -113,8 +114,8 @@
             self._broadcast_limit(message.limit.instance)
         instance = message.limit.instance
         request = PermitRequest(instance, message.per_s, message.count)
-        issued = self._site.issue_permits(request, now_ms())
-        limit = self._site.find_rate_limit(instance) or _read_report(message.limit)
+        issued = self._permits.issue_permits(request, now_ms())
+        limit = self._permits.find_rate_limit(instance) or _read_report(message.limit)
         reply(GatewayPermits(_make_report(limit), issued.count, issued.wait_ms))
 
     def _handle_limits(
@@ -127,7 +128,7 @@
 
     def _record_limit(self, report: RateLimitReport, told_by: str) -> bool:
         limit = _read_report(report)
-        is_changed = self._site.record_rate_limit(limit, now_ms())
+        is_changed = self._permits.record_rate_limit(limit, now_ms())
         if is_changed:
             self._log_limit(limit, told_by)
         return is_changed
@@ -141,7 +142,7 @@
             self._messenger.send_to_granter(message)
 
     def _broadcast_limit(self, instance: str) -> None:
-        limit = self._site.find_rate_limit(instance)
+        limit = self._permits.find_rate_limit(instance)
         if limit is not None:
             self._messenger.broadcast(_make_message([limit]))
 
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -14,12 +14,6 @@
 from ..core.gateway.key_owners import KeyOwners
 from ..core.gateway.leaving import LeavingNotice
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
-from ..core.gateway.permits import (
-    MAX_DENIAL_MS,
-    IssuedPermits,
-    PermitRequest,
-    RateLimit,
-)
 from ..core.gateway.positions import era_of
 from ..core.gateway.ranges import OwnedRange, OwnerTable, apply_changed_ranges
 from ..core.gateway.routes import RouteTable, Splitter
@@ -370,63 +364,6 @@
             instances = self.fleet.instances.values()
             return [i.oldest_request_age_ms(now_ms) for i in instances if i.in_flight]
 
-    def pop_permit_requests(self, now_ms: float) -> list[PermitRequest]:
-        """Returns the requests for permits that are due, and records them as sent."""
-        with self.lock:
-            return self.scheduler.pop_permit_requests(now_ms)
-
-    def record_permits(
-        self, instance: str, reply: IssuedPermits, now_ms: float
-    ) -> None:
-        """Records the permits for an instance that the granter issued."""
-        with self.lock:
-            found = self.fleet.find(instance)
-            if found is not None:
-                found.permits.record_reply(reply, now_ms)
-                self._poll(now_ms)
-
-    def take_own_permits(self, request: PermitRequest, now_ms: float) -> None:
-        """Uses this daemon's share of a limited rate, without the granter."""
-        with self.lock:
-            found = self.fleet.find(request.instance)
-            if found is None:
-                return
-            daemons = len(self.scheduler.view.daemons)
-            found.permits.take_own_share(request.per_s, daemons, now_ms)
-            self._poll(now_ms)
-
-    def issue_permits(self, request: PermitRequest, now_ms: float) -> IssuedPermits:
-        """Issues permits as granter."""
-        with self.lock:
-            found = self.fleet.find(request.instance)
-            if found is None:
-                return IssuedPermits(0, MAX_DENIAL_MS)
-            known_per_s = self.scheduler.permit_rate_per_s(found, now_ms)
-            per_s = request.per_s if known_per_s is None else known_per_s
-            per_s = min(per_s, request.per_s)
-            return found.permit_issuer.issue(per_s, request.count, now_ms)
-
-    def record_rate_limit(self, limit: RateLimit, now_ms: float) -> bool:
-        """Records a rate limit unless it is outdated; returns whether it changed."""
-        with self.lock:
-            found = self.fleet.find(limit.instance)
-            is_changed = found is not None and found.record_rate_limit(limit)
-            if is_changed:
-                self._poll(now_ms)
-            return is_changed
-
-    def find_rate_limit(self, instance: str) -> RateLimit | None:
-        """Returns the latest known rate limit of an instance, if it is listed."""
-        with self.lock:
-            found = self.fleet.find(instance)
-            return found.rate_limit if found else None
-
-    def rate_limits(self) -> list[RateLimit]:
-        """Returns the latest known limits of all instances that ever named one."""
-        with self.lock:
-            limits = [i.rate_limit for i in self.fleet.instances.values()]
-        return [limit for limit in limits if limit.observed_ms > -math.inf]
-
     def versions(self, now_ms: float) -> SiteVersions:
         """Returns the versions on which decisions are based now."""
         with self.lock:
@@ -463,6 +400,11 @@
         for budget in self._retry_budgets.values():
             budget.extra_retries = self._extra_retries()
 
+    def decide_waiting(self, now_ms: float) -> None:
+        """Lets the scheduler decide waiting tickets after a change."""
+        with self.lock:
+            self._poll(now_ms)
+
     def _poll(self, now_ms: float) -> None:
         self._owners.now_ms = now_ms
         self._polled_ms = now_ms
