--- a/demo/gateway_site.py
+++ b/demo/gateway_site.py
@@ -197,6 +197,22 @@
         address = f"http://{self.store_address}/operator/restore"
         self._send("POST", address, {}, b"", 2.0)
 
+    def hold_append(self, skip: int = 0) -> None:
+        """Lets the store hold a conditional append, and execute it in a later era.
+
+        Args:
+            skip: Number of conditional appends that are executed before.
+        """
+        address = f"http://{self.store_address}/operator/hold"
+        body = json.dumps({"skip": skip}).encode()
+        self._send("POST", address, {}, body, 2.0)
+
+    def leave(self, name: str, exit_s: float | None = None) -> None:
+        """Lets an instance say in its answers that it leaves, and exit after a time."""
+        address = f"http://{self.instance_addresses[name]}/leave"
+        options = {} if exit_s is None else {"exit_s": exit_s}
+        self._send("POST", address, {}, json.dumps(options).encode(), 2.0)
+
     def publish(self, **changes: Any) -> int:
         """Writes a new configuration to the store and returns its version."""
         self.version += 1
--- a/soak/further_faults.py
+++ b/soak/further_faults.py
@@ -126,6 +126,32 @@
     return site.restore_store
 
 
+@fault("store_back_with_late_write", FURTHER_FAULTS)
+def _restore_store_and_write_late(
+    site: GatewaySite, proxies: Proxies, rng: random.Random
+) -> Undo:
+    """Lets the store execute a write of before its return after it."""
+    site.copy_store()
+    site.hold_append(skip=rng.randint(0, 3))
+    return site.restore_store
+
+
+@fault("instance_leaves", FURTHER_FAULTS)
+def _let_instance_leave(
+    site: GatewaySite, proxies: Proxies, rng: random.Random
+) -> Undo:
+    """Lets an instance say that it leaves; it exits, at times late or not at all."""
+    name = rng.choice(sorted(site.instances))
+    process = site.instances[name]
+    site.leave(name, rng.choice((None, rng.uniform(1.0, 6.0))))
+
+    def restart() -> None:
+        process.kill()
+        process.start()
+
+    return restart
+
+
 @fault("gateways_cut_off_from_store", FURTHER_FAULTS)
 def _cut_off_from_store(
     site: GatewaySite, proxies: Proxies, rng: random.Random
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -9,7 +9,7 @@
 import threading
 import time
 from collections import Counter, deque
-from typing import Any
+from typing import Any, NamedTuple
 
 from ..serving import (
     Application,
@@ -86,6 +86,22 @@
         return [data for _, data in list(self.records)[offset - self.first :]]
 
 
+class HeldAppend(NamedTuple):
+    """A conditional append that got no answer, and is executed in a later era.
+
+    Attributes:
+        topic: Name of the topic.
+        at: Offset at which the partition has to end.
+        records: The records.
+        era: Era in which the append arrived.
+    """
+
+    topic: str
+    at: int
+    records: list[bytes]
+    era: int
+
+
 class ConsumerGroup:
     """Members of a consumer group, among whom the partitions are assigned."""
 
@@ -130,6 +146,9 @@
 
     `POST /operator/copy` keeps a copy of all records, and `POST /operator/restore` goes
     back to it. What operators and instances wrote is then written again.
+    `POST /operator/hold` lets a conditional append have no answer, after `skip` others.
+    It is executed as soon as its condition holds in a later era, as an offset means
+    another record there. `GET /held` returns whether one is held.
     """
 
     def __init__(
@@ -150,6 +169,8 @@
         self._changed = threading.Condition()
         self._era = first_era
         self._copy: dict[str, PartitionLog] = {}
+        self._appends_to_hold: int | None = None
+        self._held: HeldAppend | None = None
         self._call_counts: Counter[str] = Counter()
         self._loss_accumulator = 0.0
         route = self.application.route
@@ -161,6 +182,8 @@
         route("POST", "/operator/put")(self._handle_operator_put)
         route("POST", "/operator/copy")(self._handle_copy)
         route("POST", "/operator/restore")(self._handle_restore)
+        route("POST", "/operator/hold")(self._handle_hold)
+        route("GET", "/held")(lambda _: json_response(self._held is not None))
         route("GET", "/calls")(lambda _: json_response(self._call_counts))
 
     def _with_controls(self, handler):
@@ -205,13 +228,42 @@
             log = self._get_log(query["topic"])
             if "at" in query and int(query["at"]) != log.end:
                 return json_response({"endOffset": log.end}, 412)
+            if "at" in query and self._is_to_be_held():
+                self._held = HeldAppend(query["topic"], log.end, records, self._era)
+                return json_response({})._replace(is_truncated=True)
             offset = log.end
             for record in records:
                 log.append(record)
             end = log.end
+            self._execute_held_append()
             self._changed.notify_all()
         return json_response({"offset": offset, "endOffset": end})
 
+    def _is_to_be_held(self) -> bool:
+        """Counts a conditional append; returns whether it is the one to be held."""
+        if self._appends_to_hold is None:
+            return False
+        self._appends_to_hold -= 1
+        if self._appends_to_hold >= 0:
+            return False
+        self._appends_to_hold = None
+        return True
+
+    def _execute_held_append(self) -> None:
+        held = self._held
+        if held is None or held.era == self._era:
+            return
+        log = self._get_log(held.topic)
+        if log.end == held.at:
+            self._held = None
+            for record in held.records:
+                log.append(record)
+
+    def _handle_hold(self, request: Request) -> Response:
+        with self._changed:
+            self._appends_to_hold = int(json.loads(request.body)["skip"])
+        return json_response({})
+
     def _handle_operator_put(self, request: Request) -> Response:
         """Appends a keyed record, as operators and instances do."""
         payload = json.loads(request.body)
@@ -237,6 +289,7 @@
                 newest = lost[topic].newest_by_key if topic in lost else {}
                 for key, (value, _, _) in newest.items():
                     log.append(bytes([len(key.encode())]) + key.encode() + value)
+            self._execute_held_append()
             self._changed.notify_all()
         return json_response({"era": self._era})
 
--- a/tests/processes/test_restored_store.py
+++ b/tests/processes/test_restored_store.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import time
 
 import pytest
 
-from demo.gateway_site import REQUEST_KINDS, GatewaySite
+from demo.gateway_site import REQUEST_KINDS, ZONES, GatewaySite
 from soak.checks import find_shared_keys
 
 STOCK, BOOKING = REQUEST_KINDS
@@ -125,6 +126,22 @@
     site.control(site.store_address, mode="up")
 
 
+def is_write_held(site):
+    return json.loads(site.get(site.store_address, "/held").body)
+
+
+def move_keys_until(site, is_reached):
+    """Takes one zone after the other out, so that owners are recorded."""
+    end = time.monotonic() + SETTLE_S
+    for out, back in itertools.cycle((ZONES, ZONES[::-1])):
+        site.set_zone_out(back, False)
+        site.set_zone_out(out, True)
+        time.sleep(1.0)
+        if is_reached():
+            return
+        assert time.monotonic() < end
+
+
 def watch_holders(site, seconds):
     """Returns the keys that two instances hold in two consecutive samples."""
     found, before = set(), set()
@@ -158,6 +175,28 @@
     wait_until_served(site, MAX_UNSERVED_S)
 
 
+@pytest.mark.parametrize("skip", [0, 1, 2])
+def test_a_write_of_before_the_return_makes_no_second_owner(site, skip):
+    """Guards against owners of before that the next granter trusts.
+
+    The write is executed before, between or after the records of the granter, which is
+    killed some moments later. `test_late_writes.py` plays each offset and moment.
+    """
+    site.copy_store()
+    site.hold_append(skip)
+    move_keys_until(site, lambda: is_write_held(site))
+    restore(site)
+    end = time.monotonic() + SETTLE_S
+    while is_write_held(site):
+        assert time.monotonic() < end, "the write was not executed"
+        time.sleep(0.05)
+    for zone in ZONES:
+        site.set_zone_out(zone, False)
+    site.gateways[find_granter(site)].kill()
+    assert not watch_holders(site, WATCH_S)
+    wait_until_served(site, MAX_UNKNOWN_S)
+
+
 def test_configuration_published_after_the_return_is_in_force(site):
     for _ in range(5):
         site.publish()
