--- a/src/skylarktrail/core/gateway/lease_calls.py
+++ b/src/skylarktrail/core/gateway/lease_calls.py
@@ -152,8 +152,10 @@
             the call waited too long for a thread or the granter may not send any more;
             `silent`, if there was no response, so that the call may still take effect.
         handover: State handed over by the releasing instance.
+        is_leaving: Whether the instance says that it leaves.
     """
 
     call_id: int
     outcome: str
     handover: str = ""
+    is_leaving: bool = False
--- a/src/skylarktrail/gateway/leaving_notifier.py
+++ b/src/skylarktrail/gateway/leaving_notifier.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
-from typing import Sequence
+from typing import Callable, Sequence, TypeVar
 
 from ..core.gateway.instance import Instance
+from ..core.gateway.lease_calls import CallResult, GrantCall, ReleaseCall
 from ..core.gateway.leaving import LeavingNotice
 from ..peer.hub import Responder
 from ..peer.leaving_messages import GatewayLeavingInstances
 from .clock import now_ms
 from .event_log import EventLog
+from .granter_messages import LeaseClient
 from .messenger import Messenger
 from .site_state import SiteState
 
 # The granter repeats all notices, for daemons that missed one or have just started.
 REPEAT_INTERVAL_MS = 1000.0
 
+C = TypeVar("C", GrantCall, ReleaseCall)
+
 
 class LeavingNotifier:
     """Lets all daemons treat an instance as leaving as soon as one has heard of it.
@@ -64,3 +68,38 @@
     ) -> None:
         for notice in message.notices:
             self._record(notice, daemon)
+
+
+class LeavingLeaseClient:
+    """Lease client that hears when an instance says that it leaves.
+
+    An owner that gets no requests says so in the answers to renewals alone.
+
+    Args:
+        client: Sends the calls.
+        site: State of the site.
+        notifier: Is told of instances that leave.
+    """
+
+    def __init__(
+        self, client: LeaseClient, site: SiteState, notifier: LeavingNotifier
+    ) -> None:
+        self._client = client
+        self._site = site
+        self._notifier = notifier
+
+    def grant(self, call: GrantCall) -> CallResult:
+        """Grants a range or renews its lease."""
+        return self._send(call, self._client.grant)
+
+    def release(self, call: ReleaseCall) -> CallResult:
+        """Asks an instance to give up a range."""
+        return self._send(call, self._client.release)
+
+    def _send(self, call: C, send: Callable[[C], CallResult]) -> CallResult:
+        """Sends a call; its answer speaks for the incarnation that is listed before."""
+        instance = self._site.find_instance(call.instance)
+        result = send(call)
+        if result.is_leaving and instance is not None:
+            self._notifier.observe(instance)
+        return result
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -48,7 +48,7 @@
 from .health_app import HealthApp
 from .http_servers import HttpServers
 from .instance_watcher import InstanceWatcher
-from .leaving_notifier import LeavingNotifier
+from .leaving_notifier import LeavingLeaseClient, LeavingNotifier
 from .load_reporter import LoadReporter
 from .messenger import Messenger
 from .metrics import GatewayMetrics
@@ -275,7 +275,9 @@
             site,
             self._process,
             self._make_store(),
-            self._adapter.make_lease_client(),
+            LeavingLeaseClient(
+                self._adapter.make_lease_client(), site, self._leaving_notifier
+            ),
             self._settings.leases,
             log,
             self._metrics,
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -11,6 +11,7 @@
 from ..core.gateway.budget import RetryBudget
 from ..core.gateway.fleet import Fleet, FleetChange
 from ..core.gateway.forward_targets import TargetProcess
+from ..core.gateway.instance import Instance
 from ..core.gateway.key_owners import KeyOwners
 from ..core.gateway.leaving import LeavingNotice
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
@@ -186,6 +187,11 @@
             self.scheduler.release(ticket)
             self._poll(now_ms)
 
+    def find_instance(self, instance: str) -> Instance | None:
+        """Returns an instance, if it is listed."""
+        with self.lock:
+            return self.fleet.find(instance)
+
     def record_leaving(self, notice: LeavingNotice, now_ms: float) -> bool:
         """Records that an instance says that it leaves; returns whether it is new."""
         with self.lock:
--- a/src/skylarktrail/platform/headers.py
+++ b/src/skylarktrail/platform/headers.py
@@ -70,10 +70,15 @@
         load=decode_load(headers.get(LOAD, "")),
         cold_ms=_parse_cold_ms(headers.get(COLD)),
         rate_limit_per_s=_parse_rate(headers.get(RATE_LIMIT)),
-        is_leaving=headers.get(LEAVING, "").strip() == LEAVING_VALUE,
+        is_leaving=says_leaving(headers),
     )
 
 
+def says_leaving(headers: Mapping[str, str]) -> bool:
+    """Returns whether the fields of a response say that the instance leaves."""
+    return headers.get(LEAVING, "").strip() == LEAVING_VALUE
+
+
 def decode_load(text: str) -> LoadReport | None:
     """Decodes load figures.
 
--- a/src/skylarktrail/platform/lease_client.py
+++ b/src/skylarktrail/platform/lease_client.py
@@ -12,7 +12,7 @@
 from ..core.gateway.lease_calls import CallResult, GrantCall, ReleaseCall
 from ..http_pools import make_pool_manager
 from ..response_bounds import ResponseBounds
-from .headers import TARGET
+from .headers import TARGET, says_leaving
 
 CONNECT_TIMEOUT_MS = 300.0
 GRANT_TIMEOUT_MS = 500.0
@@ -111,7 +111,8 @@
     except (urllib3.exceptions.HTTPError, OSError, ValueError, OverflowError):
         return CallResult(call.call_id, SILENT)
     outcome = OUTCOMES.get(response.status, SILENT) if is_whole else SILENT
-    return CallResult(call.call_id, outcome, _read_handover(response))
+    is_leaving = outcome in (DONE, FENCED) and says_leaving(response.headers)
+    return CallResult(call.call_id, outcome, _read_handover(response), is_leaving)
 
 
 def _read_handover(response: urllib3.BaseHTTPResponse) -> str:
--- a/standins/platform/instance.py
+++ b/standins/platform/instance.py
@@ -226,12 +226,13 @@
             payload["fence"],
             arrival_ms + payload["holdMs"],
         )
-        return json_response({}, 200 if is_accepted else 409)
+        return self._say_leaving(json_response({}, 200 if is_accepted else 409))
 
     def _handle_release(self, request: Request) -> Response:
         payload = json.loads(request.body)
         self._key_ranges.release(payload["from"], payload["to"], payload["fence"], 3.0)
-        return json_response({})._replace(headers=(("Handover", "state"),))
+        response = json_response({})._replace(headers=(("Handover", "state"),))
+        return self._say_leaving(response)
 
     def _handle_request(self, request: Request) -> Response:
         if request.header("Target-Instance") not in ("", self._name):
@@ -295,9 +296,14 @@
         if self.controls["rate_limit_per_s"]:
             limit = str(self.controls["rate_limit_per_s"])
             instance_headers.append(("Server-Limit", limit))
-        if self._says_leaving:
-            instance_headers.append(("Server-Leaving", "1"))
-        return Response(status, body, "text/plain", (*headers, *instance_headers))
+        response = Response(status, body, "text/plain", (*headers, *instance_headers))
+        return self._say_leaving(response)
+
+    def _say_leaving(self, response: Response) -> Response:
+        if not self._says_leaving:
+            return response
+        leaving = ("Server-Leaving", "1")
+        return response._replace(headers=(*response.headers, leaving))
 
 
 def main() -> None:
--- a/tests/platform/test_lease_client.py
+++ b/tests/platform/test_lease_client.py
@@ -156,3 +156,24 @@
     assert client.grant(renewal).outcome != "done"
     assert client.grant(renewal).outcome == "done"
     assert len(carried_out) == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "is_leaving"),
+    [("200 OK", True), ("409 Conflict", True), ("421 X", False)],
+)
+def test_the_answer_of_an_instance_that_leaves_says_so(
+    start_server, status, is_leaving
+):
+    """Guards against an owner without requests that keeps its keys until it exits."""
+
+    def serve(connection):
+        read_request(connection)
+        head = (
+            f"HTTP/1.1 {status}\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\n{{}}"
+        )
+        connection.sendall(head.encode())
+
+    server = start_server(serve)
+    result = HttpLeaseClient().grant(make_grant(server.address))
+    assert result.is_leaving == is_leaving
--- a/tests/processes/test_leaving_instances.py
+++ b/tests/processes/test_leaving_instances.py
@@ -162,3 +162,13 @@
         assert {response.status for response in responses} == {200}
         time.sleep(0.1)
     assert max(find_runs(site, owner)) < left_s + DRAIN_S
+
+
+def test_keys_of_an_owner_without_requests_move_too(site):
+    """Guards against an owner that says it in the answers to renewals alone."""
+    owner = "catalogo-2"
+    leave(site, owner, exit_s=EXIT_AFTER_S)
+    end = time.monotonic() + DRAIN_S
+    while any(owner in names for names in site.find_holders_by_key().values()):
+        assert time.monotonic() < end, "the owner keeps its keys"
+        time.sleep(0.05)
