--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -170,7 +170,7 @@
         self._era = first_era
         self._copy: dict[str, PartitionLog] = {}
         self._appends_to_hold: int | None = None
-        self._held: HeldAppend | None = None
+        self._held_append: HeldAppend | None = None
         self._call_counts: Counter[str] = Counter()
         self._loss_accumulator = 0.0
         route = self.application.route
@@ -183,7 +183,7 @@
         route("POST", "/operator/copy")(self._handle_copy)
         route("POST", "/operator/restore")(self._handle_restore)
         route("POST", "/operator/hold")(self._handle_hold)
-        route("GET", "/held")(lambda _: json_response(self._held is not None))
+        route("GET", "/held")(lambda _: json_response(self._held_append is not None))
         route("GET", "/calls")(lambda _: json_response(self._call_counts))
 
     def _with_controls(self, handler):
@@ -229,7 +229,9 @@
             if "at" in query and int(query["at"]) != log.end:
                 return json_response({"endOffset": log.end}, 412)
             if "at" in query and self._is_to_be_held():
-                self._held = HeldAppend(query["topic"], log.end, records, self._era)
+                self._held_append = HeldAppend(
+                    query["topic"], log.end, records, self._era
+                )
                 return json_response({})._replace(is_truncated=True)
             offset = log.end
             for record in records:
@@ -250,12 +252,12 @@
         return True
 
     def _execute_held_append(self) -> None:
-        held = self._held
+        held = self._held_append
         if held is None or held.era == self._era:
             return
         log = self._get_log(held.topic)
         if log.end == held.at:
-            self._held = None
+            self._held_append = None
             for record in held.records:
                 log.append(record)
 
