--- a/src/skylarktrail/core/gateway/granter_role.py
+++ b/src/skylarktrail/core/gateway/granter_role.py
@@ -485,7 +485,7 @@
             granter.observe_open_grants(select_open_grants(self._open_grants, service))
 
     def _repair_owners(self) -> None:
-        """Lets owners be recorded again whose record is malformed."""
+        """Lets owners be recorded again that may not be on record."""
         for service, granter in self.granters.items():
             is_pending = any(write.service == service for write in self._writes)
             if self._shared.are_owners_uncertain(service) and not is_pending:
--- a/src/skylarktrail/gateway/leaving_notifier.py
+++ b/src/skylarktrail/gateway/leaving_notifier.py
@@ -18,7 +18,7 @@
 # The granter repeats all notices, for daemons that missed one or have just started.
 REPEAT_INTERVAL_MS = 1000.0
 
-C = TypeVar("C", GrantCall, ReleaseCall)
+LeaseCall = TypeVar("LeaseCall", GrantCall, ReleaseCall)
 
 
 class LeavingNotifier:
@@ -96,7 +96,9 @@
         """Asks an instance to give up a range."""
         return self._send(call, self._client.release)
 
-    def _send(self, call: C, send: Callable[[C], CallResult]) -> CallResult:
+    def _send(
+        self, call: LeaseCall, send: Callable[[LeaseCall], CallResult]
+    ) -> CallResult:
         """Sends a call; its answer speaks for the incarnation that is listed before."""
         instance = self._site.find_instance(call.instance)
         result = send(call)
--- a/tests/gateway/test_leaving_notifier.py
+++ b/tests/gateway/test_leaving_notifier.py
@@ -9,12 +9,13 @@
 from result import Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.lease_calls import CallResult, GrantCall
 from skylarktrail.core.gateway.leaving import LeavingNotice
 from skylarktrail.core.gateway.model import InstanceEntry
 from skylarktrail.gateway.attempt_judge import AttemptJudge
 from skylarktrail.gateway.event_log import EventLog
 from skylarktrail.gateway.exchange import RawResponse
-from skylarktrail.gateway.leaving_notifier import LeavingNotifier
+from skylarktrail.gateway.leaving_notifier import LeavingLeaseClient, LeavingNotifier
 from skylarktrail.gateway.site_state import SiteState
 from skylarktrail.peer.leaving_messages import GatewayLeavingInstances
 from skylarktrail.platform import headers
@@ -160,3 +161,28 @@
 )
 def test_a_message_with_an_unusable_notice_is_not_used(notice):
     assert not GatewayLeavingInstances((NOTICE, notice)).has_usable_values
+
+
+@pytest.mark.parametrize("is_leaving", [False, True])
+def test_the_answer_to_a_renewal_says_that_an_owner_leaves(daemon, is_leaving):
+    """Guards against an owner without requests that nobody hears."""
+    answering = SimpleNamespace(
+        grant=lambda call: CallResult(1, "done", is_leaving=is_leaving)
+    )
+    client = LeavingLeaseClient(answering, daemon.site, daemon.notifier)
+    client.grant(GrantCall(1, "i-1", "a:1", 0, 9, 7, 4000.0, ""))
+    client.grant(GrantCall(2, "i-9", "a:1", 0, 9, 7, 4000.0, ""))
+    assert daemon.is_leaving == is_leaving
+
+
+def test_the_answer_to_a_call_speaks_for_the_incarnation_before_it(daemon):
+    """Guards against a new incarnation that is listed before the answer arrives."""
+
+    def restart_and_answer(call):
+        daemon.site.fleet.merge([ENTRY._replace(start_ms=2000)], 0.0)
+        return CallResult(1, "done", is_leaving=True)
+
+    answering = SimpleNamespace(grant=restart_and_answer)
+    client = LeavingLeaseClient(answering, daemon.site, daemon.notifier)
+    client.grant(GrantCall(1, "i-1", "a:1", 0, 9, 7, 4000.0, ""))
+    assert not daemon.is_leaving
