--- a/tests/core/gateway/test_late_writes.py
+++ b/tests/core/gateway/test_late_writes.py
@@ -260,3 +260,23 @@
     daemon.role.handle_candidacy(True, daemon.now_ms)
     daemon.land()
     assert daemon.role.term > TERM + 4
+
+
+@pytest.mark.parametrize("pause_ms", (100.0, 1200.0))
+@pytest.mark.parametrize("lost_count", range(1, 9))
+@pytest.mark.parametrize("kind", KINDS.values(), ids=KINDS)
+def test_a_write_of_two_eras_ago_makes_no_second_owner(
+    world, kind, lost_count, pause_ms
+):
+    """Guards against a second return while the granter repeats its records."""
+    hold_write(world, kind)
+    end = offset_of(world.store.held_write.position) - lost_count
+    world.store_faults.states.clear()
+    for _ in range(2):
+        world.restore_store(len(world.store.records) - end)
+        world.advance(pause_ms)
+    drain_owner(world)
+    execute_write(world)
+    kill_granter(world)
+    world.advance(WATCH_MS)
+    world.wait_for_granter(SUCCESSION_MS)
