feat: where a configuration came from, and how old each log is known

Callers saw requests handled by an older configuration than the one acknowledged. From the log alone it could not be told whether the granter read it late, passed it on late, or whether a daemon read it late itself: all daemons are late together.

config_in_force names the position and who broadcast the records; config_source says when a daemon begins to rely on the granter or to read itself; the gauge log_age_ms tells for each log how old this daemon's last whole read or listing is. No decision changes.

--- a/src/skylarktrail/gateway/gauges.py
+++ b/src/skylarktrail/gateway/gauges.py
@@ -25,6 +25,7 @@
     confirmer: ConfigConfirmer,
     messenger: Messenger,
     log: EventLog,
+    log_ages_ms: Callable[[], dict[str, float]],
 ) -> None:
     """Adds the gauges; each reads its component at each scrape.
 
@@ -38,6 +39,7 @@
         confirmer: Confirms the configuration.
         messenger: Holds the links to other daemons.
         log: The event log.
+        log_ages_ms: Returns the age of what is known of each log of the store.
     """
     add = metrics.add_gauge
     add(
@@ -67,6 +69,12 @@
         "service",
         lambda: site.admitted_parts(now_ms()),
     )
+    metrics.add_labelled_gauge(
+        "log_age_ms",
+        "Time since this daemon last knew all records of a log of the store.",
+        "log",
+        log_ages_ms,
+    )
     add(
         "log_lines_dropped",
         "Log lines left out to bound their volume.",
--- a/src/skylarktrail/gateway/log_reader.py
+++ b/src/skylarktrail/gateway/log_reader.py
@@ -69,6 +69,7 @@
         self._is_granter = is_granter
         self._position: int | None = None
         self._started_ms = now_ms()
+        self._complete_ms = self._started_ms
         self._wakeup = threading.Event()
         self._lock = threading.Lock()
 
@@ -93,6 +94,10 @@
         with self._lock:
             return -1 if self._position is None else self._position
 
+    def age_ms(self) -> float:
+        """Returns the time since the last read to the end of the log began."""
+        return now_ms() - self._complete_ms
+
     def _expects_broadcasts(self) -> bool:
         """Returns whether the granter sends new records, or may soon do so."""
         is_settling = now_ms() - self._started_ms < SETTLE_MS
@@ -130,6 +135,7 @@
         if not is_applied or update.has_more:
             self._wakeup.set()
             return 0.0
+        self._complete_ms = started_ms
         return self._finish_read(update, position, started_ms)
 
     def _apply_read(self, update: Any, position: int | None) -> bool:
--- a/src/skylarktrail/gateway/operator_watcher.py
+++ b/src/skylarktrail/gateway/operator_watcher.py
@@ -39,15 +39,24 @@
         super().__init__(store, site, monitor, messenger, is_granter)
         self._log = log
         self._confirmer = confirmer
+        self._is_following = True
 
     def _long_poll_ms(self) -> int:
         wait_ms = super()._long_poll_ms()
         return self._confirmer.limit_wait_ms(wait_ms) if self._confirmer else wait_ms
 
+    def _expects_broadcasts(self) -> bool:
+        expects = super()._expects_broadcasts()
+        if expects != self._is_following:
+            self._is_following = expects
+            source = "granter" if expects else "store"
+            self._log.state("config_source", source=source, position=self._position)
+        return expects
+
     def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
         return self._store.read_operators(position, wait_ms)
 
-    def _apply_update(self, update: OperatorUpdate) -> None:
+    def _apply_update(self, update: OperatorUpdate, told_by: str = "") -> None:
         self._position = update.position
         self._messenger.record_positions(None, update.position)
         for fault in update.faults:
@@ -60,6 +69,8 @@
                 version=config.version,
                 routes=routes,
                 customers=len(config.customers.customers),
+                position=update.position,
+                told_by=told_by,
             )
             if self._confirmer:
                 self._confirmer.record_config()
@@ -71,7 +82,7 @@
         if decoded.is_err():
             self._log.state("records_refused", fault=str(decoded.unwrap_err()))
             return False
-        self._apply_update(decoded.unwrap())
+        self._apply_update(decoded.unwrap(), self._site.shared.granter.daemon)
         return True
 
     def _finish_read(
--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -191,6 +191,7 @@
             self._confirmer,
             self._messenger,
             self._log,
+            self._log_ages_ms,
         )
 
     def start(self) -> Result[None, Fault]:
@@ -349,6 +350,13 @@
         self._ticker = Ticker([self._granter], TICK_MS)
         self._ticker.start()
 
+    def _log_ages_ms(self) -> dict[str, float]:
+        """Returns the age of what this daemon knows of each log of the store."""
+        ages_ms = {
+            reader.log_name: reader.age_ms() for reader in (self._shared, self._operators)
+        }
+        return ages_ms | {"instances": self._site.listing_age_ms(now_ms())}
+
     def _forward_target(self) -> ForwardTarget | None:
         """Returns where this daemon accepts forwarded requests, if it does."""
         address = self._settings.forward_address
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -370,13 +370,18 @@
             instances = self.fleet.instances.values()
             return [i.oldest_request_age_ms(now_ms) for i in instances if i.in_flight]
 
+    def listing_age_ms(self, now_ms: float) -> float:
+        """Returns the time since the listing of instances was read or received."""
+        with self.lock:
+            return now_ms - self._listing_read_ms
+
     def versions(self, now_ms: float) -> SiteVersions:
         """Returns the versions on which decisions are based now."""
         with self.lock:
             return SiteVersions(
                 self.route_table.config.version if self.route_table else 0,
                 self._listing_position,
-                round(now_ms - self._listing_read_ms),
+                round(self.listing_age_ms(now_ms)),
                 self.shared.granter.term,
             )
 
