test: a configuration comes late as a read of the granter hangs (failing)

A model of daemons in virtual time: real messengers, watchers and site states, with models of the links and of the store, whose calls hang or are refused for one daemon.

On the present code, with the granter's read of the operators' log hung for 0.5 to 4 s, a version comes into force 2,668 to 4,068 ms after its acknowledgement at daemons that reach the store themselves; 2,000 are allowed. Faults and successors at random times: late for some of 80 seeds. The sums without a hung call, and with a new granter, stay within the bound in the cases tried.

--- a/src/skylarktrail/gateway/service.py
+++ b/src/skylarktrail/gateway/service.py
@@ -353,7 +353,8 @@
     def _log_ages_ms(self) -> dict[str, float]:
         """Returns the age of what this daemon knows of each log of the store."""
         ages_ms = {
-            reader.log_name: reader.age_ms() for reader in (self._shared, self._operators)
+            reader.log_name: reader.age_ms()
+            for reader in (self._shared, self._operators)
         }
         return ages_ms | {"instances": self._site.listing_age_ms(now_ms())}
 
--- /dev/null
+++ b/tests/gateway/test_config_delay.py
@@ -0,0 +1,94 @@
+"""Tests how long a configuration takes to come into force at daemons with the store."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from .config_world import READ_CALLS, ConfigWorld, StoreFault
+
+MAX_CONFIG_DELAY_MS = 2000.0  # The smallest bound of the sites for a configuration.
+MAX_CALM_DELAY_MS = 50.0
+START_MS = 6000.0
+WATCH_MS = 8000.0
+GRANTER, SUCCESSOR, OTHER = ("d1", "d2", "d3")
+FOLLOWERS = (SUCCESSOR, OTHER)
+SEARCH_SEEDS = 80
+
+
+@pytest.fixture
+def world(monkeypatch):
+    world = ConfigWorld(monkeypatch)
+    world.run(START_MS)
+    yield world
+    world.clock.stop()
+
+
+def add_fault(world, duration_ms, calls=READ_CALLS, is_refused=False):
+    """Lets the granter's calls to the store fail from now on."""
+    start_ms = world.clock.now_ms
+    fault = StoreFault(start_ms, start_ms + duration_ms, calls, is_refused)
+    world.daemons[GRANTER].store.faults.append(fault)
+
+
+def publish_and_measure(world):
+    """Publishes a version; returns its longest delay at daemons with the store."""
+    published_ms = world.clock.now_ms
+    world.logs.publish(2)
+    world.run(WATCH_MS)
+    return max(world.delay_ms(name, 2, published_ms) for name in FOLLOWERS)
+
+
+def test_configuration_is_broadcast_at_once(world):
+    assert publish_and_measure(world) < MAX_CALM_DELAY_MS
+
+
+@pytest.mark.parametrize("duration_ms", [500, 1000, 1300, 2000, 4000])
+@pytest.mark.parametrize("calls", [READ_CALLS, ("operators",)], ids=["all", "one"])
+def test_config_late_as_a_read_of_the_granter_hangs(world, duration_ms, calls):
+    """The granter's listings went on, so nobody else read the operators' log."""
+    add_fault(world, duration_ms, calls)
+    world.run(100.0)
+    assert publish_and_measure(world) <= MAX_CONFIG_DELAY_MS
+
+
+@pytest.mark.parametrize("listed_ms", range(0, 700, 50))
+def test_config_late_as_the_granter_is_lost(world, listed_ms):
+    """Waits for its listing, for the next look and for the read added up."""
+    world.run(listed_ms)
+    add_fault(world, 60_000.0)
+    world.run(1.0)
+    assert publish_and_measure(world) <= MAX_CONFIG_DELAY_MS
+
+
+@pytest.mark.parametrize("appointed_ms", range(300, 2000, 200))
+def test_config_late_as_a_new_granter_waits_for_broadcasts(world, appointed_ms):
+    """The former granter is lost, and the listings of its successor go on."""
+    add_fault(world, 60_000.0)
+    world.clock.call_later(appointed_ms, lambda: world.appoint(SUCCESSOR))
+    world.run(1.0)
+    assert publish_and_measure(world) <= MAX_CONFIG_DELAY_MS
+
+
+def test_config_late_search(monkeypatch):
+    """Faults of the granter's calls and its replacement, at random times."""
+    delays_ms = {seed: run_at_random(monkeypatch, seed) for seed in range(SEARCH_SEEDS)}
+    late = {s: ms for s, ms in delays_ms.items() if ms > MAX_CONFIG_DELAY_MS}
+    assert not late
+
+
+def run_at_random(monkeypatch, seed):
+    choices = random.Random(seed)
+    world = ConfigWorld(monkeypatch)
+    world.run(START_MS + choices.uniform(0, 2500))
+    duration_ms = choices.uniform(300, 5000)
+    calls = choices.choice([READ_CALLS, ("operators",), ("operators", "shared")])
+    add_fault(world, duration_ms, calls, is_refused=choices.random() < 0.3)
+    if choices.random() < 0.5:
+        appointed_ms = choices.uniform(1000, 3000)
+        world.clock.call_later(appointed_ms, lambda: world.appoint(SUCCESSOR))
+    world.run(choices.uniform(1, duration_ms + 800))
+    delay_ms = publish_and_measure(world)
+    world.clock.stop()
+    return delay_ms
