--- a/src/skylarktrail/gateway/log_reader.py
+++ b/src/skylarktrail/gateway/log_reader.py
@@ -75,8 +75,9 @@
 
     def run_once(self) -> float:
         """Reads once if needed; returns the milliseconds until the next run."""
-        if self._position is not None and self._expects_broadcasts():
-            if not self._wakeup.wait(FOLLOWER_WAIT_MS / 1000):
+        broadcast_wait_ms = self._broadcast_wait_ms()
+        if self._position is not None and broadcast_wait_ms > 0:
+            if not self._wakeup.wait(broadcast_wait_ms / 1000):
                 return 0.0
             return self._read(0)
         return self._read(0 if self._monitor.is_failing else self._long_poll_ms())
@@ -98,10 +99,17 @@
         """Returns the time since the last read to the end of the log began."""
         return now_ms() - self._complete_ms
 
+    def _broadcast_wait_ms(self) -> float:
+        """Returns how long to wait for broadcasts; 0 to read the store instead."""
+        return FOLLOWER_WAIT_MS if self._expects_broadcasts() else 0.0
+
     def _expects_broadcasts(self) -> bool:
         """Returns whether the granter sends new records, or may soon do so."""
-        is_settling = now_ms() - self._started_ms < SETTLE_MS
-        return is_settling or self._messenger.expects_listings()
+        return self._is_settling() or self._messenger.expects_listings()
+
+    def _is_settling(self) -> bool:
+        """Returns whether this daemon has just started."""
+        return now_ms() - self._started_ms < SETTLE_MS
 
     def record_granter_position(self, position: int) -> None:
         """Triggers a read if the granter has reached a later position."""
--- a/src/skylarktrail/gateway/messenger.py
+++ b/src/skylarktrail/gateway/messenger.py
@@ -296,7 +296,7 @@
             position = self._to_position(daemon, message.position)
             self._on_owners(message.service, message.changed, position)
         elif isinstance(message, GatewayRecords):
-            if self._is_granter_daemon(daemon):
+            if self.is_granter_daemon(daemon):
                 base = self._to_position(daemon, message.base)
                 position = self._to_position(daemon, message.position)
                 self._on_records(message._replace(base=base, position=position))
@@ -304,15 +304,15 @@
             self._handle_listing(daemon, message)
         elif isinstance(message, GatewayRoleOffer):
             is_current_term = message.term == self._site.shared.granter.term
-            if is_current_term and self._is_granter_daemon(daemon):
+            if is_current_term and self.is_granter_daemon(daemon):
                 self._on_offer(message.term)
         elif isinstance(message, GatewayStoreEra):
             self._eras_by_sender[daemon] = message.era
         elif isinstance(message, GatewayOverload):
-            if self._is_granter_daemon(daemon):
+            if self.is_granter_daemon(daemon):
                 self._site.apply_overloads(message.instances, now_ms())
         elif isinstance(message, GatewayServiceShedding):
-            if self._is_granter_daemon(daemon):
+            if self.is_granter_daemon(daemon):
                 self._site.apply_service_shedding(message.services, now_ms())
 
     def _to_position(self, daemon: str, offset: int) -> int:
@@ -323,7 +323,8 @@
         era = self._eras_by_sender.get(daemon, self._own_era)
         return make_position(era, offset)
 
-    def _is_granter_daemon(self, daemon: str) -> bool:
+    def is_granter_daemon(self, daemon: str) -> bool:
+        """Returns whether a daemon is the granter by the latest record."""
         return daemon == self._site.shared.granter.daemon
 
     def _handle_load(self, daemon: str, report: GatewayLoad) -> None:
@@ -341,11 +342,11 @@
     def apply_early_listing(self) -> None:
         """Applies a listing that came before the record of its granter was read."""
         early, self._early_listing = self._early_listing, None
-        if early is not None and self._is_granter_daemon(early[0]):
+        if early is not None and self.is_granter_daemon(early[0]):
             self._handle_listing(*early)
 
     def _handle_listing(self, daemon: str, message: GatewayListing) -> None:
-        if self._is_granter_daemon(daemon):
+        if self.is_granter_daemon(daemon):
             with self._listing_lock:
                 self._apply_listing(daemon, message)
         elif not self.is_granter_alive():
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -8,7 +8,9 @@
 from result import Err, Ok
 
 from skylarktrail.config.gateway_settings import SiteBounds
+from skylarktrail.core.gateway.granter_reads import RELIED_ON_MS
 from skylarktrail.core.gateway.model import SiteConfig
+from skylarktrail.core.gateway.positions import OFFSET_BITS
 from skylarktrail.core.gateway.ranges import OwnedRange
 from skylarktrail.core.gateway.shared_state import Member, encode_member, encode_owners
 from skylarktrail.errors import platform as codes
@@ -29,8 +31,10 @@
     MAX_FAILURE_BACKOFF_MS,
     StoreCallMonitor,
 )
+from skylarktrail.peer.config_messages import GatewayConfigConfirmed
 from skylarktrail.peer.gateway_messages import GatewayRecords, SharedRecord
 
+GRANTER = "d2"
 SILENT = Err(Fault(codes.STORE_SILENT))
 TRIMMED = Err(Fault(codes.STORE_TRIMMED))
 
@@ -88,11 +92,32 @@
 
     Attributes:
         broadcasts: Arguments of each broadcast of records.
+        messages: Other broadcast messages.
+        handlers: Handlers of messages by type.
     """
 
     def __init__(self, has_live_granter=False) -> None:
         self.has_live_granter = has_live_granter
         self.broadcasts = []
+        self.messages = []
+        self.handlers = {}
+
+    def add_handler(self, message_type, handle):
+        """Records a handler."""
+        self.handlers[message_type] = handle
+
+    def is_granter_daemon(self, daemon):
+        """Returns whether a daemon is the granter."""
+        return daemon == GRANTER
+
+    def broadcast(self, message):
+        """Records a message."""
+        self.messages.append(message)
+
+    def report_read(self, position, age_ms=0.0, daemon=GRANTER):
+        """Delivers a report of a read of the operators' log."""
+        message = GatewayConfigConfirmed(position, age_ms)
+        self.handlers[GatewayConfigConfirmed](daemon, message, None)
 
     def expects_listings(self):
         """Returns whether the granter sends listings."""
@@ -112,6 +137,7 @@
 
 
 PUBLISHED = (("config", b"6"),)
+FIRST_POSITION = 7
 
 
 def operator_update(version, position, zones=None):
@@ -123,8 +149,11 @@
     store, site, log, has_live_granter=False, messenger=None, is_granter=False
 ):
     monitor = StoreCallMonitor("operators", log, GatewayMetrics())
-    messenger = messenger or Messenger(has_live_granter)
-    return OperatorWatcher(store, site, monitor, log, messenger, lambda: is_granter)
+    messenger = messenger or Messenger()
+    watcher = OperatorWatcher(store, site, monitor, log, messenger, lambda: is_granter)
+    if has_live_granter:
+        messenger.report_read(FIRST_POSITION)
+    return watcher
 
 
 def test_reads_do_not_wait_for_records_until_the_store_responds(site, log):
@@ -181,6 +210,52 @@
     assert site.route_table.config.version == 6
 
 
+@pytest.mark.parametrize(
+    "report",
+    [
+        {"position": 7, "age_ms": RELIED_ON_MS},
+        {"position": 7, "daemon": "d3"},
+        {"position": 7 - (1 << OFFSET_BITS)},
+    ],
+    ids=["too old", "not the granter", "an earlier era"],
+)
+def test_daemons_read_unless_the_granter_has_just_read(site, log, report):
+    """A granter that only lives was relied on while its read hung."""
+    position = 7 + (1 << OFFSET_BITS)
+    report = report | {"position": report["position"] + (1 << OFFSET_BITS)}
+    store = ScriptedStore(operator_update(4, position), operator_update(6, 8))
+    messenger = Messenger(has_live_granter=True)
+    watcher = make_operator_watcher(store, site, log, messenger=messenger)
+    watcher.run_once()
+    messenger.report_read(**report)
+    watcher.run_once()
+    assert len(store.calls) == 2
+
+
+def test_the_granter_reads_though_another_one_has_just_read(site, log):
+    """A daemon that becomes granter waited for broadcasts of its predecessor."""
+    store = ScriptedStore(operator_update(4, 7), operator_update(6, 8))
+    messenger = Messenger(has_live_granter=True)
+    watcher = make_operator_watcher(
+        store, site, log, messenger=messenger, is_granter=True
+    )
+    watcher.run_once()
+    messenger.report_read(7)
+    watcher.run_once()
+    assert len(store.calls) == 2
+
+
+def test_a_report_of_a_later_position_triggers_a_read(site, log):
+    """The broadcast of the records may be lost on its link."""
+    store = ScriptedStore(operator_update(4, 7), operator_update(6, 8))
+    messenger = Messenger()
+    watcher = make_operator_watcher(store, site, log, messenger=messenger)
+    watcher.run_once()
+    messenger.report_read(8)
+    watcher.run_once()
+    assert store.calls[1] == (7, 0)
+
+
 MEMBER = Member("p1", "10.0.0.1:7200")
 OTHER_MEMBER = Member("p2", "10.0.0.2:7200")
 OTHER_MEMBER_RECORD = ("member/d2", encode_member(OTHER_MEMBER))
@@ -293,6 +368,7 @@
     watcher.run_once()
     watcher.run_once()
     assert messenger.broadcasts == [("operators", 7, 8, PUBLISHED)]
+    assert [message.position for message in messenger.messages] == [7, 8]
 
 
 def test_large_configuration_is_not_broadcast(site, log):
--- a/tests/platform/test_odd_configurations.py
+++ b/tests/platform/test_odd_configurations.py
@@ -126,9 +126,8 @@
 class Messenger:
     """Messenger of a daemon without a granter."""
 
-    def expects_listings(self):
-        """Returns that there is no granter."""
-        return False
+    def add_handler(self, message_type, handle):
+        """Ignores the handler, as no message comes."""
 
     def record_positions(self, shared, operators):
         """Ignores positions."""
