test: configurations beside faults of all daemons' calls and links

The search now also lets calls of all daemons fail, more than once, and links lose messages; a daemon that the store turned away has 3 s after the end of that.

--- a/tests/gateway/config_world.py
+++ b/tests/gateway/config_world.py
@@ -78,6 +78,20 @@
     is_refused: bool = False
 
 
+class LinkFault(NamedTuple):
+    """Time in which messages from and to one daemon are lost.
+
+    Attributes:
+        start_ms: When it begins.
+        end_ms: When it ends.
+        daemon: Name of the daemon.
+    """
+
+    start_ms: float
+    end_ms: float
+    daemon: str
+
+
 class SharedLogs:
     """The logs of the store.
 
@@ -207,7 +221,9 @@
         """Does nothing; all daemons are known."""
 
     def send(self, daemon: str, message) -> bool:
-        """Delivers a message after the latency of a link."""
+        """Delivers a message after the latency of a link, unless it is lost."""
+        if self._world.is_link_cut({self._daemon, daemon}):
+            return True
 
         def deliver() -> None:
             receiver = self._world.links[daemon]
@@ -336,6 +352,7 @@
         logs: Logs of the store.
         daemons: The daemons by name.
         links: Their links by name.
+        link_faults: Times in which links lose messages.
     """
 
     def __init__(self, monkeypatch, names=("d1", "d2", "d3")) -> None:
@@ -343,6 +360,7 @@
         self.logs = SharedLogs(self.clock)
         self.daemons: dict[str, ModelDaemon] = {}
         self.links: dict[str, ModelLinks] = {}
+        self.link_faults: list[LinkFault] = []
         self._term = 0
         for module in CLOCK_MODULES:
             monkeypatch.setattr(module, "now_ms", self.clock.read)
@@ -377,6 +395,19 @@
         """Lets time pass."""
         self.clock.run_until(self.clock.now_ms + duration_ms)
 
+    def is_link_cut(self, daemons: set[str]) -> bool:
+        """Returns whether messages between two daemons are lost now."""
+        return any(
+            fault.daemon in daemons
+            and fault.start_ms <= self.clock.now_ms < fault.end_ms
+            for fault in self.link_faults
+        )
+
+    def in_touch_ms(self, daemon: str, stable_ms: float) -> float:
+        """Returns from when on the store's calls of a daemon have not failed."""
+        ends_ms = [fault.end_ms for fault in self.daemons[daemon].store.faults]
+        return max(ends_ms, default=0.0) + stable_ms
+
     def delay_ms(self, daemon: str, version: int, published_ms: float) -> float:
         """Returns how long after its publication a version came into force."""
         times = self.daemons[daemon].in_force_ms
--- a/tests/gateway/test_config_delay.py
+++ b/tests/gateway/test_config_delay.py
@@ -6,15 +6,17 @@
 
 import pytest
 
-from .config_world import READ_CALLS, ConfigWorld, StoreFault
+from .config_world import READ_CALLS, ConfigWorld, LinkFault, StoreFault
 
 MAX_CONFIG_DELAY_MS = 2000.0  # The smallest bound of the sites for a configuration.
 MAX_CALM_DELAY_MS = 50.0
+STABLE_MS = 3000.0  # A daemon is in touch so long after its last disruption.
 START_MS = 6000.0
 WATCH_MS = 8000.0
 GRANTER, SUCCESSOR, OTHER = ("d1", "d2", "d3")
 FOLLOWERS = (SUCCESSOR, OTHER)
 SEARCH_SEEDS = 80
+CALL_GROUPS = (READ_CALLS, ("operators",), ("operators", "shared"))
 
 
 @pytest.fixture
@@ -73,22 +75,61 @@
 
 def test_config_late_search(monkeypatch):
     """Faults of the granter's calls and its replacement, at random times."""
-    delays_ms = {seed: run_at_random(monkeypatch, seed) for seed in range(SEARCH_SEEDS)}
-    late = {s: ms for s, ms in delays_ms.items() if ms > MAX_CONFIG_DELAY_MS}
+    late = find_late_seeds(monkeypatch, run_with_a_faulty_granter)
     assert not late
 
 
-def run_at_random(monkeypatch, seed):
-    choices = random.Random(seed)
-    world = ConfigWorld(monkeypatch)
+def test_config_late_search_with_all_daemons(monkeypatch):
+    """Faults of all daemons' calls and links, at random times, more than once."""
+    late = find_late_seeds(monkeypatch, run_with_faults_everywhere)
+    assert not late
+
+
+def find_late_seeds(monkeypatch, run):
+    """Returns by how much a version came late for each seed for which it did."""
+    lateness_ms = {}
+    for seed in range(SEARCH_SEEDS):
+        world = ConfigWorld(monkeypatch)
+        lateness_ms[seed] = run(world, random.Random(seed))
+        world.clock.stop()
+    return {seed: ms for seed, ms in lateness_ms.items() if ms > 0}
+
+
+def run_with_a_faulty_granter(world, choices):
     world.run(START_MS + choices.uniform(0, 2500))
     duration_ms = choices.uniform(300, 5000)
-    calls = choices.choice([READ_CALLS, ("operators",), ("operators", "shared")])
+    calls = choices.choice(CALL_GROUPS)
     add_fault(world, duration_ms, calls, is_refused=choices.random() < 0.3)
     if choices.random() < 0.5:
         appointed_ms = choices.uniform(1000, 3000)
         world.clock.call_later(appointed_ms, lambda: world.appoint(SUCCESSOR))
     world.run(choices.uniform(1, duration_ms + 800))
-    delay_ms = publish_and_measure(world)
-    world.clock.stop()
-    return delay_ms
+    return publish_and_measure(world) - MAX_CONFIG_DELAY_MS
+
+
+def run_with_faults_everywhere(world, choices):
+    """Returns by how much a version is late at the last daemon in touch."""
+    world.run(START_MS)
+    first_ms = world.clock.now_ms
+    for name in world.daemons:
+        for _ in range(choices.randrange(3)):
+            start_ms = first_ms + choices.uniform(0, 5000)
+            end_ms = start_ms + choices.choice([50, 500, 1500, 3000])
+            calls = choices.choice(CALL_GROUPS)
+            fault = StoreFault(start_ms, end_ms, calls, choices.random() < 0.3)
+            world.daemons[name].store.faults.append(fault)
+        if choices.random() < 0.3:
+            start_ms = first_ms + choices.uniform(0, 5000)
+            world.link_faults.append(LinkFault(start_ms, start_ms + 2500, name))
+    if choices.random() < 0.5:
+        world.clock.call_later(2500, lambda: world.appoint(SUCCESSOR))
+    world.run(choices.uniform(0, 8000))
+    published_ms = world.clock.now_ms
+    world.logs.publish(2)
+    world.run(16_000.0)
+    return max(
+        published_ms
+        + world.delay_ms(name, 2, published_ms)
+        - max(published_ms + MAX_CONFIG_DELAY_MS, world.in_touch_ms(name, STABLE_MS))
+        for name in world.daemons
+    )
