fix: an older version behind a newer one in the same read hid the newer one

A read of the operators' log that brings two versions applied the last of them. If that one was older than the version in force, the newer one before it was skipped for good, as the position had moved on. The store refuses versions that do not rise, so that this was what callers saw is not shown; operators that race one another, or a restored copy of the store to which both write, can bring it about.

Now the highest version of a read counts. The new test got version 7 instead of 8 before. tests/platform: 304 passed.

--- a/src/skylarktrail/platform/site_store.py
+++ b/src/skylarktrail/platform/site_store.py
@@ -178,7 +178,7 @@
         if record.key == CONFIGURATION_KEY and record.value:
             decoded = read_configuration(record.value)
             if decoded.is_ok():
-                config = decoded.unwrap()
+                config = _newer_config(config, decoded.unwrap())
             else:
                 detail = decoded.unwrap_err()
                 faults.append(Fault(codes.STORE_MALFORMED, record.key, detail))
@@ -196,3 +196,7 @@
             read.has_more,
         )
     )
+
+
+def _newer_config(known: SiteConfig | None, other: SiteConfig) -> SiteConfig:
+    return other if known is None or other.version > known.version else known
--- a/tests/platform/test_odd_configurations.py
+++ b/tests/platform/test_odd_configurations.py
@@ -167,6 +167,15 @@
     assert set(site.zones_out) == {"west"}
 
 
+def test_an_older_version_behind_a_newer_one_does_not_hide_it(store, site, watcher):
+    """Both come with one read, of which only the last was applied."""
+    put(store, encode("config", make_value(5)))
+    watcher.run_once()
+    put(store, encode("config", make_value(8)), encode("config", make_value(7)))
+    watcher.run_once()
+    assert version_in_force(site) == 8
+
+
 def test_a_malformed_configuration_in_a_snapshot_hides_no_evacuation(
     store, site, watcher
 ):
