fix: a read of the store waited for a connection that was forgotten on the way

A daemon that follows the granter reads the store rarely. If something between them has forgotten its resting connection, without a sign, the read ends after 900 ms, and the next one follows after a pause of 250 ms. Together with the 1,300 ms for which it relied on the granter this is beyond 2 s.

A connection to the store that rested for 3 s is replaced before the next call.

--- a/src/skylarktrail/platform/store_client.py
+++ b/src/skylarktrail/platform/store_client.py
@@ -33,6 +33,9 @@
 RESPONSE_TIMEOUT_MS = 900.0  # The store usually responds within 4 ms.
 CONNECT_TIMEOUT_MS = 400.0
 MAX_IDLE_CONNECTIONS = 2
+# A connection that rested longer may have been forgotten on the way, without a sign.
+# Calls in regular use are closer together.
+MAX_IDLE_MS = 3000.0
 # The store sends at most 1 MB of values in a response, and one record beyond that.
 RESPONSE_BOUNDS = ResponseBounds(max_bytes=4 << 20)
 # All pages of a read of the newest records; thousands of instances need 2 MB.
@@ -84,6 +87,7 @@
         self._paths_with_era: set[str] = set()
         self._address = address
         self._pool = make_pool(address, MAX_IDLE_CONNECTIONS, RESPONSE_BOUNDS)
+        self._used_ms = _now_ms()
 
     def read_newest(self, topic: str) -> Result[NewestRecords, Fault]:
         """Reads the newest record of each key of a keyed log, page by page.
@@ -229,6 +233,8 @@
         )
         is_json = body is not None and not query
         headers = {"Content-Type": "application/json"} if is_json else {}
+        if _now_ms() - self._used_ms > MAX_IDLE_MS:
+            self._reopen()
         try:
             response = self._pool.urlopen(
                 method, url, body, headers, retries=False, timeout=timeout
@@ -238,6 +244,8 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self._reopen()
             return Err(Fault(codes.STORE_SILENT, path, str(error)))
+        finally:
+            self._used_ms = _now_ms()
         return Ok(response)
 
     def _record_era(self, path: str, response: urllib3.BaseHTTPResponse) -> bool:
@@ -261,6 +269,10 @@
         self._pool = make_pool(self._address, MAX_IDLE_CONNECTIONS, RESPONSE_BOUNDS)
 
 
+def _now_ms() -> float:
+    return time.monotonic() * 1000
+
+
 def encode_keyed_record(record: KeyedRecord) -> bytes:
     """Encodes a record of a keyed log."""
     key = record.key.encode()
