refactor: retry budgets of the services in a module of their own

SiteState held the limits, the budgets of each service and the arithmetic of this daemon's share. It only counts there now.

--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -8,7 +8,6 @@
 from typing import Callable, Iterable, Mapping, NamedTuple
 
 from ..config.gateway_settings import SiteBounds
-from ..core.gateway.budget import RetryBudget
 from ..core.gateway.fleet import Fleet, FleetChange
 from ..core.gateway.forward_targets import TargetProcess
 from ..core.gateway.instance import Instance
@@ -17,6 +16,7 @@
 from ..core.gateway.model import Route, ServiceSpec, SiteConfig
 from ..core.gateway.positions import era_of
 from ..core.gateway.ranges import OwnedRange, OwnerTable, apply_changed_ranges
+from ..core.gateway.retry_budgets import RetryBudgets, RetryLimits
 from ..core.gateway.routes import RouteTable, Splitter
 from ..core.gateway.scheduler import Scheduler, SchedulerView
 from ..core.gateway.service_load import ServiceLoads, sum_up_services
@@ -86,9 +86,8 @@
         self.shared = SharedState()
         self.zones_out: dict[str, float] = {}
         self.route_table: RouteTable | None = None
-        self._bounds = bounds
         self._splitter = Splitter()
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self._retry_budgets = RetryBudgets(_retry_limits(bounds))
         self._owners = KeyOwners(self.shared, self.fleet)
         self._polled_ms = -math.inf
         self._listing_position = -1
@@ -307,12 +306,12 @@
     def record_first_attempt(self, service: str, now_ms: float) -> None:
         """Counts a caller's request, which adds to the retry budget."""
         with self.lock:
-            self._get_retry_budget(service).record_first_attempt(now_ms)
+            self._retry_budgets.record_first_attempt(service, now_ms)
 
     def try_acquire_retry(self, service: str, now_ms: float) -> bool:
         """Counts a retry and returns True if the retry budget allows one more."""
         with self.lock:
-            return self._get_retry_budget(service).try_acquire(now_ms)
+            return self._retry_budgets.try_acquire(service, now_ms)
 
     def forward_targets(self) -> dict[str, TargetProcess]:
         """Returns the other daemons that accept forwarded requests."""
@@ -388,28 +387,7 @@
     def set_bounds(self, bounds: SiteBounds) -> None:
         """Replaces the bounds and resets the retry budgets."""
         with self.lock:
-            self._bounds = bounds
-            self._retry_budgets.clear()
-
-    def _get_retry_budget(self, service: str) -> RetryBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            limits = self._bounds
-            budget = RetryBudget(
-                limits.repeat_window_s * 1000,
-                limits.repeat_ratio,
-                self._extra_retries(),
-            )
-            self._retry_budgets[service] = budget
-        return budget
-
-    def _extra_retries(self) -> float:
-        """Returns this daemon's share of the retries beyond the ratio."""
-        return self._bounds.repeat_extra / 2 / max(4, len(self.shared.members))
-
-    def _update_extra_retries(self) -> None:
-        for budget in self._retry_budgets.values():
-            budget.extra_retries = self._extra_retries()
+            self._retry_budgets.set_limits(_retry_limits(bounds))
 
     def decide_waiting(self, now_ms: float) -> None:
         """Lets the scheduler decide waiting tickets after a change."""
@@ -445,7 +423,7 @@
     def _on_owners_changed(self, before: dict[str, OwnerTable], now_ms: float) -> None:
         for service, table in self.shared.owners.items():
             self._owners.record_owners(service, before.get(service), table, now_ms)
-        self._update_extra_retries()
+        self._retry_budgets.set_daemon_count(len(self.shared.members))
         self.scheduler.view = self._view()
         self._poll(now_ms)
 
@@ -463,3 +441,8 @@
             self._owners.missing_ms,
             self._stop_ms,
         )
+
+
+def _retry_limits(bounds: SiteBounds) -> RetryLimits:
+    window_ms = bounds.repeat_window_s * 1000
+    return RetryLimits(window_ms, bounds.repeat_ratio, bounds.repeat_extra)
