fix: owners of keys in an evacuated zone got requests after a restart

Owners of keys in a zone that is taken out get requests for 2.5 s more, while their keys move. A daemon counted this from when it learned of the evacuation, also in the first read after its start, however long the zone had been out. It then sent requests there up to 2.5 s after that read, later than the 5 s after an evacuation that are allowed.

An evacuation now counts from when it may have happened: before the start of the daemon, or 2 s after the time up to which it knew the operators' log. One that is learned in time has its whole grace.

--- a/src/skylarktrail/gateway/log_reader.py
+++ b/src/skylarktrail/gateway/log_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from typing import Any, Callable
 
@@ -70,7 +71,7 @@
         self._is_granter = is_granter
         self._position: int | None = None
         self._started_ms = now_ms()
-        self._complete_ms = self._started_ms
+        self._complete_ms = -math.inf
         self._wakeup = threading.Event()
         self._lock = threading.Lock()
 
@@ -97,8 +98,8 @@
             return -1 if self._position is None else self._position
 
     def age_ms(self) -> float:
-        """Returns the time since the last read to the end of the log began."""
-        return now_ms() - self._complete_ms
+        """Returns for how long this daemon may have missed records of the log."""
+        return now_ms() - max(self._started_ms, self._complete_ms)
 
     def _broadcast_wait_ms(self) -> float:
         """Returns how long to wait for broadcasts; 0 to read the store instead."""
--- a/src/skylarktrail/gateway/operator_watcher.py
+++ b/src/skylarktrail/gateway/operator_watcher.py
@@ -95,7 +95,8 @@
         self._messenger.record_positions(None, update.position)
         for fault in update.faults:
             self._log.state("records_refused", fault=str(fault))
-        config = self._site.apply_operators(update, now_ms())
+        known_ms = self._complete_ms
+        config = self._site.apply_operators(update, now_ms(), known_ms)
         if config is not None:
             routes = len(config.routes)
             self._log.state(
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -33,6 +33,9 @@
 from .site_store import Listing, OperatorUpdate, SharedUpdate
 
 MIN_POLL_INTERVAL_MS = 10.0  # Half of the interval at which a waiting request polls.
+# An evacuation that this daemon may have missed for longer counts from then on, so that
+# with the grace of owners its zone gets no requests 5 s after the evacuation.
+MAX_UNSEEN_MS = 2000.0
 
 
 class SiteVersions(NamedTuple):
@@ -64,7 +67,8 @@
         lock: Protects all state of this object, its fleet and its scheduler.
         fleet: Instances of the site.
         shared: Records that the daemons share.
-        zones_out: When each evacuated zone was evacuated, in milliseconds.
+        zones_out: When each evacuated zone was evacuated, in milliseconds; minus
+            infinity if it was before the start of this daemon.
         route_table: Routes of the configuration in force; None before the first.
         is_cut: Whether this daemon can open no connections to instances.
         granter_listing_position: Position of the last listing received from the
@@ -116,11 +120,18 @@
             self.fleet.record_store_outage(now_ms)
 
     def apply_operators(
-        self, update: OperatorUpdate, now_ms: float
+        self, update: OperatorUpdate, now_ms: float, known_ms: float = math.inf
     ) -> SiteConfig | None:
-        """Applies the operators' records; returns a new configuration."""
+        """Applies the operators' records; returns a new configuration.
+
+        Args:
+            update: The records.
+            now_ms: The current time.
+            known_ms: Until when the records before them are known to have been the
+                newest; minus infinity if none were known.
+        """
         with self.lock:
-            self._apply_zones(update, now_ms)
+            self._apply_zones(update, min(now_ms, known_ms + MAX_UNSEEN_MS))
             config = self._apply_config(update.config)
             self._poll(now_ms)
             return config
@@ -399,11 +410,11 @@
         self._polled_ms = now_ms
         self.scheduler.poll(now_ms)
 
-    def _apply_zones(self, update: OperatorUpdate, now_ms: float) -> None:
+    def _apply_zones(self, update: OperatorUpdate, out_ms: float) -> None:
         zones = {} if update.is_snapshot else dict(self.zones_out)
         for zone, is_out in update.zones.items():
             if is_out:
-                zones[zone] = self.zones_out.get(zone, now_ms)
+                zones[zone] = self.zones_out.get(zone, out_ms)
             else:
                 zones.pop(zone, None)
         if zones != self.zones_out:
--- a/tests/gateway/config_world.py
+++ b/tests/gateway/config_world.py
@@ -327,8 +327,8 @@
     def _observe_configurations(self) -> None:
         apply = self.site.apply_operators
 
-        def apply_and_observe(update, at_ms):
-            config = apply(update, at_ms)
+        def apply_and_observe(*arguments):
+            config = apply(*arguments)
             if config is not None:
                 self.in_force_ms[config.version] = self._world.clock.now_ms
             return config
--- a/tests/gateway/test_watchers.py
+++ b/tests/gateway/test_watchers.py
@@ -492,7 +492,7 @@
     watcher.run_once()
     apply = site.apply_operators
 
-    def fail(update, at_ms):
+    def fail(*_):
         raise RuntimeError
 
     site.apply_operators = fail
@@ -510,7 +510,7 @@
     watcher.run_once()
     apply = site.apply_operators
 
-    def fail(update, at_ms):
+    def fail(*_):
         raise RuntimeError
 
     site.apply_operators = fail
