--- a/src/skylarktrail/gateway/log_reader.py
+++ b/src/skylarktrail/gateway/log_reader.py
@@ -71,7 +71,7 @@
         self._is_granter = is_granter
         self._position: int | None = None
         self._started_ms = now_ms()
-        self._complete_ms = -math.inf
+        self._known_until_ms = -math.inf
         self._wakeup = threading.Event()
         self._lock = threading.Lock()
 
@@ -99,7 +99,7 @@
 
     def age_ms(self) -> float:
         """Returns for how long this daemon may have missed records of the log."""
-        return now_ms() - max(self._started_ms, self._complete_ms)
+        return now_ms() - max(self._started_ms, self._known_until_ms)
 
     def _broadcast_wait_ms(self) -> float:
         """Returns how long to wait for broadcasts; 0 to read the store instead."""
@@ -145,7 +145,7 @@
         if not is_applied or update.has_more:
             self._wakeup.set()
             return 0.0
-        self._complete_ms = started_ms
+        self._known_until_ms = started_ms
         return self._finish_read(update, position, started_ms)
 
     def _apply_read(self, update: Any, position: int | None) -> bool:
--- a/src/skylarktrail/gateway/operator_watcher.py
+++ b/src/skylarktrail/gateway/operator_watcher.py
@@ -84,7 +84,7 @@
         read_ms = now_ms() - message.age_ms
         self._granter_reads.record(read_ms)
         if applied_position >= message.position:
-            self._complete_ms = max(self._complete_ms, read_ms)
+            self._known_until_ms = max(self._known_until_ms, read_ms)
         self.record_granter_position(message.position)
 
     def _fetch(self, position: int | None, wait_ms: int) -> Result[Any, Fault]:
@@ -95,8 +95,7 @@
         self._messenger.record_positions(None, update.position)
         for fault in update.faults:
             self._log.state("records_refused", fault=str(fault))
-        known_ms = self._complete_ms
-        config = self._site.apply_operators(update, now_ms(), known_ms)
+        config = self._site.apply_operators(update, now_ms(), self._known_until_ms)
         if config is not None:
             routes = len(config.routes)
             self._log.state(
--- a/src/skylarktrail/gateway/site_state.py
+++ b/src/skylarktrail/gateway/site_state.py
@@ -120,18 +120,18 @@
             self.fleet.record_store_outage(now_ms)
 
     def apply_operators(
-        self, update: OperatorUpdate, now_ms: float, known_ms: float = math.inf
+        self, update: OperatorUpdate, now_ms: float, known_until_ms: float = math.inf
     ) -> SiteConfig | None:
         """Applies the operators' records; returns a new configuration.
 
         Args:
             update: The records.
             now_ms: The current time.
-            known_ms: Until when the records before them are known to have been the
-                newest; minus infinity if none were known.
+            known_until_ms: Until when the records before them are known to have been
+                the newest; minus infinity if none were known.
         """
         with self.lock:
-            self._apply_zones(update, min(now_ms, known_ms + MAX_UNSEEN_MS))
+            self._apply_zones(update, min(now_ms, known_until_ms + MAX_UNSEEN_MS))
             config = self._apply_config(update.config)
             self._poll(now_ms)
             return config
